--- /dev/null
+++ b/peridotquay/process/Error.h
@@ -0,0 +1,117 @@
+// Typed errors. Every failure has an ErrorCode; the details say where it happened.
+#pragma once
+
+#include <boost/outcome/result.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace peridotquay {
+
+/// Kinds of failure. Names are stable: they appear in HTTP error bodies, logs and the command
+/// line's JSON.
+enum class ErrorCode : std::uint16_t
+{
+  // Callers' requests.
+  kMalformedRequest = 1,
+  kConflictingHeaders,
+  kRequestTooLarge,
+  kHeadersTooLarge,
+  kRequestTooSlow,
+  kMissingKey,
+  kUnknownKey,
+  kWithdrawnKey,
+  kRouteNotAllowed,
+  kNoRoute,
+  kOverRate,
+  kShed,
+  kNoTarget,
+  kDeadlineExceeded,
+  kConfigurationNotFresh,
+  kDraining,
+  kBadRequestId,
+  kRequestIdExpired,
+  kDepthExceeded,
+  kMissingContext,
+  // Calls between nodes and targets.
+  kOutcomeUnknown,
+  kTruncatedAnswer,
+  kTargetUnreachable,
+  kTargetRefused,
+  kCancelled,
+  // Peer frames.
+  kFrameTooLarge,
+  kFrameMalformed,
+  kFrameNesting,
+  kProtocolVersion,
+  // Settings and configuration.
+  kFileUnreadable,
+  kSyntax,
+  kUnknownSetting,
+  kWrongType,
+  kOutOfRange,
+  kMissingSetting,
+  kContradiction,
+  kUnknownReference,
+  kUnknownSite,
+  kOverlayWidens,
+  kChangeTooLarge,
+  kVersionConflict,
+  // Platform.
+  kPlatformUnavailable,
+  kPlatformConflict,
+  kPlatformUnknown,
+  kPlatformMalformed,
+  // Processes.
+  kAddressInUse,
+  kLimitReached,
+  kNotFound,
+};
+
+/// Stable lower-case name of a code, for example "over-rate".
+std::string_view ErrorName(ErrorCode aCode);
+
+/// Place in a settings or configuration file. Line and column count from 1; 0 means unknown.
+struct SourcePlace
+{
+  std::string file_;
+  std::uint32_t line_ = 0;
+  std::uint32_t column_ = 0;
+  bool operator==(const SourcePlace&) const = default;
+};
+
+/// A failure: its code, what it concerns, and for settings the place and the allowed values.
+struct Error
+{
+  ErrorCode code_ = ErrorCode::kMalformedRequest;
+  /// The setting, header, host or entity concerned. Never holds a caller's key.
+  std::string subject_;
+  /// Allowed range or value, or what was found instead; empty if nothing useful can be said.
+  std::string allowed_;
+  /// Place in a file; empty for errors without one.
+  SourcePlace place_;
+  bool operator==(const Error&) const = default;
+};
+
+/// One line for people: place, name, subject and allowed values.
+std::string Describe(const Error& aError);
+
+/// A value or an Error.
+template<typename T>
+using Result = BOOST_OUTCOME_V2_NAMESPACE::result<T, Error>;
+
+/// Success of a Result<void>.
+inline Result<void> Success()
+{
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+/// Failure with a code and a subject, convertible to any Result<T>.
+inline auto Fail(ErrorCode aCode, std::string aSubject = {}, std::string aAllowed = {})
+{
+  return BOOST_OUTCOME_V2_NAMESPACE::failure(
+    Error{ aCode, std::move(aSubject), std::move(aAllowed), {} });
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/process/Events.h
@@ -0,0 +1,72 @@
+// Numbered log events. The catalogue is docs/events.md; tools/check_events.py keeps both in step.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace peridotquay {
+
+/// Severity of a log event.
+enum class Severity : std::uint8_t
+{
+  kInfo,
+  kWarning,
+  kError
+};
+
+// Each line: number, name, severity. 1xxx process, 2xxx calls, 3xxx membership, 4xxx versions and
+// keys, 5xxx shares, 6xxx connections, 7xxx stand-ins and tools. Numbers are never reused.
+// clang-format off
+#define PERIDOTQUAY_EVENTS(X) \
+  X(1001, NodeStarted, kInfo) \
+  X(1002, NodeDraining, kInfo) \
+  X(1003, NodeStopped, kInfo) \
+  X(1004, SettingsRejected, kError) \
+  X(1005, ListenFailed, kError) \
+  X(2001, AnswerDropped, kWarning) \
+  X(2002, OutcomeUnknown, kWarning) \
+  X(2003, TargetRefusing, kWarning) \
+  X(3001, MemberJoined, kInfo) \
+  X(3002, MemberSuspected, kWarning) \
+  X(3003, MemberDead, kWarning) \
+  X(3004, MemberRefuted, kInfo) \
+  X(3005, DataCentreUnreachable, kWarning) \
+  X(3006, DataCentreReachable, kInfo) \
+  X(4001, VersionInForce, kInfo) \
+  X(4002, VersionRejected, kError) \
+  X(4003, FreshnessLost, kWarning) \
+  X(4004, FreshnessRegained, kInfo) \
+  X(4005, PlatformUnreachable, kWarning) \
+  X(4006, PlatformReachable, kInfo) \
+  X(5001, ShareLeaseTaken, kInfo) \
+  X(5002, ShareLeaseLost, kWarning) \
+  X(6001, PeerConnected, kInfo) \
+  X(6002, PeerDisconnected, kWarning) \
+  X(6003, PeerFrameRejected, kError) \
+  X(6004, PeerConnectionSilent, kWarning)
+// clang-format on
+
+/// Identifies a log event; the value is its number.
+enum class Event : std::uint16_t
+{
+#define PERIDOTQUAY_EVENT_ENUM(aNumber, aName, aSeverity) k##aName = aNumber,
+  PERIDOTQUAY_EVENTS(PERIDOTQUAY_EVENT_ENUM)
+#undef PERIDOTQUAY_EVENT_ENUM
+};
+
+/// One key=value pair of a log line. Values with spaces are quoted.
+struct EventField
+{
+  std::string_view name_;
+  std::string value_;
+};
+
+/// Writes one structured line through glog: event number, name, fields. Never pass a caller's key.
+void LogEvent(Event aEvent, std::initializer_list<EventField> aFields = {});
+
+/// Name of an event as in the catalogue.
+std::string_view EventName(Event aEvent);
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/process/Time.h
@@ -0,0 +1,28 @@
+// Time types. Decision code takes the current time as an argument; processes read it from the actor
+// system's clock.
+#pragma once
+
+#include <chrono>
+
+namespace peridotquay {
+
+/// Monotonic clock of the runtime (the clock type of CAF's actor clock).
+using Clock = std::chrono::steady_clock;
+
+/// A point on the monotonic clock of this process. Never sent to another process.
+using TimePoint = Clock::time_point;
+
+/// A length of time in nanoseconds.
+using Duration = Clock::duration;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Converts a duration to fractional seconds.
+inline double ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/Admission.h
@@ -0,0 +1,144 @@
+// Admission to one target: adaptive concurrency limit, queue by importance and fair share, early
+// refusal.
+#pragma once
+
+#include "peridotquay/connection/PeerMessage.h"
+#include "peridotquay/process/Error.h"
+#include "peridotquay/process/Time.h"
+#include "peridotquay/request/Outcome.h"
+#include "peridotquay/version/Ids.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace peridotquay {
+
+/// Settings of a guard's admission.
+struct AdmissionSettings
+{
+  std::uint32_t initialLimit_ = 16;
+  std::uint32_t minLimit_ = 2;
+  std::uint32_t maxLimit_ =
+    1000; ///< Never above the target's announced slots, when it announces any.
+  std::uint32_t queueCapacity_ = 1024; ///< Calls over all classes.
+  double queueDeadlineFraction_ = 0.5; ///< Part of a call's time left that it may spend queued.
+  bool operator==(const AdmissionSettings&) const = default;
+};
+
+/// A call that waits for admission.
+struct WaitingCall
+{
+  std::uint64_t id_ =
+    0; ///< Chosen by the owner of the state; unique among waiting and running calls.
+  Importance importance_ = Importance::kNormal;
+  ClientAccountId clientAccount_;
+  double weight_ = 1; ///< Share of the client account in its class: its rate.
+  TimePoint arrived_{};
+  TimePoint deadline_{};
+  bool operator==(const WaitingCall&) const = default;
+};
+
+/// Queue of one importance class: one FIFO per client account, served by weighted fair order.
+struct ClassQueue
+{
+  struct AccountQueue
+  {
+    std::deque<WaitingCall> calls_;
+    double finishTag_ = 0; ///< Virtual finish time of the last served call.
+  };
+  std::map<ClientAccountId, AccountQueue> accounts_;
+  double virtualTime_ = 0;
+  std::size_t size_ = 0; ///< Invariant: sum of the sizes of accounts_.
+};
+
+/// State of one guard's admission. Changed only through the functions below.
+struct AdmissionState
+{
+  AdmissionSettings settings_;
+  double limit_ = 16; ///< minLimit_ to the smaller of maxLimit_ and announced slots.
+  std::uint32_t announcedSlots_ = 0;
+  std::uint32_t running_ = 0;
+  std::array<ClassQueue, kImportanceClasses> queues_;
+  std::size_t queued_ = 0;    ///< Invariant: sum of queues_ sizes.
+  double serviceSeconds_ = 0; ///< Moving average of service time.
+  double floorSeconds_ = 0;   ///< Moving least service time.
+  TimePoint floorSince_{};
+  TimePoint lastDecrease_{};
+  std::array<double, kImportanceClasses>
+    offered_{}; ///< Decayed count of offered calls for each class.
+  std::array<double, kImportanceClasses>
+    admitted_{}; ///< Decayed count of started calls for each class.
+  TimePoint countsDecayed_{};
+};
+
+/// A call that was refused before it started, with the reason. Always "not run".
+struct RefusedCall
+{
+  std::uint64_t id_ = 0;
+  ErrorCode code_ = ErrorCode::kShed;
+  std::uint32_t retryAfterMs_ = 0;
+  bool operator==(const RefusedCall&) const = default;
+};
+
+/// What the owner of the state must do now: start these calls, refuse those.
+struct AdmissionStep
+{
+  std::vector<std::uint64_t> start_;
+  std::vector<RefusedCall> refuse_;
+  bool operator==(const AdmissionStep&) const = default;
+};
+
+/// Offers a call: it is started, queued, or refused; it may push out a less important queued call.
+AdmissionStep OfferCall(AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow);
+
+/// How a started call ended, as far as the limit is concerned.
+enum class CallEnd : std::uint8_t
+{
+  kAnswered,
+  kTargetRefused, ///< The target shed it.
+  kTimedOut,
+  kCancelled ///< Says nothing about the target.
+};
+
+/// Frees the slot of a started call, adapts the limit and starts waiting calls.
+AdmissionStep FinishCall(AdmissionState& aState,
+                         CallEnd aEnd,
+                         Duration aServiceTime,
+                         TimePoint aNow);
+
+/// Removes a waiting call that its caller cancelled; false if it isn't waiting.
+bool CancelWaiting(AdmissionState& aState, std::uint64_t aId);
+
+/// Refuses waiting calls that can't meet their deadline any more. Call at least every 10 ms while
+/// calls wait.
+AdmissionStep DropLateCalls(AdmissionState& aState, TimePoint aNow);
+
+/// Takes the target's announced slots; 0 means not announced.
+void AnnounceSlots(AdmissionState& aState, std::uint32_t aSlots);
+
+/// What the guard admits at present, for answers.
+AdmissionLevel CurrentLevel(AdmissionState& aState, TimePoint aNow);
+
+/// Admission level of one service as a caller's host remembers it from answers.
+struct UpstreamLevel
+{
+  AdmissionLevel level_;
+  TimePoint heard_{};
+  std::uint64_t random_ = 0x9E3779B97F4A7C15ULL; ///< State of the generator; seeded by the owner.
+};
+
+/// A level older than this is forgotten.
+inline constexpr Duration kLevelLifetime = seconds(1);
+
+/// Takes the level of an answer. The more restrictive of two levels younger than kLevelLifetime
+/// doesn't win: the later does.
+void NoteLevel(UpstreamLevel& aUpstream, const AdmissionLevel& aLevel, TimePoint aNow);
+
+/// Whether a call of the class should be sent at all; lets 1 % of a shed class through as a probe.
+bool UpstreamAdmits(UpstreamLevel& aUpstream, Importance aImportance, TimePoint aNow);
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/Outcome.h
@@ -0,0 +1,39 @@
+// What is known about whether a request ran, and how important a request is.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace peridotquay {
+
+/// What is known of a request after its last attempt.
+enum class Outcome : std::uint8_t
+{
+  kRan,    ///< A target ran it and its whole answer is here.
+  kNotRun, ///< Certain: no byte left for a target, or the guard or the target said that it did not
+           ///< start.
+  kUnknown ///< Anything else. Always HTTP status 504.
+};
+
+/// Importance class of a route, most important first.
+enum class Importance : std::uint8_t
+{
+  kCritical, ///< Bookings, deposits, permits, seizures: shed last.
+  kHigh,
+  kNormal,
+  kLow
+};
+
+inline constexpr int kImportanceClasses = 4;
+
+/// Value of the header Quay-Outcome: "ran", "not-run" or "unknown".
+std::string_view OutcomeName(Outcome aOutcome);
+
+/// "critical", "high", "normal" or "low".
+std::string_view ImportanceName(Importance aImportance);
+
+/// Parses an importance name; empty for any other text.
+std::optional<Importance> ParseImportance(std::string_view aText);
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/RouteChoice.h
@@ -0,0 +1,82 @@
+// Choice of a target for one call from own observations, with outlier ejection and slow start.
+#pragma once
+
+#include "peridotquay/process/Time.h"
+#include "peridotquay/version/Ids.h"
+#include "peridotquay/version/TargetView.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace peridotquay {
+
+/// Settings of routing.
+struct RoutingSettings
+{
+  Duration ramp_ = seconds(10);         ///< Slow start of cold targets.
+  std::uint32_t failuresToEject_ = 5;   ///< Failures in a row.
+  Duration firstEjection_ = seconds(1); ///< Doubles with each ejection in a row.
+  Duration longestEjection_ = seconds(30);
+  double maxEjectedFraction_ = 0.5; ///< Of one service's targets.
+  bool operator==(const RoutingSettings&) const = default;
+};
+
+/// What this node has seen of one target itself.
+struct TargetStats
+{
+  std::uint32_t inFlight_ = 0; ///< Calls sent from here and not ended.
+  double latencySeconds_ = 0;  ///< Moving average of whole answers; 0 before the first.
+  std::uint32_t failuresInRow_ = 0;
+  std::uint32_t ejectionsInRow_ = 0;
+  TimePoint ejectedUntil_{};
+  double reportedLoad_ = 0; ///< (running + queued) / limit as its guard reported; 0 if unknown.
+  TimePoint reported_{};
+  TimePoint
+    refusedUntil_{}; ///< After a refusal the target is avoided until then if others are there.
+  Incarnation incarnation_ = 0; ///< Stats of an earlier incarnation are forgotten.
+};
+
+/// Routing state of one node. Changed only through the functions below.
+struct RoutingState
+{
+  RoutingSettings settings_;
+  DataCentreId dataCentre_;
+  RegionId region_;
+  std::map<HostId, TargetStats> stats_;
+  std::uint64_t random_ = 1; ///< State of the generator; seeded by the owner.
+};
+
+/// Chooses a target of the service, or none. Hosts in aExclude were tried for this call already.
+std::optional<Target> ChooseTarget(RoutingState& aState,
+                                   const TargetView& aView,
+                                   const ServiceId& aService,
+                                   const std::vector<HostId>& aExclude,
+                                   TimePoint aNow);
+
+/// How a call to a target ended, as seen from here.
+enum class CallResult : std::uint8_t
+{
+  kAnswered,
+  kRefused, ///< The guard or the target refused: busy, not broken.
+  kFailed,  ///< Connection lost, outcome unknown, truncated answer.
+  kTimedOut,
+  kCancelled
+};
+
+/// Counts a call as sent.
+void NoteSent(RoutingState& aState, const Target& aTarget);
+
+/// Counts a call as ended. aLoad is the guard's reported load, negative if none was reported.
+void NoteEnded(RoutingState& aState,
+               const Target& aTarget,
+               CallResult aResult,
+               Duration aLatency,
+               double aLoad,
+               TimePoint aNow);
+
+/// Forgets stats of hosts that aren't in the view and have no call in flight.
+void ForgetAbsent(RoutingState& aState, const TargetView& aView);
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/TokenCache.h
@@ -0,0 +1,67 @@
+// Tokens of client accounts that this host holds, and what to ask the share leader for.
+#pragma once
+
+#include "peridotquay/connection/PeerMessage.h"
+#include "peridotquay/process/Time.h"
+#include "peridotquay/version/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace peridotquay {
+
+/// Most client accounts with tokens at one host.
+inline constexpr std::size_t kMaxCachedAccounts = 256;
+
+/// Longest time that a call waits for tokens.
+inline constexpr Duration kTokenWait = milliseconds(20);
+
+/// Tokens of one client account at this host.
+struct CachedTokens
+{
+  std::uint64_t grant_ = 0;
+  double tokens_ = 0;      ///< Usable until expires_.
+  double usedOfGrant_ = 0; ///< Reported with the next request.
+  TimePoint expires_{};
+  double usePerSecond_ = 0; ///< Moving average of takes.
+  TimePoint lastTake_{};
+  std::uint64_t askedNonce_ = 0; ///< Outstanding request; 0 if none.
+  TimePoint asked_{};
+  TimePoint refusedUntil_{}; ///< The leader had no tokens; callers get 429 until then.
+};
+
+/// Tokens at one host. Changed only through the functions below.
+struct TokenCache
+{
+  std::map<ClientAccountId, CachedTokens> accounts_; ///< At most kMaxCachedAccounts.
+  std::uint64_t nextNonce_ = 1;
+};
+
+enum class TakeResult : std::uint8_t
+{
+  kTaken,
+  kWait,   ///< A request is under way: try again when a grant arrives, at most kTokenWait.
+  kRefused ///< Over rate; see refusedUntil_ for the hint.
+};
+
+/// Result of a take with the request to send to the share leader, if any.
+struct TakeStep
+{
+  TakeResult result_ = TakeResult::kRefused;
+  std::optional<ShareRequest> ask_;
+  std::uint32_t retryAfterMs_ = 0;
+};
+
+/// Takes one token for a call. Asks ahead when the rest won't last 100 ms at the recent use.
+TakeStep TakeToken(TokenCache& aCache,
+                   const ClientAccountId& aAccount,
+                   std::uint32_t aWaiting,
+                   TimePoint aNow);
+
+/// Adds a grant; aAsked is when it was asked for, by this node's clock. Late or unknown grants give
+/// nothing.
+void AddGrant(TokenCache& aCache, const ShareGrant& aGrant, TimePoint aAsked);
+
+} // namespace peridotquay
--- /dev/null
+++ b/tests/request/OutcomeTest.cpp
@@ -0,0 +1,16 @@
+// Tests of the text forms of outcomes and importance classes.
+#include "peridotquay/request/Outcome.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotquay;
+
+// Guards against an importance name that can be written but not read back.
+TEST_CASE("importance names parse back", "[outcome]")
+{
+  for (int i = 0; i < kImportanceClasses; ++i) {
+    const auto importance = static_cast<Importance>(i);
+    CHECK(ParseImportance(ImportanceName(importance)) == importance);
+  }
+  CHECK_FALSE(ParseImportance("Critical").has_value());
+}
