Add first implementations of the decisions about one call

Cause: the data path, the nodes and the load tool link against the functions declared in request/ and RequestLedger.h, which had no definitions.

Structs gained fields; signatures are unchanged.

--- a/peridotquay/process/RequestLedger.h
+++ b/peridotquay/process/RequestLedger.h
@@ -25,6 +25,13 @@
 /// Largest stored answer body in bytes; for a longer one a repeat gets only its digest and "ran".
 inline constexpr std::size_t kMaxStoredAnswer = 65536;
 
+/// Most bytes of stored answer bodies at once; beyond it answers are stored without their bodies.
+inline constexpr std::size_t kMaxStoredBytes = std::size_t{ 16 } << 20U;
+
+/// Header that stands in a stored answer for a body that was too long to keep; its value is the
+/// body's SHA-256.
+inline constexpr std::string_view kBodyDigestHeader = "Quay-Body-Digest";
+
 /// Parts of a request id. Text form: HOST.INCARNATION.SEQUENCE.MAC
 struct RequestIdParts
 {
@@ -62,9 +69,15 @@
   std::string secret_; ///< 32 random bytes.
   std::uint64_t nextSequence_ = 1;
   std::map<std::uint64_t, RequestRecord> records_; ///< By sequence; at most kMaxRequestIds.
-  bool closed_ = false;                            ///< After a handover nothing runs here any more.
+  std::size_t storedBytes_ = 0;                    ///< Invariant: sum of the bodies in records_.
+  bool closed_ = false;   ///< Nothing starts here: handed over, or not wholly received yet.
+  bool adopted_ = false;  ///< Received from a leaving host; issues no ids.
+  bool complete_ = false; ///< With adopted_: the last batch has arrived.
 };
 
+/// An empty ledger with a new secret from a cryptographic generator.
+RequestLedger MakeLedger(const HostId& aHost, Incarnation aIncarnation);
+
 /// Issues ids. Errors: kLimitReached, kDraining.
 Result<std::vector<std::string>> IssueRequestIds(RequestLedger& aLedger,
                                                  std::uint32_t aCount,
@@ -78,7 +91,9 @@
 };
 
 /// Starts or repeats a request. Errors: kBadRequestId (bad MAC, or another request under the id),
-/// kRequestIdExpired, kOutcomeUnknown (an incarnation that is gone issued it), kDraining.
+/// kRequestIdExpired, kOutcomeUnknown (an incarnation that is gone issued it, or the ledger was
+/// handed over and its successor may have run it). After the last two a caller must not be told
+/// "not run".
 Result<BeginResult> BeginRequest(RequestLedger& aLedger,
                                  std::string_view aId,
                                  std::string_view aRequestDigest,
@@ -94,4 +109,17 @@
 /// Drops records past the retention. Running ones stay.
 void ExpireRecords(RequestLedger& aLedger, TimePoint aNow);
 
+/// Whether an answer was stored without its body; a repeat must not pass it on as complete.
+bool IsBodyDropped(const Answer& aAnswer);
+
+/// Closes the ledger and returns its records in batches that fit into frames, the last one marked.
+/// Requests that still run are handed over as done with outcome unknown. Send all batches to one
+/// successor only: two would each let an unused id run.
+std::vector<RequestHandover> ExportRecords(RequestLedger& aLedger, TimePoint aNow);
+
+/// Adds a batch to a ledger that starts out default-constructed, one for each leaving incarnation.
+/// Ids run there once the last batch has arrived. Batches may arrive twice. Errors:
+/// kFrameMalformed, kLimitReached.
+Result<void> ImportRecords(RequestLedger& aLedger, const RequestHandover& aBatch, TimePoint aNow);
+
 } // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/Admission.cpp
@@ -0,0 +1,563 @@
+// Adaptive concurrency limit, fair queue and early refusal of one guard.
+#include "peridotquay/request/Admission.h"
+
+#include "peridotquay/request/RandomStep.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace peridotquay {
+
+namespace {
+
+/// Weight of one service time in the moving average.
+constexpr double kServiceWeight = 0.1;
+
+/// Without new samples the average halves in this time. Otherwise one slow spell could make every
+/// call look too late, and no call would run that could correct the average.
+constexpr double kServiceHalfLife = 0.5;
+
+/// Least length of a window in time and in calls; shorter ones are mostly noise.
+constexpr Duration kLeastWindow = milliseconds(20);
+constexpr std::uint32_t kLeastWindowSamples = 16;
+
+/// Up to this ratio of window mean to floor the limit may grow.
+constexpr double kGrowTolerance = 1.5;
+
+/// From this ratio on a trial finds out whether a lower limit helps.
+constexpr double kTrialTolerance = 2.0;
+
+/// Limit during a trial, as part of the limit before. In a saturated target latency falls by the
+/// same factor.
+constexpr double kTrialPart = 0.7;
+
+/// The trial confirms the lower limit if latency fell at least to this part.
+constexpr double kTrialConfirmed = 0.85;
+
+/// Pause between trials without a new rise of latency.
+constexpr Duration kTrialPause = seconds(10);
+
+/// Growth of the limit in one window, far from and near the limit at which the target refused.
+constexpr double kFastGrowth = 0.1;
+constexpr double kSlowGrowth = 0.25;
+constexpr double kNearRefusal = 0.9;
+
+/// Decrease after a refusal by the target.
+constexpr double kRefusalDecrease = 0.9;
+
+/// A refusal lowers the limit at most once in this time: calls that started together are refused
+/// together.
+constexpr Duration kLeastDecreaseInterval = milliseconds(20);
+
+/// Interval of the counts behind the early refusal.
+constexpr Duration kLevelInterval = milliseconds(100);
+
+/// Part of offered calls shed at the guard above which upstream hosts are told to send less. Some
+/// excess must arrive, or the target would idle whenever arrivals are uneven.
+constexpr double kShedTolerance = 0.05;
+
+/// Part of the excess that is corrected in one interval; callers' hosts react with a delay.
+constexpr double kLevelGain = 0.5;
+
+/// Growth of the fraction in one interval without shedding.
+constexpr double kLevelGrowth = 1.25;
+
+/// Least fraction of a shed class that is sent as a probe.
+constexpr double kProbeFraction = 0.01;
+
+/// Bounds of the hint when to come back.
+constexpr double kLeastRetryAfterMs = 10;
+constexpr double kLongestRetryAfterMs = 5000;
+
+std::size_t Index(Importance aImportance)
+{
+  return static_cast<std::size_t>(aImportance);
+}
+
+double Weight(const WaitingCall& aCall)
+{
+  return aCall.weight_ > 0 ? aCall.weight_ : 1e-3;
+}
+
+double UpperLimit(const AdmissionState& aState)
+{
+  const std::uint32_t most = aState.announcedSlots_ > 0
+                               ? std::min(aState.settings_.maxLimit_, aState.announcedSlots_)
+                               : aState.settings_.maxLimit_;
+  return std::max(1.0, static_cast<double>(most));
+}
+
+void SetLimit(AdmissionState& aState, double aLimit)
+{
+  const double upper = UpperLimit(aState);
+  const double lower =
+    std::min(upper, std::max(1.0, static_cast<double>(aState.settings_.minLimit_)));
+  aState.limit_ = std::clamp(aLimit, lower, upper);
+}
+
+bool HasSlot(const AdmissionState& aState)
+{
+  return static_cast<double>(aState.running_) + 1 <= aState.limit_;
+}
+
+double ExpectedService(const AdmissionState& aState, TimePoint aNow)
+{
+  const double age = std::max(0.0, ToSeconds(aNow - aState.lastSample_));
+  return aState.serviceSeconds_ * std::exp2(-age / kServiceHalfLife);
+}
+
+std::uint32_t RetryAfterMs(const AdmissionState& aState, TimePoint aNow)
+{
+  const double waitMs = 1000 * ExpectedService(aState, aNow) *
+                        (static_cast<double>(aState.queued_) + 1) / aState.limit_;
+  return static_cast<std::uint32_t>(std::clamp(waitMs, kLeastRetryAfterMs, kLongestRetryAfterMs));
+}
+
+/// Whether the call would end after its deadline if it started now.
+bool IsTooLate(const AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow)
+{
+  if (aNow >= aCall.deadline_) {
+    return true;
+  }
+  // With nothing running, a call is the only way to learn the present service time.
+  return aState.running_ > 0 && ToSeconds(aCall.deadline_ - aNow) < ExpectedService(aState, aNow);
+}
+
+/// Whether the call has spent its part of the deadline in the queue. Critical calls may wait until
+/// their deadline can't be met.
+bool HasWaitedTooLong(const AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow)
+{
+  if (aCall.importance_ == Importance::kCritical) {
+    return false;
+  }
+  const double allowed =
+    aState.settings_.queueDeadlineFraction_ * ToSeconds(aCall.deadline_ - aCall.arrived_);
+  return ToSeconds(aNow - aCall.arrived_) > allowed;
+}
+
+bool MustDrop(const AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow)
+{
+  return IsTooLate(aState, aCall, aNow) || HasWaitedTooLong(aState, aCall, aNow);
+}
+
+void Refuse(AdmissionState& aState,
+            AdmissionStep& aStep,
+            std::uint64_t aId,
+            ErrorCode aCode,
+            TimePoint aNow)
+{
+  aState.shed_ += 1;
+  aStep.refuse_.push_back({ aId, aCode, RetryAfterMs(aState, aNow) });
+}
+
+void Start(AdmissionState& aState, AdmissionStep& aStep, const WaitingCall& aCall)
+{
+  ++aState.running_;
+  aState.window_.peakRunning_ = std::max(aState.window_.peakRunning_, aState.running_);
+  aState.admitted_[Index(aCall.importance_)] += 1;
+  aStep.start_.push_back(aCall.id_);
+}
+
+void Push(AdmissionState& aState, const WaitingCall& aCall)
+{
+  ClassQueue& queue = aState.queues_[Index(aCall.importance_)];
+  ClassQueue::AccountQueue& account = queue.accounts_[aCall.clientAccount_];
+  if (account.calls_.empty()) {
+    // An account that was idle starts at the present virtual time: idle time earns no credit.
+    account.finishTag_ = std::max(account.finishTag_, queue.virtualTime_);
+  }
+  account.calls_.push_back(aCall);
+  ++queue.size_;
+  ++aState.queued_;
+}
+
+/// Keeps the sizes right after calls left the queue and forgets accounts without calls or debt.
+void Shrink(AdmissionState& aState, ClassQueue& aQueue, std::size_t aCount)
+{
+  assert(aQueue.size_ >= aCount && aState.queued_ >= aCount);
+  aQueue.size_ -= aCount;
+  aState.queued_ -= aCount;
+  if (aQueue.size_ == 0) {
+    aQueue.accounts_.clear();
+    aQueue.virtualTime_ = 0;
+  }
+}
+
+/// The account whose next call has the least virtual start time.
+std::map<ClientAccountId, ClassQueue::AccountQueue>::iterator NextAccount(ClassQueue& aQueue)
+{
+  auto next = aQueue.accounts_.end();
+  for (auto entry = aQueue.accounts_.begin(); entry != aQueue.accounts_.end(); ++entry) {
+    if (!entry->second.calls_.empty() &&
+        (next == aQueue.accounts_.end() || entry->second.finishTag_ < next->second.finishTag_)) {
+      next = entry;
+    }
+  }
+  return next;
+}
+
+/// Starts waiting calls while slots are free.
+void StartWaiting(AdmissionState& aState, AdmissionStep& aStep, TimePoint aNow)
+{
+  for (ClassQueue& queue : aState.queues_) {
+    while (queue.size_ > 0 && HasSlot(aState)) {
+      const auto entry = NextAccount(queue);
+      ClassQueue::AccountQueue& account = entry->second;
+      const WaitingCall call = account.calls_.front();
+      account.calls_.pop_front();
+      // A dropped call took nothing from the target, so it isn't charged to its account.
+      if (MustDrop(aState, call, aNow)) {
+        Refuse(aState, aStep, call.id_, ErrorCode::kDeadlineExceeded, aNow);
+      } else {
+        queue.virtualTime_ = account.finishTag_;
+        account.finishTag_ += 1 / Weight(call);
+        Start(aState, aStep, call);
+      }
+      Shrink(aState, queue, 1);
+    }
+  }
+}
+
+/// Shed order of a full queue: the least important class first and, within it, the latest call of
+/// the account that is most over its share. aCall takes part. Returns the call that must go.
+WaitingCall ChooseVictim(AdmissionState& aState, const WaitingCall& aCall)
+{
+  std::size_t worst = aState.queues_.size() - 1;
+  while (worst > Index(aCall.importance_) && aState.queues_[worst].size_ == 0) {
+    --worst;
+  }
+  if (worst == Index(aCall.importance_) && aState.queues_[worst].size_ == 0) {
+    return aCall;
+  }
+  ClassQueue& queue = aState.queues_[worst];
+  const bool takesPart = worst == Index(aCall.importance_);
+  auto victim = queue.accounts_.end();
+  double most = 0;
+  if (takesPart) {
+    const auto own = queue.accounts_.find(aCall.clientAccount_);
+    const std::size_t calls = own == queue.accounts_.end() ? 0 : own->second.calls_.size();
+    most = (static_cast<double>(calls) + 1) / Weight(aCall);
+  }
+  for (auto entry = queue.accounts_.begin(); entry != queue.accounts_.end(); ++entry) {
+    const auto& calls = entry->second.calls_;
+    if (calls.empty() || (takesPart && entry->first == aCall.clientAccount_)) {
+      continue;
+    }
+    const double over = static_cast<double>(calls.size()) / Weight(calls.back());
+    if (over > most) {
+      most = over;
+      victim = entry;
+    }
+  }
+  if (victim == queue.accounts_.end()) {
+    return aCall;
+  }
+  const WaitingCall call = victim->second.calls_.back();
+  victim->second.calls_.pop_back();
+  Shrink(aState, queue, 1);
+  return call;
+}
+
+/// Starts a trial with a lower limit.
+void BeginTrial(AdmissionState& aState, double aMean, TimePoint aNow)
+{
+  LimitWindow& window = aState.window_;
+  window.trial_ = LimitWindow::Trial::kSettling;
+  window.settling_ = aState.running_;
+  window.limitBefore_ = aState.limit_;
+  window.latencyBefore_ = aMean;
+  window.lastTrial_ = aNow;
+  SetLimit(aState, aState.limit_ * kTrialPart);
+}
+
+/// Judges a trial by the mean latency under the lowered limit.
+void EndTrial(AdmissionState& aState, double aMean, TimePoint aNow)
+{
+  LimitWindow& window = aState.window_;
+  window.trial_ = LimitWindow::Trial::kNone;
+  if (aMean <= window.latencyBefore_ * kTrialConfirmed) {
+    aState.lastDecrease_ = aNow;
+    return;
+  }
+  // Fewer calls at once don't make the target faster: it became slower for another reason.
+  aState.floorSeconds_ = aMean;
+  aState.floorSince_ = aNow;
+  SetLimit(aState, window.limitBefore_);
+}
+
+void GrowLimit(AdmissionState& aState)
+{
+  const LimitWindow& window = aState.window_;
+  const bool nearRefusal =
+    window.refusedAt_ > 0 && aState.limit_ >= kNearRefusal * window.refusedAt_;
+  SetLimit(aState,
+           aState.limit_ +
+             (nearRefusal ? kSlowGrowth : std::max(1.0, kFastGrowth * aState.limit_)));
+}
+
+/// Adapts the limit to a finished window.
+void EndWindow(AdmissionState& aState, TimePoint aNow)
+{
+  LimitWindow& window = aState.window_;
+  const double mean = window.sumSeconds_ / window.samples_;
+  if (window.trial_ == LimitWindow::Trial::kMeasuring) {
+    EndTrial(aState, mean, aNow);
+    return;
+  }
+  if (aState.floorSeconds_ <= 0) {
+    aState.floorSeconds_ = mean;
+    aState.floorSince_ = aNow;
+  } else if (mean < aState.floorSeconds_) {
+    // A small step down may be noise, a large one is a real change.
+    const double weight = mean < 0.7 * aState.floorSeconds_ ? 0.5 : 0.1;
+    aState.floorSeconds_ += weight * (mean - aState.floorSeconds_);
+    aState.floorSince_ = aNow;
+  }
+  const double ratio = mean / aState.floorSeconds_;
+  // Without this condition the limit of an idle target would grow without bound.
+  const bool used = window.peakRunning_ + 1 >= aState.limit_;
+  if (ratio < kGrowTolerance) {
+    if (used && window.refusals_ == 0) {
+      GrowLimit(aState);
+    }
+    return;
+  }
+  const bool due = aNow - window.lastTrial_ >= kTrialPause;
+  if (ratio >= kTrialTolerance || due) {
+    BeginTrial(aState, mean, aNow);
+  }
+}
+
+void ResetWindow(AdmissionState& aState, TimePoint aNow)
+{
+  LimitWindow& window = aState.window_;
+  window.start_ = aNow;
+  window.samples_ = 0;
+  window.sumSeconds_ = 0;
+  window.refusals_ = 0;
+  window.peakRunning_ = aState.running_;
+}
+
+/// Counts a service time and adapts the limit when the window is full.
+void NoteServiceTime(AdmissionState& aState, Duration aServiceTime, TimePoint aNow)
+{
+  const double service = std::max(0.0, ToSeconds(aServiceTime));
+  aState.serviceSeconds_ =
+    aState.serviceSeconds_ <= 0
+      ? service
+      : aState.serviceSeconds_ + kServiceWeight * (service - aState.serviceSeconds_);
+  aState.lastSample_ = aNow;
+
+  LimitWindow& window = aState.window_;
+  if (window.trial_ == LimitWindow::Trial::kSettling) {
+    if (window.settling_ > 1) {
+      --window.settling_;
+      return;
+    }
+    window.trial_ = LimitWindow::Trial::kMeasuring;
+    ResetWindow(aState, aNow);
+    return;
+  }
+  ++window.samples_;
+  window.sumSeconds_ += service;
+  const bool enough =
+    window.samples_ >= kLeastWindowSamples && window.samples_ >= aState.limit_ / 2;
+  if (enough && aNow - window.start_ >= kLeastWindow) {
+    EndWindow(aState, aNow);
+    ResetWindow(aState, aNow);
+  }
+}
+
+void NoteTargetRefusal(AdmissionState& aState, TimePoint aNow)
+{
+  LimitWindow& window = aState.window_;
+  ++window.refusals_;
+  const auto service = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::min(1.0, aState.serviceSeconds_)));
+  if (aNow - aState.lastDecrease_ < std::max(kLeastDecreaseInterval, service)) {
+    return;
+  }
+  aState.lastDecrease_ = aNow;
+  // The target refuses at what runs, which may be less than the limit.
+  const double refusedAt = std::min(aState.limit_, static_cast<double>(aState.running_) + 1);
+  window.refusedAt_ = refusedAt;
+  SetLimit(aState,
+           std::min(aState.limit_, std::max(refusedAt, aState.limit_ / 2) * kRefusalDecrease));
+}
+
+/// Lowers the part that callers' hosts send by aExcess calls of the interval, least important
+/// first.
+void LowerUpstream(AdmissionState& aState, double aExcess)
+{
+  for (std::size_t i = aState.queues_.size() - 1; i > Index(Importance::kCritical) && aExcess > 0;
+       --i) {
+    double& fraction = aState.upstreamFraction_[i];
+    if (fraction <= 0) {
+      continue;
+    }
+    const double offered = aState.offered_[i];
+    if (offered > aExcess) {
+      fraction *= 1 - aExcess / offered;
+      return;
+    }
+    aExcess -= offered;
+    fraction = 0;
+  }
+}
+
+/// Raises the part that callers' hosts send, most important first.
+void RaiseUpstream(AdmissionState& aState)
+{
+  for (double& fraction : aState.upstreamFraction_) {
+    if (fraction < 1) {
+      fraction = std::min(1.0, std::max(fraction, kProbeFraction) * kLevelGrowth);
+      return;
+    }
+  }
+}
+
+void UpdateUpstream(AdmissionState& aState, TimePoint aNow)
+{
+  if (aNow - aState.countsDecayed_ < kLevelInterval) {
+    return;
+  }
+  double offered = 0;
+  for (const double count : aState.offered_) {
+    offered += count;
+  }
+  const double shed = offered > 0 ? std::min(1.0, aState.shed_ / offered) : 0;
+  if (shed > kShedTolerance) {
+    LowerUpstream(aState, kLevelGain * (shed - kShedTolerance / 2) * offered);
+  } else if (aState.shed_ == 0) {
+    RaiseUpstream(aState);
+  }
+  aState.offered_ = {};
+  aState.admitted_ = {};
+  aState.shed_ = 0;
+  aState.countsDecayed_ = aNow;
+}
+
+} // namespace
+
+AdmissionStep OfferCall(AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow)
+{
+  AdmissionStep step;
+  UpdateUpstream(aState, aNow);
+  aState.offered_[Index(aCall.importance_)] += 1;
+  if (IsTooLate(aState, aCall, aNow)) {
+    Refuse(aState, step, aCall.id_, ErrorCode::kDeadlineExceeded, aNow);
+    return step;
+  }
+  if (aState.queued_ >= aState.settings_.queueCapacity_ &&
+      !(aState.queued_ == 0 && HasSlot(aState))) {
+    const WaitingCall victim = ChooseVictim(aState, aCall);
+    Refuse(aState, step, victim.id_, ErrorCode::kShed, aNow);
+    if (victim.id_ == aCall.id_) {
+      return step;
+    }
+  }
+  Push(aState, aCall);
+  StartWaiting(aState, step, aNow);
+  return step;
+}
+
+AdmissionStep FinishCall(AdmissionState& aState,
+                         CallEnd aEnd,
+                         Duration aServiceTime,
+                         TimePoint aNow)
+{
+  assert(aState.running_ > 0);
+  aState.running_ -= aState.running_ > 0 ? 1 : 0;
+  switch (aEnd) {
+    case CallEnd::kAnswered:
+    case CallEnd::kTimedOut:
+      NoteServiceTime(aState, aServiceTime, aNow);
+      break;
+    case CallEnd::kTargetRefused:
+      NoteTargetRefusal(aState, aNow);
+      break;
+    case CallEnd::kCancelled:
+      break;
+  }
+  AdmissionStep step;
+  UpdateUpstream(aState, aNow);
+  StartWaiting(aState, step, aNow);
+  return step;
+}
+
+bool CancelWaiting(AdmissionState& aState, std::uint64_t aId)
+{
+  for (ClassQueue& queue : aState.queues_) {
+    for (auto& entry : queue.accounts_) {
+      auto& calls = entry.second.calls_;
+      const auto call = std::find_if(
+        calls.begin(), calls.end(), [aId](const WaitingCall& aCall) { return aCall.id_ == aId; });
+      if (call != calls.end()) {
+        calls.erase(call);
+        Shrink(aState, queue, 1);
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+AdmissionStep DropLateCalls(AdmissionState& aState, TimePoint aNow)
+{
+  AdmissionStep step;
+  for (ClassQueue& queue : aState.queues_) {
+    std::size_t dropped = 0;
+    for (auto& entry : queue.accounts_) {
+      dropped += std::erase_if(entry.second.calls_, [&](const WaitingCall& aCall) {
+        if (!MustDrop(aState, aCall, aNow)) {
+          return false;
+        }
+        Refuse(aState, step, aCall.id_, ErrorCode::kDeadlineExceeded, aNow);
+        return true;
+      });
+    }
+    Shrink(aState, queue, dropped);
+  }
+  UpdateUpstream(aState, aNow);
+  StartWaiting(aState, step, aNow);
+  return step;
+}
+
+void AnnounceSlots(AdmissionState& aState, std::uint32_t aSlots)
+{
+  aState.announcedSlots_ = aSlots;
+  SetLimit(aState, aState.limit_);
+}
+
+AdmissionLevel CurrentLevel(AdmissionState& aState, TimePoint aNow)
+{
+  UpdateUpstream(aState, aNow);
+  for (std::size_t i = 0; i < aState.upstreamFraction_.size(); ++i) {
+    if (aState.upstreamFraction_[i] < 1) {
+      return { static_cast<Importance>(i), aState.upstreamFraction_[i] };
+    }
+  }
+  return {};
+}
+
+void NoteLevel(UpstreamLevel& aUpstream, const AdmissionLevel& aLevel, TimePoint aNow)
+{
+  aUpstream.level_ = aLevel;
+  aUpstream.heard_ = aNow;
+}
+
+bool UpstreamAdmits(UpstreamLevel& aUpstream, Importance aImportance, TimePoint aNow)
+{
+  const bool known = aUpstream.heard_ != TimePoint{} && aNow - aUpstream.heard_ < kLevelLifetime;
+  if (!known || aImportance == Importance::kCritical ||
+      aImportance < aUpstream.level_.lowestAdmitted_) {
+    return true;
+  }
+  const double fraction = aImportance == aUpstream.level_.lowestAdmitted_
+                            ? std::max(kProbeFraction, aUpstream.level_.admittedFraction_)
+                            : kProbeFraction;
+  return fraction >= 1 || RandomFraction(aUpstream.random_) < fraction;
+}
+
+} // namespace peridotquay
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -55,6 +55,31 @@
   std::size_t size_ = 0; ///< Invariant: sum of the sizes of accounts_.
 };
 
+/// Measurements from which the limit is adapted. A window ends after enough calls and time; its
+/// mean is compared with the floor. Growth of latency alone doesn't lower the limit for good: a
+/// trial with a lower limit shows whether the latency depends on it.
+struct LimitWindow
+{
+  /// Steps of a trial with a lowered limit.
+  enum class Trial : std::uint8_t
+  {
+    kNone,
+    kSettling, ///< Calls that started under the old limit are still ending.
+    kMeasuring
+  };
+  TimePoint start_{};
+  std::uint32_t samples_ = 0;
+  double sumSeconds_ = 0;
+  std::uint32_t peakRunning_ = 0;
+  std::uint32_t refusals_ = 0; ///< Refusals by the target.
+  Trial trial_ = Trial::kNone;
+  std::uint32_t settling_ = 0; ///< Calls still to end before the trial measures.
+  double limitBefore_ = 0;     ///< Limit when the trial began.
+  double latencyBefore_ = 0;   ///< Mean seconds when the trial began.
+  double refusedAt_ = 0;       ///< Limit at the latest refusal by the target; 0 if none.
+  TimePoint lastTrial_{};
+};
+
 /// State of one guard's admission. Changed only through the functions below.
 struct AdmissionState
 {
@@ -65,14 +90,20 @@
   std::array<ClassQueue, kImportanceClasses> queues_;
   std::size_t queued_ = 0;    ///< Invariant: sum of queues_ sizes.
   double serviceSeconds_ = 0; ///< Moving average of service time.
-  double floorSeconds_ = 0;   ///< Moving least service time.
-  TimePoint floorSince_{};
+  TimePoint lastSample_{};    ///< When serviceSeconds_ got its latest value.
+  double floorSeconds_ = 0;   ///< Moving least mean service time of a window.
+  TimePoint floorSince_{};    ///< When the floor was last confirmed or raised by a trial.
   TimePoint lastDecrease_{};
+  LimitWindow window_;
   std::array<double, kImportanceClasses>
-    offered_{}; ///< Decayed count of offered calls for each class.
+    offered_{}; ///< Offered calls of each class since countsDecayed_.
   std::array<double, kImportanceClasses>
-    admitted_{}; ///< Decayed count of started calls for each class.
-  TimePoint countsDecayed_{};
+    admitted_{};    ///< Started calls of each class since countsDecayed_.
+  double shed_ = 0; ///< Calls refused or dropped since countsDecayed_, without cancelled ones.
+  TimePoint countsDecayed_{}; ///< Start of the present interval of the three counts.
+  /// Part of each class that callers' hosts should send. Invariant: 1 for `critical`; below 1 for
+  /// one class at most, and 0 for the classes after it.
+  std::array<double, kImportanceClasses> upstreamFraction_{ 1, 1, 1, 1 };
 };
 
 /// A call that was refused before it started, with the reason. Always "not run".
@@ -139,6 +170,7 @@
 void NoteLevel(UpstreamLevel& aUpstream, const AdmissionLevel& aLevel, TimePoint aNow);
 
 /// Whether a call of the class should be sent at all; lets 1 % of a shed class through as a probe.
+/// `critical` is always sent: a probe of a lower class could be admitted while it is refused here.
 bool UpstreamAdmits(UpstreamLevel& aUpstream, Importance aImportance, TimePoint aNow);
 
 } // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/CallContext.cpp
@@ -0,0 +1,59 @@
+// Table of call contexts by token.
+#include "peridotquay/request/CallContext.h"
+
+#include <openssl/rand.h>
+
+#include <array>
+#include <cstdlib>
+
+namespace peridotquay {
+
+Result<void> OpenContext(ContextTable& aTable, std::string aToken, const CallContext& aContext)
+{
+  if (aTable.contexts_.size() >= kMaxContexts) {
+    return Fail(ErrorCode::kLimitReached, "call contexts", std::to_string(kMaxContexts));
+  }
+  if (aContext.depth_ > kMaxDepth) {
+    return Fail(ErrorCode::kDepthExceeded, "call depth", std::to_string(int{ kMaxDepth }));
+  }
+  if (!aTable.contexts_.emplace(std::move(aToken), aContext).second) {
+    return Fail(ErrorCode::kLimitReached, "call context token in use");
+  }
+  return Success();
+}
+
+CallContext* FindContext(ContextTable& aTable, std::string_view aToken)
+{
+  const auto found = aTable.contexts_.find(aToken);
+  return found == aTable.contexts_.end() ? nullptr : &found->second;
+}
+
+std::uint32_t CloseContext(ContextTable& aTable, std::string_view aToken)
+{
+  const auto found = aTable.contexts_.find(aToken);
+  if (found == aTable.contexts_.end()) {
+    return 0;
+  }
+  const std::uint32_t unspent = found->second.budget_.left_;
+  aTable.contexts_.erase(found);
+  return unspent;
+}
+
+std::string NewToken()
+{
+  std::array<unsigned char, 16> bytes{};
+  // Without random bytes tokens could be guessed, which would give away accounts and budgets.
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+    std::abort();
+  }
+  static constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string token;
+  token.reserve(2 * bytes.size());
+  for (const unsigned char byte : bytes) {
+    token.push_back(kDigits[byte >> 4U]);
+    token.push_back(kDigits[byte & 15U]);
+  }
+  return token;
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/NaivePolicy.cpp
@@ -0,0 +1,44 @@
+// Baseline policy.
+#include "peridotquay/request/NaivePolicy.h"
+
+#include <algorithm>
+
+namespace peridotquay {
+
+std::optional<Target> ChooseNaiveTarget(NaiveState& aState,
+                                        const TargetView& aView,
+                                        const ServiceId& aService)
+{
+  const auto found = aView.targets_.find(aService);
+  if (found == aView.targets_.end() || found->second.empty()) {
+    return std::nullopt;
+  }
+  const std::uint64_t position = aState.next_[aService]++;
+  return found->second[position % found->second.size()];
+}
+
+bool TakeNaiveToken(NaiveState& aState, const ClientAccount& aAccount, TimePoint aNow)
+{
+  const auto [entry, isNew] = aState.buckets_.try_emplace(aAccount.id_);
+  NaiveBucket& bucket = entry->second;
+  if (isNew) {
+    bucket = { aAccount.burst_, aNow };
+  }
+  if (aNow > bucket.filled_) {
+    const double gained = ToSeconds(aNow - bucket.filled_) * aAccount.ratePerSecond_;
+    bucket.tokens_ = std::min(aAccount.burst_, bucket.tokens_ + gained);
+    bucket.filled_ = aNow;
+  }
+  if (bucket.tokens_ < 1) {
+    return false;
+  }
+  bucket.tokens_ -= 1;
+  return true;
+}
+
+bool NaiveRetries(std::uint32_t aRetries)
+{
+  return aRetries < kNaiveRetries;
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/NaivePolicy.h
@@ -0,0 +1,44 @@
+// The baseline that the product is compared with: round robin, three retries at every hop, a full
+// token bucket in each process, everything admitted.
+#pragma once
+
+#include "peridotquay/process/Time.h"
+#include "peridotquay/version/Config.h"
+#include "peridotquay/version/Ids.h"
+#include "peridotquay/version/TargetView.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace peridotquay {
+
+/// Retries of one call at one hop; hops don't know of each other's retries.
+inline constexpr std::uint32_t kNaiveRetries = 3;
+
+/// A plain token bucket.
+struct NaiveBucket
+{
+  double tokens_ = 0;
+  TimePoint filled_{};
+};
+
+/// State of the baseline in one process.
+struct NaiveState
+{
+  std::map<ServiceId, std::uint64_t> next_; ///< Position of the round robin for each service.
+  std::map<ClientAccountId, NaiveBucket> buckets_;
+};
+
+/// The next target of the service in turn, whatever its state; none if the service has no targets.
+std::optional<Target> ChooseNaiveTarget(NaiveState& aState,
+                                        const TargetView& aView,
+                                        const ServiceId& aService);
+
+/// Takes one token from this process's bucket, which has the account's full rate and burst.
+bool TakeNaiveToken(NaiveState& aState, const ClientAccount& aAccount, TimePoint aNow);
+
+/// Whether a call is sent again after aRetries retries at this hop.
+bool NaiveRetries(std::uint32_t aRetries);
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/RetryBudget.cpp
@@ -0,0 +1,65 @@
+// Arithmetic of retry budgets and retry ratios.
+#include "peridotquay/request/RetryBudget.h"
+
+#include <algorithm>
+
+namespace peridotquay {
+
+namespace {
+
+/// Absorbs rounding: ten additions of 0.1 give slightly less than one token.
+constexpr double kTokenSlack = 1e-9;
+
+/// Each route may retry once in this time, whatever its ratio.
+constexpr Duration kLeastRetryInterval = seconds(1);
+
+} // namespace
+
+std::uint32_t LendRetries(RetryBudget& aBudget)
+{
+  const std::uint32_t lent = aBudget.left_ / 2 + aBudget.left_ % 2;
+  aBudget.left_ -= lent;
+  aBudget.lent_ += lent;
+  return lent;
+}
+
+void ReturnRetries(RetryBudget& aBudget, std::uint32_t aLent, std::uint32_t aUnused)
+{
+  // A peer that claims more than it was lent must not enlarge the budget.
+  const std::uint32_t lent = std::min(aLent, aBudget.lent_);
+  const std::uint32_t unused = std::min(aUnused, lent);
+  aBudget.lent_ -= lent;
+  aBudget.left_ += unused;
+  aBudget.spent_ += lent - unused;
+}
+
+bool SpendRetry(RetryBudget& aBudget)
+{
+  if (aBudget.left_ == 0) {
+    return false;
+  }
+  --aBudget.left_;
+  ++aBudget.spent_;
+  return true;
+}
+
+void NoteFirstTry(RetryRatio& aRatio, double aPerFirstTry)
+{
+  aRatio.tokens_ = std::min(kRetryRatioCap, aRatio.tokens_ + std::max(0.0, aPerFirstTry));
+}
+
+bool TakeRetryToken(RetryRatio& aRatio, TimePoint aNow)
+{
+  if (aRatio.tokens_ >= 1 - kTokenSlack) {
+    aRatio.tokens_ = std::max(0.0, aRatio.tokens_ - 1);
+    aRatio.last_ = aNow;
+    return true;
+  }
+  if (aNow - aRatio.last_ >= kLeastRetryInterval) {
+    aRatio.last_ = aNow;
+    return true;
+  }
+  return false;
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/RouteChoice.cpp
@@ -0,0 +1,304 @@
+// Power of two choices over the nearest usable targets.
+#include "peridotquay/request/RouteChoice.h"
+
+#include "peridotquay/request/RandomStep.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace peridotquay {
+
+namespace {
+
+/// Weight of a new latency in the moving average.
+constexpr double kLatencyWeight = 0.1;
+
+/// An average without new answers halves in this time. A slow target gets few calls, so that
+/// without this it would stay marked as slow after it recovered.
+constexpr double kLatencyHalfLife = 2.0;
+
+/// Added to latencies so that differences far below a millisecond don't decide.
+constexpr double kLatencyBase = 0.001;
+
+/// A load that a guard reported longer ago is ignored.
+constexpr Duration kReportLifetime = seconds(1);
+
+/// Largest load that counts, reported or announced.
+constexpr double kLargestLoad = 2.0;
+
+/// Influence of the load that guards report, compared with a target's own calls in flight.
+constexpr double kReportedWeight = 0.5;
+
+/// Influence of the load that targets announce; small, because it lags and may be false.
+constexpr double kAnnouncedWeight = 0.05;
+
+/// A target that refused is avoided this long.
+constexpr Duration kRefusalPause = milliseconds(20);
+
+/// Least part of its share that a target gets at the start of its ramp.
+constexpr double kLeastRamp = 0.02;
+
+const TargetStats* FindStats(const RoutingState& aState, const Target& aTarget)
+{
+  const auto found = aState.stats_.find(aTarget.host_);
+  if (found == aState.stats_.end() || found->second.incarnation_ != aTarget.incarnation_) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+/// 0 for the node's own data centre, 1 for its region, 2 for all others.
+std::size_t Tier(const RoutingState& aState, const Target& aTarget)
+{
+  if (aTarget.dataCentre_ == aState.dataCentre_) {
+    return 0;
+  }
+  return aTarget.region_ == aState.region_ ? 1 : 2;
+}
+
+/// Part of its full share that the target gets at present.
+double Ramp(const RoutingSettings& aSettings, const Target& aTarget, TimePoint aNow)
+{
+  if (aSettings.ramp_ <= Duration::zero()) {
+    return 1;
+  }
+  const double part = ToSeconds(aNow - aTarget.readySince_) / ToSeconds(aSettings.ramp_);
+  return std::clamp(part, kLeastRamp, 1.0);
+}
+
+/// Expected cost of one more call; the least wins.
+double Cost(const Target& aTarget, const TargetStats* aStats, TimePoint aNow)
+{
+  double cost = 1 + kAnnouncedWeight * std::clamp(aTarget.announcedLoad_, 0.0, 1.0);
+  double latency = 0;
+  if (aStats != nullptr) {
+    if (aNow - aStats->reported_ < kReportLifetime) {
+      cost *= 1 + kReportedWeight * std::clamp(aStats->reportedLoad_, 0.0, kLargestLoad);
+    }
+    const double age = std::max(0.0, ToSeconds(aNow - aStats->answered_));
+    latency = aStats->latencySeconds_ * std::exp2(-age / kLatencyHalfLife);
+    cost *= 1 + aStats->inFlight_;
+  }
+  return cost * (latency + kLatencyBase);
+}
+
+/// Targets that are ejected at aNow, at most the allowed part of the service. The ones that were
+/// ejected most often stay out.
+std::vector<HostId> EjectedHosts(const RoutingState& aState,
+                                 const std::vector<Target>& aTargets,
+                                 TimePoint aNow)
+{
+  std::vector<std::pair<const TargetStats*, HostId>> ejected;
+  for (const Target& target : aTargets) {
+    const TargetStats* stats = FindStats(aState, target);
+    if (stats != nullptr && stats->ejectedUntil_ > aNow) {
+      ejected.emplace_back(stats, target.host_);
+    }
+  }
+  const auto most = static_cast<std::size_t>(
+    std::floor(aState.settings_.maxEjectedFraction_ * static_cast<double>(aTargets.size())));
+  if (ejected.size() > most) {
+    std::stable_sort(ejected.begin(), ejected.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first->ejectedUntil_ > aRight.first->ejectedUntil_;
+    });
+    ejected.resize(most);
+  }
+  std::vector<HostId> hosts;
+  for (auto& entry : ejected) {
+    hosts.push_back(std::move(entry.second));
+  }
+  return hosts;
+}
+
+bool Contains(const std::vector<HostId>& aHosts, const HostId& aHost)
+{
+  return std::find(aHosts.begin(), aHosts.end(), aHost) != aHosts.end();
+}
+
+using Candidates = std::vector<const Target*>;
+
+/// Keeps each ramping target with the probability of its present part; keeps all if none is left.
+Candidates ThinOutRamping(RoutingState& aState, const Candidates& aCandidates, TimePoint aNow)
+{
+  Candidates kept;
+  for (const Target* target : aCandidates) {
+    const double ramp = Ramp(aState.settings_, *target, aNow);
+    if (ramp >= 1 || RandomFraction(aState.random_) < ramp) {
+      kept.push_back(target);
+    }
+  }
+  return kept.empty() ? aCandidates : kept;
+}
+
+/// The better of two different random candidates. aCandidates must not be empty.
+const Target* PickOfTwo(RoutingState& aState, const Candidates& aCandidates, TimePoint aNow)
+{
+  const Candidates candidates = ThinOutRamping(aState, aCandidates, aNow);
+  const std::size_t first = RandomIndex(aState.random_, candidates.size());
+  if (candidates.size() == 1) {
+    return candidates[first];
+  }
+  std::size_t second = RandomIndex(aState.random_, candidates.size() - 1);
+  second += second >= first ? 1 : 0;
+  const Target* one = candidates[first];
+  const Target* two = candidates[second];
+  const double costOne = Cost(*one, FindStats(aState, *one), aNow);
+  const double costTwo = Cost(*two, FindStats(aState, *two), aNow);
+  return costTwo < costOne ? two : one;
+}
+
+/// Stats of the target's incarnation; null if a later incarnation is known already.
+TargetStats* StatsFor(RoutingState& aState, const Target& aTarget)
+{
+  TargetStats& stats = aState.stats_[aTarget.host_];
+  if (stats.incarnation_ > aTarget.incarnation_) {
+    return nullptr;
+  }
+  if (stats.incarnation_ < aTarget.incarnation_) {
+    stats = {};
+    stats.incarnation_ = aTarget.incarnation_;
+  }
+  return &stats;
+}
+
+void NoteLatency(TargetStats& aStats, Duration aLatency, TimePoint aNow)
+{
+  const double latency = std::max(0.0, ToSeconds(aLatency));
+  aStats.latencySeconds_ =
+    aStats.latencySeconds_ <= 0
+      ? latency
+      : aStats.latencySeconds_ + kLatencyWeight * (latency - aStats.latencySeconds_);
+  aStats.answered_ = aNow;
+}
+
+void NoteFailure(const RoutingSettings& aSettings, TargetStats& aStats, TimePoint aNow)
+{
+  // Calls sent before the ejection may fail during it; they don't prolong it.
+  if (aStats.ejectedUntil_ > aNow) {
+    return;
+  }
+  if (++aStats.failuresInRow_ < aSettings.failuresToEject_) {
+    return;
+  }
+  Duration ejection = aSettings.firstEjection_;
+  for (std::uint32_t i = 0; i < aStats.ejectionsInRow_ && ejection < aSettings.longestEjection_;
+       ++i) {
+    ejection *= 2;
+  }
+  aStats.ejectedUntil_ = aNow + std::min(ejection, aSettings.longestEjection_);
+  ++aStats.ejectionsInRow_;
+  aStats.failuresInRow_ = 0;
+}
+
+} // namespace
+
+std::optional<Target> ChooseTarget(RoutingState& aState,
+                                   const TargetView& aView,
+                                   const ServiceId& aService,
+                                   const std::vector<HostId>& aExclude,
+                                   TimePoint aNow)
+{
+  const auto found = aView.targets_.find(aService);
+  if (found == aView.targets_.end()) {
+    return std::nullopt;
+  }
+  const std::vector<HostId> ejected = EjectedHosts(aState, found->second, aNow);
+
+  // For each tier: targets without a reason against them, then those that refused lately.
+  std::array<Candidates, 3> usable;
+  std::array<Candidates, 3> refusing;
+  Candidates lastResort;
+  for (const Target& target : found->second) {
+    const bool accepts =
+      target.state_ == TargetState::kCold || target.state_ == TargetState::kReady;
+    if (!accepts || Contains(aExclude, target.host_)) {
+      continue;
+    }
+    const TargetStats* stats = FindStats(aState, target);
+    if (Contains(ejected, target.host_)) {
+      lastResort.push_back(&target);
+    } else if (stats != nullptr && stats->refusedUntil_ > aNow) {
+      refusing[Tier(aState, target)].push_back(&target);
+    } else {
+      usable[Tier(aState, target)].push_back(&target);
+    }
+  }
+  for (const auto* tiers : { &usable, &refusing }) {
+    for (const Candidates& candidates : *tiers) {
+      if (!candidates.empty()) {
+        return *PickOfTwo(aState, candidates, aNow);
+      }
+    }
+  }
+  // Every other target was tried for this call: an ejected one is better than none.
+  if (!lastResort.empty()) {
+    return *PickOfTwo(aState, lastResort, aNow);
+  }
+  return std::nullopt;
+}
+
+void NoteSent(RoutingState& aState, const Target& aTarget)
+{
+  if (TargetStats* stats = StatsFor(aState, aTarget)) {
+    ++stats->inFlight_;
+  }
+}
+
+void NoteEnded(RoutingState& aState,
+               const Target& aTarget,
+               CallResult aResult,
+               Duration aLatency,
+               double aLoad,
+               TimePoint aNow)
+{
+  TargetStats* stats = StatsFor(aState, aTarget);
+  if (stats == nullptr) {
+    return;
+  }
+  stats->inFlight_ -= stats->inFlight_ > 0 ? 1 : 0;
+  if (aLoad >= 0) {
+    stats->reportedLoad_ = aLoad;
+    stats->reported_ = aNow;
+  }
+  switch (aResult) {
+    case CallResult::kAnswered:
+      NoteLatency(*stats, aLatency, aNow);
+      stats->failuresInRow_ = 0;
+      stats->ejectionsInRow_ = 0;
+      stats->refusedUntil_ = {};
+      break;
+    case CallResult::kRefused:
+      // A refusal shows that the target is alive, and its short latency says nothing of its speed.
+      stats->failuresInRow_ = 0;
+      stats->refusedUntil_ = aNow + kRefusalPause;
+      break;
+    case CallResult::kTimedOut:
+      NoteLatency(*stats, aLatency, aNow);
+      NoteFailure(aState.settings_, *stats, aNow);
+      break;
+    case CallResult::kFailed:
+      NoteFailure(aState.settings_, *stats, aNow);
+      break;
+    case CallResult::kCancelled:
+      break;
+  }
+}
+
+void ForgetAbsent(RoutingState& aState, const TargetView& aView)
+{
+  std::erase_if(aState.stats_, [&aView](const auto& aEntry) {
+    if (aEntry.second.inFlight_ > 0) {
+      return false;
+    }
+    return std::none_of(
+      aView.targets_.begin(), aView.targets_.end(), [&aEntry](const auto& aService) {
+        return std::any_of(
+          aService.second.begin(), aService.second.end(), [&aEntry](const Target& aTarget) {
+            return aTarget.host_ == aEntry.first;
+          });
+      });
+  });
+}
+
+} // namespace peridotquay
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -28,6 +28,7 @@
 {
   std::uint32_t inFlight_ = 0; ///< Calls sent from here and not ended.
   double latencySeconds_ = 0;  ///< Moving average of whole answers; 0 before the first.
+  TimePoint answered_{};       ///< When latencySeconds_ got its latest value.
   std::uint32_t failuresInRow_ = 0;
   std::uint32_t ejectionsInRow_ = 0;
   TimePoint ejectedUntil_{};
