Test budgets, contexts, tokens, routes, the baseline and the ledger

The interleaving test of the ledger found that a leaving host still answered 'wait' for a request that it had handed over as unknown.

Change: ExportRecords ends running requests with outcome unknown on both hosts. Unit and rapidcheck tests against simple references.

--- a/peridotquay/process/RequestLedger.cpp
+++ b/peridotquay/process/RequestLedger.cpp
@@ -128,15 +128,18 @@
   record.done_ = aRecord.state_ != RecordState::kIssued;
   record.requestDigest_ = aRecord.requestDigest_;
   record.answer_ = aRecord.answer_;
-  if (aRecord.state_ == RecordState::kRunning) {
-    // Whether it will finish isn't known here any more, so that it must never run again.
-    record.answer_.emplace();
-    record.answer_->outcome_ = Outcome::kUnknown;
-    record.answer_->error_ = static_cast<std::uint16_t>(ErrorCode::kOutcomeUnknown);
-  }
   return record;
 }
 
+/// Ends a request whose result isn't known here any more, so that it never runs again anywhere.
+void EndUnknown(RequestRecord& aRecord)
+{
+  aRecord.state_ = RecordState::kDone;
+  aRecord.answer_.emplace();
+  aRecord.answer_->outcome_ = Outcome::kUnknown;
+  aRecord.answer_->error_ = static_cast<std::uint16_t>(ErrorCode::kOutcomeUnknown);
+}
+
 } // namespace
 
 RequestLedger MakeLedger(const HostId& aHost, Incarnation aIncarnation)
@@ -299,7 +302,10 @@
     bytes = 0;
   };
   addBatch();
-  for (const auto& [sequence, record] : aLedger.records_) {
+  for (auto& [sequence, record] : aLedger.records_) {
+    if (record.state_ == RecordState::kRunning) {
+      EndUnknown(record);
+    }
     HandoverRecord exported = ExportRecord(sequence, record, aNow);
     const std::size_t size = EncodedBytes(exported);
     if (bytes + size > kMaxBatchBytes && !batches.back().records_.empty()) {
--- a/peridotquay/process/RequestLedger.h
+++ b/peridotquay/process/RequestLedger.h
@@ -113,8 +113,8 @@
 bool IsBodyDropped(const Answer& aAnswer);
 
 /// Closes the ledger and returns its records in batches that fit into frames, the last one marked.
-/// Requests that still run are handed over as done with outcome unknown. Send all batches to one
-/// successor only: two would each let an unused id run.
+/// Requests that still run end with outcome unknown, here and at the successor. Send all batches to
+/// one successor only: two would each let an unused id run.
 std::vector<RequestHandover> ExportRecords(RequestLedger& aLedger, TimePoint aNow);
 
 /// Adds a batch to a ledger that starts out default-constructed, one for each leaving incarnation.
--- /dev/null
+++ b/tests/request/CallContextTest.cpp
@@ -0,0 +1,59 @@
+// Tests of the table of call contexts.
+#include "peridotquay/request/CallContext.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace peridotquay;
+
+// Guards against tokens that can be guessed or collide.
+TEST_CASE("tokens are 128 random bits in hex", "[context]")
+{
+  std::set<std::string> tokens;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string token = NewToken();
+    CHECK(token.size() == 32);
+    CHECK(token.find_first_not_of("0123456789abcdef") == std::string::npos);
+    tokens.insert(token);
+  }
+  CHECK(tokens.size() == 1000);
+}
+
+// Guards against a token that stays valid after its call, and against retries that are returned
+// although a deeper call may still spend them.
+TEST_CASE("a context lives as long as its call", "[context]")
+{
+  ContextTable table;
+  const std::string token = NewToken();
+  CallContext context;
+  context.budget_ = { 4, 0, 0 };
+  REQUIRE(OpenContext(table, token, context));
+  CallContext* found = FindContext(table, token);
+  REQUIRE(found != nullptr);
+  CHECK(LendRetries(found->budget_) == 2);
+  CHECK(FindContext(table, std::string(32, '0')) == nullptr);
+  CHECK(CloseContext(table, token) == 2);
+  CHECK(FindContext(table, token) == nullptr);
+  CHECK(CloseContext(table, token) == 0);
+}
+
+// Guards against unbounded memory, chains without end, and one call taking over another's context.
+TEST_CASE("contexts are bounded", "[context]")
+{
+  ContextTable table;
+  for (std::size_t i = 0; i < kMaxContexts; ++i) {
+    REQUIRE(OpenContext(table, std::to_string(i), {}));
+  }
+  const auto full = OpenContext(table, "one more", {});
+  REQUIRE_FALSE(full);
+  CHECK(full.assume_error().code_ == ErrorCode::kLimitReached);
+  CloseContext(table, "7");
+  CHECK_FALSE(OpenContext(table, "8", {}));
+  CallContext deep;
+  deep.depth_ = kMaxDepth + 1;
+  const auto tooDeep = OpenContext(table, "7", deep);
+  REQUIRE_FALSE(tooDeep);
+  CHECK(tooDeep.assume_error().code_ == ErrorCode::kDepthExceeded);
+  CHECK(OpenContext(table, "7", {}));
+}
--- /dev/null
+++ b/tests/request/NaivePolicyTest.cpp
@@ -0,0 +1,43 @@
+// Tests of the baseline: it must be the naive policy that figures are compared with, not a worse
+// one.
+#include "peridotquay/request/NaivePolicy.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace peridotquay;
+
+// Guards against a baseline that favours a target.
+TEST_CASE("the baseline takes targets in turn", "[naive]")
+{
+  TargetView view;
+  for (const char* host : { "a", "b", "c" }) {
+    Target target;
+    target.host_ = { host };
+    view.targets_[{ "press" }].push_back(target);
+  }
+  NaiveState state;
+  std::map<HostId, int> calls;
+  for (int i = 0; i < 30; ++i) {
+    ++calls[ChooseNaiveTarget(state, view, { "press" })->host_];
+  }
+  CHECK(calls == std::map<HostId, int>{ { { "a" }, 10 }, { { "b" }, 10 }, { { "c" }, 10 } });
+  CHECK_FALSE(ChooseNaiveTarget(state, view, { "absent" }).has_value());
+}
+
+// Guards against a baseline bucket that gives more or less than burst + rate * time.
+TEST_CASE("the baseline bucket gives burst and rate in each process", "[naive]")
+{
+  NaiveState state;
+  const ClientAccount account{ { "kiln" }, 100, 20 };
+  const TimePoint start{ seconds(50) };
+  int taken = 0;
+  for (int ms = 0; ms <= 2000; ++ms) {
+    taken += TakeNaiveToken(state, account, start + milliseconds(ms)) ? 1 : 0;
+  }
+  CHECK(taken >= 219);
+  CHECK(taken <= 220);
+  CHECK(NaiveRetries(2));
+  CHECK_FALSE(NaiveRetries(3));
+}
--- /dev/null
+++ b/tests/request/RouteChoiceTest.cpp
@@ -0,0 +1,313 @@
+// Tests of the choice of targets.
+#include "peridotquay/request/RouteChoice.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace peridotquay;
+
+namespace {
+
+const ServiceId kService{ "press" };
+const TimePoint kStart{ seconds(1000) };
+
+Target MakeTarget(const std::string& aHost, const std::string& aDataCentre = "north")
+{
+  Target target;
+  target.host_ = { aHost };
+  target.incarnation_ = 1;
+  target.dataCentre_ = { aDataCentre };
+  target.region_ = { aDataCentre == "far" ? "r2" : "r1" };
+  target.service_ = kService;
+  return target;
+}
+
+TargetView MakeView(std::vector<Target> aTargets)
+{
+  TargetView view;
+  view.targets_[kService] = std::move(aTargets);
+  return view;
+}
+
+RoutingState MakeState()
+{
+  RoutingState state;
+  state.dataCentre_ = { "north" };
+  state.region_ = { "r1" };
+  return state;
+}
+
+void Fail(RoutingState& aState, const Target& aTarget, int aTimes, TimePoint aNow)
+{
+  for (int i = 0; i < aTimes; ++i) {
+    NoteSent(aState, aTarget);
+    NoteEnded(aState, aTarget, CallResult::kFailed, milliseconds(1), -1, aNow);
+  }
+}
+
+std::map<std::string, int> Draw(RoutingState& aState, const TargetView& aView, TimePoint aNow)
+{
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 2000; ++i) {
+    const auto target = ChooseTarget(aState, aView, kService, {}, aNow);
+    REQUIRE(target.has_value());
+    ++counts[target->host_.value_];
+  }
+  return counts;
+}
+
+/// Open-loop calls, one every millisecond; the latency of a call is given by aLatencyMs. Returns
+/// the part of the calls that went to the first target.
+template<typename Latency, typename Load>
+double ShareOfFirst(const TargetView& aView, Latency aLatencyMs, Load aLoad)
+{
+  RoutingState state = MakeState();
+  struct Running
+  {
+    Target target_;
+    TimePoint start_{};
+    TimePoint end_{};
+  };
+  std::vector<Running> running;
+  std::map<std::string, int> inFlight;
+  double first = 0;
+  constexpr int kCalls = 5000;
+  for (int ms = 0; ms < kCalls; ++ms) {
+    const TimePoint now = kStart + milliseconds(ms);
+    std::erase_if(running, [&](const Running& aCall) {
+      if (aCall.end_ > now) {
+        return false;
+      }
+      --inFlight[aCall.target_.host_.value_];
+      NoteEnded(state,
+                aCall.target_,
+                CallResult::kAnswered,
+                aCall.end_ - aCall.start_,
+                aLoad(aCall.target_),
+                now);
+      return true;
+    });
+    const Target target = *ChooseTarget(state, aView, kService, {}, now);
+    const std::string& host = target.host_.value_;
+    first += host == aView.targets_.at(kService).front().host_.value_ ? 1 : 0;
+    ++inFlight[host];
+    NoteSent(state, target);
+    running.push_back({ target, now, now + milliseconds(aLatencyMs(target, inFlight[host])) });
+  }
+  return first / kCalls;
+}
+
+} // namespace
+
+// Guards against targets chosen although they are draining, left or tried already, and against no
+// choice although a usable target is there.
+TEST_CASE("a choice is usable and exists if a usable target exists", "[route]")
+{
+  CHECK(rc::check("random views and results", [] {
+    RoutingState state = MakeState();
+    state.random_ = *rc::gen::arbitrary<std::uint64_t>();
+    std::vector<Target> targets;
+    const int count = *rc::gen::inRange(1, 7);
+    for (int i = 0; i < count; ++i) {
+      Target target = MakeTarget(std::string(1, static_cast<char>('a' + i)),
+                                 *rc::gen::element<std::string>("north", "south", "far"));
+      target.state_ = *rc::gen::element(TargetState::kCold,
+                                        TargetState::kReady,
+                                        TargetState::kReady,
+                                        TargetState::kDraining,
+                                        TargetState::kLeft);
+      target.readySince_ = kStart - seconds(*rc::gen::inRange(0, 20));
+      targets.push_back(target);
+    }
+    const TargetView view = MakeView(targets);
+    TimePoint now = kStart;
+    for (int i = 0; i < 60; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 100));
+      std::vector<HostId> exclude;
+      for (const Target& target : targets) {
+        if (*rc::gen::inRange(0, 4) == 0) {
+          exclude.push_back(target.host_);
+        }
+      }
+      const bool exists = std::any_of(targets.begin(), targets.end(), [&](const Target& aTarget) {
+        return (aTarget.state_ == TargetState::kCold || aTarget.state_ == TargetState::kReady) &&
+               std::find(exclude.begin(), exclude.end(), aTarget.host_) == exclude.end();
+      });
+      const auto chosen = ChooseTarget(state, view, kService, exclude, now);
+      RC_ASSERT(chosen.has_value() == exists);
+      if (!chosen) {
+        continue;
+      }
+      RC_ASSERT(chosen->state_ == TargetState::kCold || chosen->state_ == TargetState::kReady);
+      RC_ASSERT(std::find(exclude.begin(), exclude.end(), chosen->host_) == exclude.end());
+      NoteSent(state, *chosen);
+      NoteEnded(
+        state,
+        *chosen,
+        *rc::gen::element(
+          CallResult::kAnswered, CallResult::kRefused, CallResult::kFailed, CallResult::kTimedOut),
+        milliseconds(5),
+        0.5,
+        now);
+      RC_ASSERT(state.stats_.at(chosen->host_).inFlight_ == 0U);
+    }
+  }));
+}
+
+// Guards against an outage of the whole service caused by ejection.
+TEST_CASE("at most half of a service is ejected", "[route]")
+{
+  for (int count = 1; count <= 5; ++count) {
+    std::vector<Target> targets;
+    for (int i = 0; i < count; ++i) {
+      targets.push_back(MakeTarget(std::string(1, static_cast<char>('a' + i))));
+    }
+    const TargetView view = MakeView(targets);
+    RoutingState state = MakeState();
+    for (const Target& target : targets) {
+      Fail(state, target, 5, kStart);
+    }
+    const auto counts = Draw(state, view, kStart + milliseconds(10));
+    CHECK(static_cast<int>(counts.size()) == count - count / 2);
+  }
+}
+
+// Guards against a broken target that keeps its traffic, and against one that never comes back.
+TEST_CASE("ejection lasts one second and doubles", "[route]")
+{
+  RoutingState state = MakeState();
+  const TargetView view = MakeView({ MakeTarget("a"), MakeTarget("b"), MakeTarget("c") });
+  const Target& broken = view.targets_.at(kService)[0];
+  Fail(state, broken, 4, kStart);
+  CHECK(Draw(state, view, kStart).contains("a"));
+  Fail(state, broken, 1, kStart);
+  CHECK_FALSE(Draw(state, view, kStart + milliseconds(999)).contains("a"));
+  CHECK(Draw(state, view, kStart + milliseconds(1000)).contains("a"));
+  // Late failures during the ejection don't count.
+  Fail(state, broken, 5, kStart + milliseconds(1000));
+  Fail(state, broken, 50, kStart + milliseconds(1100));
+  CHECK_FALSE(Draw(state, view, kStart + milliseconds(2999)).contains("a"));
+  CHECK(Draw(state, view, kStart + milliseconds(3000)).contains("a"));
+  // A new incarnation starts without the old one's failures.
+  Fail(state, broken, 5, kStart + seconds(3));
+  Target restarted = broken;
+  restarted.incarnation_ = 2;
+  const TargetView after = MakeView({ restarted, MakeTarget("b"), MakeTarget("c") });
+  CHECK(Draw(state, after, kStart + seconds(3)).contains("a"));
+}
+
+// Guards against calls to far targets while near ones accept, and against refusals while far ones
+// would accept.
+TEST_CASE("work spills over to the next tier when the nearer one refuses", "[route]")
+{
+  RoutingState state = MakeState();
+  const TargetView view = MakeView(
+    { MakeTarget("a"), MakeTarget("b"), MakeTarget("s", "south"), MakeTarget("f", "far") });
+  const auto& targets = view.targets_.at(kService);
+  const auto refuse = [&](const Target& aTarget) {
+    NoteSent(state, aTarget);
+    NoteEnded(state, aTarget, CallResult::kRefused, milliseconds(1), 1, kStart);
+  };
+  const auto hosts = [&] {
+    std::set<std::string> names;
+    for (const auto& entry : Draw(state, view, kStart + milliseconds(1))) {
+      names.insert(entry.first);
+    }
+    return names;
+  };
+  CHECK(hosts() == std::set<std::string>{ "a", "b" });
+  refuse(targets[0]);
+  CHECK(hosts() == std::set<std::string>{ "b" });
+  refuse(targets[1]);
+  CHECK(hosts() == std::set<std::string>{ "s" });
+  refuse(targets[2]);
+  CHECK(hosts() == std::set<std::string>{ "f" });
+  refuse(targets[3]);
+  CHECK(hosts() == std::set<std::string>{ "a", "b" });
+}
+
+// Guards against a target that draws all traffic by reporting or announcing no load.
+TEST_CASE("a false report of low load draws a bounded part of the traffic", "[route]")
+{
+  std::vector<Target> targets{ MakeTarget("a"), MakeTarget("b"), MakeTarget("c"), MakeTarget("d") };
+  for (std::size_t i = 1; i < targets.size(); ++i) {
+    targets[i].announcedLoad_ = 1;
+  }
+  const TargetView view = MakeView(targets);
+  const auto load = [](const Target& aTarget) { return aTarget.host_.value_ == "a" ? 0.0 : 1.0; };
+  const auto equal = [](const Target&, int) { return 20; };
+  CHECK(ShareOfFirst(view, equal, load) < 0.4);
+  // Its latency grows with its calls: the node's own observation outweighs the report.
+  const auto loaded = [](const Target& aTarget, int aInFlight) {
+    return aTarget.host_.value_ == "a" ? 20 + 4 * aInFlight : 20;
+  };
+  CHECK(ShareOfFirst(view, loaded, load) < 0.25);
+}
+
+// Guards against a slow target that keeps its full part of the traffic, and against one that is
+// avoided for good after it recovered.
+TEST_CASE("a slow target gets fewer calls and is tried again later", "[route]")
+{
+  const TargetView view = MakeView({ MakeTarget("a"), MakeTarget("b"), MakeTarget("c") });
+  const auto slow = [](const Target& aTarget, int) {
+    return aTarget.host_.value_ == "a" ? 100 : 10;
+  };
+  const auto noLoad = [](const Target&) { return -1.0; };
+  const double share = ShareOfFirst(view, slow, noLoad);
+  CHECK(share < 0.15);
+  CHECK(share > 0);
+
+  RoutingState state = MakeState();
+  const auto& targets = view.targets_.at(kService);
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    NoteSent(state, targets[i]);
+    NoteEnded(
+      state, targets[i], CallResult::kAnswered, i == 0 ? seconds(2) : milliseconds(10), -1, kStart);
+  }
+  CHECK_FALSE(Draw(state, view, kStart).contains("a"));
+  for (int ms = 0; ms < 20000; ms += 100) {
+    for (std::size_t i = 1; i < targets.size(); ++i) {
+      NoteSent(state, targets[i]);
+      NoteEnded(
+        state, targets[i], CallResult::kAnswered, milliseconds(10), -1, kStart + milliseconds(ms));
+    }
+  }
+  CHECK(Draw(state, view, kStart + seconds(20)).contains("a"));
+}
+
+// Guards against full load on a target that has just started.
+TEST_CASE("a cold target ramps up", "[route]")
+{
+  double last = 0;
+  for (const int age : { 0, 2, 5, 10 }) {
+    std::vector<Target> targets{
+      MakeTarget("a"), MakeTarget("b"), MakeTarget("c"), MakeTarget("d")
+    };
+    targets[0].state_ = TargetState::kCold;
+    targets[0].readySince_ = kStart - seconds(age);
+    RoutingState state = MakeState();
+    const double share = Draw(state, MakeView(targets), kStart)["a"] / 2000.0;
+    CHECK(share <= 0.07 * age + 0.03);
+    CHECK(share >= last);
+    last = share;
+  }
+  CHECK(last > 0.2);
+}
+
+// Guards against memory that grows with every host that ever lived.
+TEST_CASE("stats of absent hosts are forgotten", "[route]")
+{
+  RoutingState state = MakeState();
+  const Target gone = MakeTarget("gone");
+  const Target busy = MakeTarget("busy");
+  Fail(state, gone, 1, kStart);
+  NoteSent(state, busy);
+  ForgetAbsent(state, MakeView({ MakeTarget("a") }));
+  CHECK_FALSE(state.stats_.contains(gone.host_));
+  CHECK(state.stats_.contains(busy.host_));
+}
--- /dev/null
+++ b/tests/request/TokenCacheTest.cpp
@@ -0,0 +1,220 @@
+// Tests of the token cache against a model of the share leader.
+#include "peridotquay/request/TokenCache.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <limits>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace peridotquay;
+
+namespace {
+
+const ClientAccountId kAccount{ "orchard" };
+
+/// One grant as the leader saw it. Steps number the actions of a run.
+struct ModelGrant
+{
+  double tokens_ = 0; ///< Granted; what was reported as used once it was reported.
+  TimePoint expires_{};
+  int arrived_ = 0;
+  int reported_ = std::numeric_limits<int>::max();
+};
+
+struct ModelTake
+{
+  int step_ = 0;
+  TimePoint time_{};
+};
+
+/// Log of one run and its judge.
+struct Model
+{
+  std::map<std::uint64_t, ModelGrant> grants_;
+  std::uint64_t nextGrant_ = 1;
+  std::vector<ModelTake> takes_;
+
+  void Report(const ShareRequest& aRequest, int aStep)
+  {
+    if (aRequest.grant_ == 0) {
+      RC_ASSERT(aRequest.used_ == 0);
+      return;
+    }
+    const auto entry = grants_.find(aRequest.grant_);
+    RC_ASSERT(entry != grants_.end());
+    RC_ASSERT(entry->second.reported_ > aStep);
+    RC_ASSERT(aRequest.used_ <= entry->second.tokens_);
+    entry->second.reported_ = aStep;
+    entry->second.tokens_ = aRequest.used_;
+  }
+
+  /// Each take must have a token of its own, from a grant that had arrived, had not expired and was
+  /// not reported yet. Taking from the grant that ends first finds an assignment if there is one.
+  void Judge() const
+  {
+    std::vector<ModelGrant> grants;
+    for (const auto& entry : grants_) {
+      grants.push_back(entry.second);
+      for (const ModelTake& take : takes_) {
+        if (take.time_ >= entry.second.expires_) {
+          grants.back().reported_ = std::min(grants.back().reported_, take.step_);
+          break;
+        }
+      }
+    }
+    for (const ModelTake& take : takes_) {
+      ModelGrant* best = nullptr;
+      for (ModelGrant& grant : grants) {
+        const bool usable =
+          grant.arrived_ <= take.step_ && take.step_ < grant.reported_ && grant.tokens_ >= 1;
+        if (usable && (best == nullptr || grant.reported_ < best->reported_)) {
+          best = &grant;
+        }
+      }
+      RC_ASSERT(best != nullptr);
+      best->tokens_ -= 1;
+    }
+  }
+};
+
+struct PendingAsk
+{
+  ShareRequest request_;
+  TimePoint asked_{};
+};
+
+} // namespace
+
+// Guards against use of more tokens than were granted, of tokens that were given back, and of
+// expired tokens, with replies that are late, lost, repeated or empty.
+TEST_CASE("tokens are used once and before they expire", "[tokens]")
+{
+  CHECK(rc::check("random leader", [] {
+    TokenCache cache;
+    Model model;
+    std::deque<PendingAsk> asks;
+    std::optional<std::pair<ShareGrant, TimePoint>> lastGrant;
+    TimePoint now{ seconds(100) };
+    const int steps = *rc::gen::inRange(0, 300);
+    const int pace = *rc::gen::element(1, 20, 300);
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, pace + 1));
+      const int action = *rc::gen::inRange(0, 10);
+      if (action < 6) {
+        const TakeStep step = TakeToken(cache, kAccount, 0, now);
+        if (step.ask_) {
+          RC_ASSERT(step.ask_->wanted_ >= 1);
+          // A report leaves after the take of the same step.
+          model.Report(*step.ask_, 2 * i + 1);
+          asks.push_back({ *step.ask_, now });
+        }
+        if (step.result_ == TakeResult::kTaken) {
+          model.takes_.push_back({ 2 * i, now });
+        } else {
+          RC_ASSERT((step.result_ == TakeResult::kRefused) == (step.retryAfterMs_ > 0));
+        }
+      } else if (action < 8 && !asks.empty()) {
+        const PendingAsk ask = asks.front();
+        asks.pop_front();
+        ShareGrant grant{ ask.request_.nonce_, kAccount, model.nextGrant_++, 0, 1000, 30 };
+        grant.tokens_ = *rc::gen::element(0.0, 0.5, 1.0, 2.5, ask.request_.wanted_);
+        grant.lifetimeMs_ = *rc::gen::element(10U, 1000U);
+        if (grant.tokens_ == 0) {
+          grant.grant_ = 0;
+        } else {
+          model.grants_[grant.grant_] = { grant.tokens_,
+                                          ask.asked_ + milliseconds(grant.lifetimeMs_),
+                                          2 * i };
+        }
+        AddGrant(cache, grant, ask.asked_);
+        lastGrant = std::pair(grant, ask.asked_);
+      } else if (action == 8 && !asks.empty()) {
+        asks.pop_front();
+      } else if (action == 9 && lastGrant) {
+        AddGrant(cache, lastGrant->first, lastGrant->second);
+      } else {
+        for (const ShareRequest& request : ReturnIdleTokens(cache, now)) {
+          RC_ASSERT(request.wanted_ == 0);
+          model.Report(request, 2 * i + 1);
+        }
+      }
+    }
+    model.Judge();
+  }));
+}
+
+// Guards against wrongful refusals: an account within its rate gets every call through, without
+// waiting once its use is known.
+TEST_CASE("asking ahead keeps tokens at hand", "[tokens]")
+{
+  TokenCache cache;
+  TimePoint now{ seconds(100) };
+  std::deque<PendingAsk> asks;
+  std::uint64_t nextGrant = 1;
+  int waited = 0;
+  int requests = 0;
+  double granted = 0;
+  for (int ms = 0; ms < 4000; ++ms) {
+    now += milliseconds(1);
+    // The leader's reply takes 2 ms.
+    while (!asks.empty() && now - asks.front().asked_ >= milliseconds(2)) {
+      const ShareRequest& request = asks.front().request_;
+      granted += request.wanted_;
+      AddGrant(cache,
+               { request.nonce_, kAccount, nextGrant++, request.wanted_, 1000, 0 },
+               asks.front().asked_);
+      asks.pop_front();
+    }
+    if (ms % 10 != 0) {
+      continue;
+    }
+    const TakeStep step = TakeToken(cache, kAccount, 0, now);
+    CHECK(step.result_ != TakeResult::kRefused);
+    waited += step.result_ == TakeResult::kWait && ms > 1000 ? 1 : 0;
+    if (step.ask_) {
+      asks.push_back({ *step.ask_, now });
+      ++requests;
+    }
+  }
+  CHECK(waited == 0);
+  CHECK(requests < 60);
+  CHECK(granted < 400 + 40);
+}
+
+// Guards against tokens that a quiet host takes from the others: at low use nothing is asked ahead.
+TEST_CASE("a rarely used account asks for one token at a time", "[tokens]")
+{
+  TokenCache cache;
+  const TimePoint now{ seconds(100) };
+  const TakeStep first = TakeToken(cache, kAccount, 0, now);
+  REQUIRE(first.result_ == TakeResult::kWait);
+  REQUIRE(first.ask_.has_value());
+  CHECK(first.ask_->wanted_ == 1);
+  CHECK_FALSE(TakeToken(cache, kAccount, 1, now).ask_.has_value());
+  AddGrant(cache, { first.ask_->nonce_, kAccount, 7, 1, 1000, 0 }, now);
+  const TakeStep second = TakeToken(cache, kAccount, 0, now + milliseconds(1));
+  CHECK(second.result_ == TakeResult::kTaken);
+  CHECK_FALSE(second.ask_.has_value());
+  // The use is reported although no new token is wanted.
+  const auto reports = ReturnIdleTokens(cache, now + milliseconds(300));
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].grant_ == 7);
+  CHECK(reports[0].used_ == 1);
+}
+
+// Guards against memory that grows with the number of accounts, and against one lost reply that
+// blocks an account for good.
+TEST_CASE("accounts are bounded and lost replies are asked again", "[tokens]")
+{
+  TokenCache cache;
+  const TimePoint now{ seconds(100) };
+  for (int i = 0; i < 1000; ++i) {
+    TakeToken(cache, { std::to_string(i) }, 0, now + seconds(i));
+  }
+  CHECK(cache.accounts_.size() <= kMaxCachedAccounts);
+  CHECK_FALSE(TakeToken(cache, { "999" }, 0, now + seconds(999)).ask_.has_value());
+  CHECK(TakeToken(cache, { "999" }, 0, now + seconds(1000)).ask_.has_value());
+}
