Test admission: invariants, fair shares and the adaptive limit

Cause: admission decides who is shed; its invariants, its fairness and the limit's behaviour with misbehaving targets had no tests.

Change: random operations judged by an independent record, a max-min reference, and simulated targets (spike, lasting change, hidden queue, refusals, idle).

--- /dev/null
+++ b/tests/request/AdmissionTest.cpp
@@ -0,0 +1,537 @@
+// Tests of admission: invariants over random operations, fair shares against a max-min reference,
+// and the adaptive limit with simulated targets.
+#include "peridotquay/request/Admission.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace peridotquay;
+
+namespace {
+
+const TimePoint kStart{ seconds(1000) };
+
+WaitingCall MakeCall(std::uint64_t aId,
+                     const std::string& aAccount,
+                     TimePoint aNow,
+                     Importance aImportance = Importance::kNormal,
+                     double aWeight = 1,
+                     Duration aDeadline = seconds(2))
+{
+  return { aId, aImportance, { aAccount }, aWeight, aNow, aNow + aDeadline };
+}
+
+/// Independent record of what waits and runs; judges every step of the admission.
+struct Judge
+{
+  std::map<std::uint64_t, WaitingCall> waiting_;
+  std::set<std::uint64_t> running_;
+
+  void Apply(const AdmissionState& aState, const AdmissionStep& aStep, TimePoint aNow)
+  {
+    for (const std::uint64_t id : aStep.start_) {
+      const auto call = waiting_.find(id);
+      RC_ASSERT(call != waiting_.end());
+      RC_ASSERT(call->second.deadline_ > aNow);
+      const Importance importance = call->second.importance_;
+      waiting_.erase(call);
+      RC_ASSERT(running_.insert(id).second);
+      for (const auto& other : waiting_) {
+        const bool starts =
+          std::find(aStep.start_.begin(), aStep.start_.end(), other.first) != aStep.start_.end();
+        const bool refused =
+          std::any_of(aStep.refuse_.begin(), aStep.refuse_.end(), [&](const RefusedCall& aCall) {
+            return aCall.id_ == other.first;
+          });
+        // A more important call that waits on goes first.
+        RC_ASSERT(starts || refused || other.second.importance_ >= importance);
+      }
+    }
+    for (const RefusedCall& refused : aStep.refuse_) {
+      const auto call = waiting_.find(refused.id_);
+      RC_ASSERT(call != waiting_.end());
+      const WaitingCall victim = call->second;
+      waiting_.erase(call);
+      RC_ASSERT(refused.retryAfterMs_ > 0U);
+      if (refused.code_ == ErrorCode::kShed) {
+        for (const auto& other : waiting_) {
+          RC_ASSERT(other.second.importance_ <= victim.importance_);
+        }
+      } else {
+        RC_ASSERT(refused.code_ == ErrorCode::kDeadlineExceeded);
+      }
+    }
+    RC_ASSERT(aState.running_ == running_.size());
+    RC_ASSERT(aState.queued_ == waiting_.size());
+    RC_ASSERT(aState.queued_ <= aState.settings_.queueCapacity_);
+    std::size_t sum = 0;
+    for (const ClassQueue& queue : aState.queues_) {
+      std::size_t calls = 0;
+      for (const auto& entry : queue.accounts_) {
+        calls += entry.second.calls_.size();
+      }
+      RC_ASSERT(calls == queue.size_);
+      sum += calls;
+    }
+    RC_ASSERT(sum == aState.queued_);
+    // No call waits beside a free slot, and no call starts above the limit.
+    const bool hasSlot = static_cast<double>(running_.size()) + 1 <= aState.limit_;
+    RC_ASSERT((waiting_.empty() || !hasSlot));
+    const bool isOver = static_cast<double>(running_.size()) > aState.limit_;
+    RC_ASSERT((aStep.start_.empty() || !isOver));
+    RC_ASSERT(aState.limit_ >= 1);
+    const bool isAboveSlots = aState.announcedSlots_ > 0 && aState.limit_ > aState.announcedSlots_;
+    RC_ASSERT(!isAboveSlots);
+  }
+};
+
+/// Weighted max-min fair shares of a capacity by filling up the least satisfied accounts.
+std::vector<double> FairShares(const std::vector<double>& aDemands,
+                               const std::vector<double>& aWeights,
+                               double aCapacity)
+{
+  std::vector<double> shares(aDemands.size(), 0);
+  std::set<std::size_t> open;
+  for (std::size_t i = 0; i < aDemands.size(); ++i) {
+    open.insert(i);
+  }
+  while (!open.empty()) {
+    double weights = 0;
+    for (const std::size_t i : open) {
+      weights += aWeights[i];
+    }
+    const double level = aCapacity / weights;
+    std::set<std::size_t> satisfied;
+    for (const std::size_t i : open) {
+      if (aDemands[i] <= level * aWeights[i]) {
+        satisfied.insert(i);
+      }
+    }
+    for (const std::size_t i : open) {
+      shares[i] = satisfied.empty() ? level * aWeights[i] : aDemands[i];
+    }
+    if (satisfied.empty()) {
+      break;
+    }
+    for (const std::size_t i : satisfied) {
+      aCapacity -= aDemands[i];
+      open.erase(i);
+    }
+  }
+  return shares;
+}
+
+/// A limit that never changes.
+AdmissionState FixedLimit(std::uint32_t aLimit, std::uint32_t aCapacity)
+{
+  AdmissionState state;
+  state.settings_.initialLimit_ = state.settings_.minLimit_ = state.settings_.maxLimit_ = aLimit;
+  state.settings_.queueCapacity_ = aCapacity;
+  state.limit_ = aLimit;
+  return state;
+}
+
+/// A simulated target behind a guard: more calls wait than can run, time in steps of 1 ms.
+class SaturatedTarget
+{
+public:
+  /// Latency in milliseconds of a call, by the number that runs at its start; negative refuses.
+  using Latency = std::function<double(std::uint32_t)>;
+
+  AdmissionState state_;
+  int answered_ = 0;
+  int refused_ = 0;
+  double leastLimit_ = 1e9;
+
+  /// Runs for the time. aQueued calls are kept waiting; 0 offers a call only when none runs.
+  void Run(Duration aTime, std::size_t aQueued, const Latency& aLatency)
+  {
+    leastLimit_ = 1e9;
+    for (const TimePoint end = now_ + aTime; now_ < end; now_ += milliseconds(1)) {
+      while (!ends_.empty() && ends_.begin()->first <= now_) {
+        const Running call = ends_.begin()->second;
+        ends_.erase(ends_.begin());
+        answered_ += call.end_ == CallEnd::kAnswered ? 1 : 0;
+        refused_ += call.end_ == CallEnd::kTargetRefused ? 1 : 0;
+        StartAll(FinishCall(state_, call.end_, now_ - call.start_, now_), aLatency);
+      }
+      while (state_.queued_ < aQueued || (aQueued == 0 && state_.running_ == 0)) {
+        StartAll(OfferCall(state_,
+                           MakeCall(++lastId_, "a", now_, Importance::kNormal, 1, seconds(600)),
+                           now_),
+                 aLatency);
+      }
+      leastLimit_ = std::min(leastLimit_, state_.limit_);
+    }
+  }
+
+private:
+  struct Running
+  {
+    TimePoint start_{};
+    CallEnd end_ = CallEnd::kAnswered;
+  };
+
+  void StartAll(const AdmissionStep& aStep, const Latency& aLatency)
+  {
+    for (std::size_t i = 0; i < aStep.start_.size(); ++i) {
+      const double latency = aLatency(static_cast<std::uint32_t>(ends_.size()) + 1);
+      // Latencies vary by a fifth, so that windows see noise.
+      noise_ = noise_ * 1664525U + 1013904223U;
+      const double factor = 0.8 + 0.4 * (noise_ >> 8U) / 16777216.0;
+      const auto micros = static_cast<std::int64_t>(std::abs(latency) * factor * 1000);
+      ends_.emplace(now_ + microseconds(micros),
+                    Running{ now_, latency < 0 ? CallEnd::kTargetRefused : CallEnd::kAnswered });
+    }
+  }
+
+  TimePoint now_ = kStart;
+  std::multimap<TimePoint, Running> ends_;
+  std::uint64_t lastId_ = 0;
+  std::uint32_t noise_ = 1;
+};
+
+} // namespace
+
+// Guards against a critical call refused or kept waiting for a less important one, queues above
+// their bound, calls that vanish or start twice, and starts above the limit or after the deadline.
+TEST_CASE("admission keeps its invariants over random operations", "[admission]")
+{
+  CHECK(rc::check("random operations", [] {
+    AdmissionState state;
+    state.settings_.queueCapacity_ = *rc::gen::inRange(0U, 12U);
+    state.settings_.minLimit_ = 1;
+    state.limit_ = *rc::gen::inRange(1, 6);
+    Judge judge;
+    TimePoint now = kStart;
+    std::uint64_t nextId = 1;
+    const int steps = *rc::gen::inRange(0, 300);
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(*rc::gen::element(0, 0, 1, 5, 50));
+      const int action = *rc::gen::inRange(0, 20);
+      if (action < 10) {
+        const auto importance = static_cast<Importance>(*rc::gen::inRange(0, 4));
+        const WaitingCall call = MakeCall(nextId++,
+                                          *rc::gen::element<std::string>("a", "b", "c"),
+                                          now,
+                                          importance,
+                                          *rc::gen::element(0.0, 1.0, 5.0),
+                                          milliseconds(*rc::gen::element(0, 20, 200, 2000)));
+        judge.waiting_[call.id_] = call;
+        judge.Apply(state, OfferCall(state, call, now), now);
+      } else if (action < 16 && !judge.running_.empty()) {
+        judge.running_.erase(judge.running_.begin());
+        const auto end = *rc::gen::element(CallEnd::kAnswered,
+                                           CallEnd::kAnswered,
+                                           CallEnd::kTargetRefused,
+                                           CallEnd::kTimedOut,
+                                           CallEnd::kCancelled);
+        const auto service = milliseconds(*rc::gen::inRange(0, 100));
+        judge.Apply(state, FinishCall(state, end, service, now), now);
+      } else if (action < 18) {
+        judge.Apply(state, DropLateCalls(state, now), now);
+        for (const auto& entry : judge.waiting_) {
+          RC_ASSERT(entry.second.deadline_ > now);
+        }
+      } else if (action == 18 && !judge.waiting_.empty()) {
+        const std::uint64_t id = judge.waiting_.begin()->first;
+        RC_ASSERT(CancelWaiting(state, id));
+        RC_ASSERT(!CancelWaiting(state, id));
+        judge.waiting_.erase(id);
+        judge.Apply(state, {}, now);
+      } else {
+        AnnounceSlots(state, *rc::gen::element(0U, 1U, 3U, 10U));
+        judge.Apply(state, DropLateCalls(state, now), now);
+        const AdmissionLevel level = CurrentLevel(state, now);
+        RC_ASSERT((level.lowestAdmitted_ != Importance::kCritical || level.admittedFraction_ == 1));
+      }
+    }
+  }));
+}
+
+// Guards against a queue in which an account gets less than its weighted max-min fair share,
+// whether it offers little, much, or in bursts.
+TEST_CASE("accounts get their weighted max-min fair shares", "[admission]")
+{
+  CHECK(rc::check("random demands and weights", [] {
+    const int accounts = *rc::gen::inRange(2, 9);
+    constexpr std::uint32_t kLimit = 20;
+    constexpr int kRounds = 600;
+    std::vector<double> demands;
+    std::vector<double> weights;
+    std::vector<int> bursts;
+    for (int i = 0; i < accounts; ++i) {
+      demands.push_back(*rc::gen::inRange(1, 30));
+      weights.push_back(*rc::gen::element(1.0, 2.0, 5.0, 20.0));
+      bursts.push_back(*rc::gen::element(1, 1, 3));
+    }
+    AdmissionState state = FixedLimit(kLimit, 1000);
+    std::vector<double> served(accounts, 0);
+    std::map<std::uint64_t, int> owner;
+    std::uint64_t nextId = 1;
+    TimePoint now = kStart;
+    const auto count = [&](const AdmissionStep& aStep) {
+      for (const std::uint64_t id : aStep.start_) {
+        served[owner[id]] += 1;
+      }
+    };
+    for (int round = 0; round < kRounds; ++round) {
+      now += milliseconds(10);
+      for (int i = 0; i < accounts; ++i) {
+        const int calls = round % bursts[i] == 0 ? static_cast<int>(demands[i]) * bursts[i] : 0;
+        for (int k = 0; k < calls; ++k) {
+          owner[nextId] = i;
+          count(OfferCall(
+            state,
+            MakeCall(nextId, std::to_string(i), now, Importance::kNormal, weights[i], seconds(20)),
+            now));
+          ++nextId;
+        }
+      }
+      for (std::uint32_t running = state.running_; running > 0; --running) {
+        count(FinishCall(state, CallEnd::kAnswered, milliseconds(10), now));
+      }
+    }
+    const auto fair = FairShares(demands, weights, kLimit);
+    for (int i = 0; i < accounts; ++i) {
+      // What waits at the end and the first round aren't part of the comparison.
+      RC_ASSERT(served[i] >= 0.95 * fair[i] * kRounds - 40);
+    }
+  }));
+}
+
+// Guards against credit for idle time: an account that comes back must not take all slots.
+TEST_CASE("an idle account earns no credit", "[admission]")
+{
+  AdmissionState state = FixedLimit(1, 100);
+  OfferCall(state, MakeCall(1, "steady", kStart), kStart);
+  for (std::uint64_t id = 2; id < 52; ++id) {
+    OfferCall(state, MakeCall(id, "steady", kStart), kStart);
+  }
+  for (int i = 0; i < 30; ++i) {
+    FinishCall(state, CallEnd::kAnswered, milliseconds(1), kStart);
+  }
+  for (std::uint64_t id = 100; id < 120; ++id) {
+    OfferCall(state, MakeCall(id, "back", kStart), kStart);
+  }
+  int back = 0;
+  for (int i = 0; i < 20; ++i) {
+    back +=
+      FinishCall(state, CallEnd::kAnswered, milliseconds(1), kStart).start_.at(0) >= 100 ? 1 : 0;
+  }
+  CHECK(back >= 9);
+  CHECK(back <= 11);
+}
+
+// Guards against starvation of an account with a single call behind a large one.
+TEST_CASE("a single call of a small account is served soon", "[admission]")
+{
+  AdmissionState state = FixedLimit(1, 1000);
+  for (std::uint64_t id = 1; id < 500; ++id) {
+    OfferCall(state, MakeCall(id, "large", kStart, Importance::kNormal, 1000), kStart);
+  }
+  OfferCall(state, MakeCall(1000, "small", kStart, Importance::kNormal, 1), kStart);
+  int position = 0;
+  for (; position < 10; ++position) {
+    if (FinishCall(state, CallEnd::kAnswered, milliseconds(1), kStart).start_.at(0) == 1000) {
+      break;
+    }
+  }
+  CHECK(position <= 2);
+}
+
+// Guards against a full queue that refuses a critical call, or sheds an account below its share.
+TEST_CASE("a full queue sheds the lowest class and the account most over its share", "[admission]")
+{
+  AdmissionState state = FixedLimit(1, 4);
+  OfferCall(state, MakeCall(1, "a", kStart), kStart);
+  OfferCall(state, MakeCall(2, "a", kStart), kStart);
+  OfferCall(state, MakeCall(3, "a", kStart), kStart);
+  OfferCall(state, MakeCall(4, "b", kStart), kStart);
+  OfferCall(state, MakeCall(5, "c", kStart, Importance::kLow), kStart);
+  const auto victim = [&](const WaitingCall& aCall) {
+    const AdmissionStep step = OfferCall(state, aCall, kStart);
+    CHECK(step.start_.empty());
+    REQUIRE(step.refuse_.size() == 1);
+    CHECK(step.refuse_[0].code_ == ErrorCode::kShed);
+    return step.refuse_[0].id_;
+  };
+  CHECK(victim(MakeCall(6, "c", kStart, Importance::kLow)) == 6);
+  CHECK(victim(MakeCall(7, "b", kStart, Importance::kCritical)) == 5);
+  CHECK(victim(MakeCall(8, "c", kStart)) == 3);
+  CHECK(victim(MakeCall(9, "b", kStart)) == 9);
+  CHECK(victim(MakeCall(10, "b", kStart, Importance::kCritical)) == 2);
+  CHECK(FinishCall(state, CallEnd::kAnswered, milliseconds(1), kStart).start_ ==
+        std::vector<std::uint64_t>{ 7 });
+}
+
+// Guards against work spent on calls that can't be answered in time, and against a spell of slow
+// answers after which no call is admitted any more.
+TEST_CASE("late calls are dropped, and a slow spell doesn't block admission", "[admission]")
+{
+  AdmissionState state = FixedLimit(1, 100);
+  OfferCall(state, MakeCall(1, "a", kStart), kStart);
+  FinishCall(state, CallEnd::kAnswered, milliseconds(100), kStart);
+  OfferCall(state, MakeCall(2, "a", kStart), kStart);
+  OfferCall(state, MakeCall(3, "a", kStart, Importance::kNormal, 1, milliseconds(200)), kStart);
+  OfferCall(state, MakeCall(4, "a", kStart, Importance::kCritical, 1, milliseconds(200)), kStart);
+  const AdmissionStep tooShort =
+    OfferCall(state, MakeCall(5, "a", kStart, Importance::kNormal, 1, milliseconds(90)), kStart);
+  REQUIRE(tooShort.refuse_.size() == 1);
+  CHECK(tooShort.refuse_[0].code_ == ErrorCode::kDeadlineExceeded);
+  CHECK(DropLateCalls(state, kStart + milliseconds(99)).refuse_.empty());
+  // Half of its time has passed; a critical call waits on while its deadline can be met.
+  const AdmissionStep half = DropLateCalls(state, kStart + milliseconds(101));
+  REQUIRE(half.refuse_.size() == 1);
+  CHECK(half.refuse_[0].id_ == 3);
+  const AdmissionStep last = DropLateCalls(state, kStart + milliseconds(200));
+  REQUIRE(last.refuse_.size() == 1);
+  CHECK(last.refuse_[0].id_ == 4);
+
+  FinishCall(state, CallEnd::kAnswered, seconds(60), kStart + seconds(1));
+  const TimePoint later = kStart + seconds(1);
+  CHECK(OfferCall(state, MakeCall(6, "a", later, Importance::kNormal, 1, milliseconds(50)), later)
+          .start_.size() == 1);
+}
+
+// Guards against a limit that grows without bound while the target is nearly idle.
+TEST_CASE("the limit of an idle target doesn't grow", "[admission]")
+{
+  SaturatedTarget target;
+  target.Run(seconds(60), 0, [](std::uint32_t) { return 5.0; });
+  CHECK(target.state_.limit_ <= 16);
+}
+
+// Guards against a limit that stays below what the target can run at once.
+TEST_CASE("the limit reaches the announced slots", "[admission]")
+{
+  for (const std::uint32_t slots : { 20U, 50U, 250U }) {
+    SaturatedTarget target;
+    AnnounceSlots(target.state_, slots);
+    target.Run(seconds(3), 50, [](std::uint32_t) { return 10.0; });
+    CHECK(target.state_.limit_ == slots);
+  }
+}
+
+// Guards against a limit that collapses on a latency spike or when a deeper service is slow, and
+// against one that doesn't return.
+TEST_CASE("a latency spike doesn't collapse the limit", "[admission]")
+{
+  SaturatedTarget target;
+  AnnounceSlots(target.state_, 50);
+  const auto fast = [](std::uint32_t) { return 20.0; };
+  target.Run(seconds(3), 100, fast);
+  target.Run(seconds(5), 100, [](std::uint32_t) { return 100.0; });
+  CHECK(target.leastLimit_ >= 25);
+  CHECK(target.state_.limit_ >= 45);
+  target.Run(seconds(2), 100, fast);
+  CHECK(target.leastLimit_ >= 25);
+  CHECK(target.state_.limit_ >= 45);
+}
+
+// Guards against a floor that never follows a target which became slower or faster for good.
+TEST_CASE("the floor follows a lasting change", "[admission]")
+{
+  SaturatedTarget target;
+  AnnounceSlots(target.state_, 50);
+  target.Run(seconds(3), 100, [](std::uint32_t) { return 10.0; });
+  for (const double latency : { 30.0, 17.0, 170.0, 5.0 }) {
+    target.Run(seconds(30), 100, [latency](std::uint32_t) { return latency; });
+    CHECK(target.state_.floorSeconds_ * 1000 >= 0.7 * latency);
+    CHECK(target.state_.floorSeconds_ * 1000 <= 1.3 * latency);
+    CHECK(target.state_.limit_ == 50);
+  }
+}
+
+// Guards against a limit far above what a target runs at once, when it announces nothing and queues
+// inside: the queue belongs into the guard, where importance and deadlines count.
+TEST_CASE("the limit follows a target that queues inside", "[admission]")
+{
+  SaturatedTarget target;
+  const auto latency = [](std::uint32_t aRunning) { return 10.0 * std::max(1.0, aRunning / 20.0); };
+  target.Run(seconds(60), 100, latency);
+  CHECK(target.state_.limit_ >= 18);
+  CHECK(target.state_.limit_ <= 45);
+  CHECK(target.answered_ >= 0.95 * 2000 * 60);
+}
+
+// Guards against many refusals by a target that announces more slots than it has.
+TEST_CASE("the limit follows a target that refuses", "[admission]")
+{
+  SaturatedTarget target;
+  AnnounceSlots(target.state_, 50);
+  target.Run(seconds(30), 100, [](std::uint32_t aRunning) { return aRunning > 20 ? -1.0 : 10.0; });
+  CHECK(target.refused_ <= 0.05 * target.answered_);
+  CHECK(target.answered_ >= 0.9 * 2000 * 30);
+}
+
+// Guards against early refusal of critical calls, of calls without overload, and without probes.
+TEST_CASE("callers' hosts refuse the shed class and probe", "[admission]")
+{
+  UpstreamLevel upstream;
+  const auto admitted = [&](Importance aImportance, TimePoint aNow) {
+    int count = 0;
+    for (int i = 0; i < 10000; ++i) {
+      count += UpstreamAdmits(upstream, aImportance, aNow) ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(admitted(Importance::kLow, kStart) == 10000);
+  NoteLevel(upstream, { Importance::kNormal, 0.4 }, kStart);
+  CHECK(admitted(Importance::kCritical, kStart) == 10000);
+  CHECK(admitted(Importance::kHigh, kStart) == 10000);
+  CHECK(admitted(Importance::kNormal, kStart) == Approx(4000).margin(300));
+  CHECK(admitted(Importance::kLow, kStart) == Approx(100).margin(50));
+  NoteLevel(upstream, { Importance::kCritical, 0.5 }, kStart);
+  CHECK(admitted(Importance::kCritical, kStart) == 10000);
+  CHECK(admitted(Importance::kLow, kStart + kLevelLifetime) == 10000);
+}
+
+// Guards against a level that oscillates between all and nothing, or stays low after the overload.
+TEST_CASE("the announced level settles and recovers", "[admission]")
+{
+  AdmissionState state = FixedLimit(10, 20);
+  UpstreamLevel upstream;
+  std::multimap<TimePoint, TimePoint> ends;
+  std::uint64_t id = 0;
+  int answered = 0;
+  int refused = 0;
+  TimePoint now = kStart;
+  // Capacity 1,000 calls a second; offered is aPerMs thousand a second, a tenth of it critical.
+  const auto run = [&](Duration aTime, int aPerMs) {
+    answered = refused = 0;
+    const auto apply = [&](const AdmissionStep& aStep) {
+      for (std::size_t i = 0; i < aStep.start_.size(); ++i) {
+        ends.emplace(now + milliseconds(10), now);
+      }
+      refused += static_cast<int>(aStep.refuse_.size());
+    };
+    for (const TimePoint end = now + aTime; now < end; now += milliseconds(1)) {
+      while (!ends.empty() && ends.begin()->first <= now) {
+        ends.erase(ends.begin());
+        ++answered;
+        apply(FinishCall(state, CallEnd::kAnswered, milliseconds(10), now));
+        NoteLevel(upstream, CurrentLevel(state, now), now);
+      }
+      for (int i = 0; i < aPerMs; ++i) {
+        const Importance importance = ++id % 10 == 0 ? Importance::kCritical : Importance::kNormal;
+        if (UpstreamAdmits(upstream, importance, now)) {
+          apply(OfferCall(state, MakeCall(id, "a", now, importance), now));
+        }
+      }
+    }
+  };
+  run(seconds(2), 4);
+  run(seconds(5), 4);
+  CHECK(answered >= 4950);
+  CHECK(refused <= 0.2 * answered);
+  run(seconds(2), 1);
+  run(seconds(1), 1);
+  CHECK(answered >= 990);
+}
