Add configuration compiler, settings parser and platform client

Cause: the data path, the control side and the stand-ins link against the configuration look-ups, the entity model and the platform client. ClientAccount gains siteRatePart_, set below 1 by overlays only.

--- /dev/null
+++ b/peridotquay/process/Settings.cpp
@@ -0,0 +1,286 @@
+// Parses the settings file of a node with toml++.
+#include "peridotquay/process/Settings.h"
+
+#include "peridotquay/process/TomlPlaces.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/outcome/try.hpp>
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace peridotquay {
+
+namespace {
+
+constexpr std::array<std::string_view, 21> kKeys = { "host",
+                                                     "data_centre",
+                                                     "region",
+                                                     "service",
+                                                     "callers",
+                                                     "outbound",
+                                                     "peers",
+                                                     "admin",
+                                                     "target",
+                                                     "seeds",
+                                                     "platform",
+                                                     "port_file",
+                                                     "log_directory",
+                                                     "target_connections",
+                                                     "caller_connections",
+                                                     "max_body_bytes",
+                                                     "max_header_bytes",
+                                                     "read_timeout_ms",
+                                                     "drain_timeout_ms",
+                                                     "seed",
+                                                     "naive" };
+
+/// The parsed file with its name for errors.
+struct Document
+{
+  const toml::table* table_;
+  const std::string* file_;
+};
+
+auto FailAt(const Document& aDocument,
+            const toml::node& aNode,
+            ErrorCode aCode,
+            std::string_view aKey,
+            std::string aAllowed)
+{
+  return BOOST_OUTCOME_V2_NAMESPACE::failure(Error{
+    aCode, std::string(aKey), std::move(aAllowed), PlaceOf(aNode.source(), *aDocument.file_) });
+}
+
+Result<void> CheckKnownKeys(const Document& aDocument)
+{
+  for (const auto& [key, value] : *aDocument.table_) {
+    if (std::find(kKeys.begin(), kKeys.end(), key.str()) == kKeys.end()) {
+      return BOOST_OUTCOME_V2_NAMESPACE::failure(Error{ ErrorCode::kUnknownSetting,
+                                                        std::string(key.str()),
+                                                        "a setting of docs/operations.md",
+                                                        PlaceOf(key.source(), *aDocument.file_) });
+    }
+  }
+  return Success();
+}
+
+Result<void> ReadText(const Document& aDocument, std::string_view aKey, std::string& aOut)
+{
+  const auto* node = aDocument.table_->get(aKey);
+  if (node == nullptr) {
+    return Success();
+  }
+  const auto text = node->value_exact<std::string>();
+  if (!text) {
+    return FailAt(aDocument, *node, ErrorCode::kWrongType, aKey, "a string");
+  }
+  aOut = *text;
+  return Success();
+}
+
+/// Reads a required id. Ids appear in request ids and URLs, so their characters are restricted.
+Result<void> ReadId(const Document& aDocument, std::string_view aKey, std::string& aOut)
+{
+  const auto* node = aDocument.table_->get(aKey);
+  if (node == nullptr) {
+    return BOOST_OUTCOME_V2_NAMESPACE::failure(Error{
+      ErrorCode::kMissingSetting, std::string(aKey), "required", { *aDocument.file_, 0, 0 } });
+  }
+  BOOST_OUTCOME_TRYV(ReadText(aDocument, aKey, aOut));
+  const bool valid = !aOut.empty() && aOut.size() <= 64 &&
+                     aOut.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                                            "0123456789-_") == std::string::npos;
+  if (!valid) {
+    return FailAt(
+      aDocument, *node, ErrorCode::kOutOfRange, aKey, "1 to 64 letters, digits, '-' or '_'");
+  }
+  return Success();
+}
+
+template<typename T>
+Result<void> ReadInteger(const Document& aDocument,
+                         std::string_view aKey,
+                         std::int64_t aLeast,
+                         std::int64_t aMost,
+                         T& aOut)
+{
+  const auto* node = aDocument.table_->get(aKey);
+  if (node == nullptr) {
+    return Success();
+  }
+  const auto number = node->value_exact<std::int64_t>();
+  if (!number) {
+    return FailAt(aDocument, *node, ErrorCode::kWrongType, aKey, "an integer");
+  }
+  if (*number < aLeast || *number > aMost) {
+    return FailAt(aDocument,
+                  *node,
+                  ErrorCode::kOutOfRange,
+                  aKey,
+                  std::to_string(aLeast) + " to " + std::to_string(aMost));
+  }
+  aOut = static_cast<T>(*number);
+  return Success();
+}
+
+Result<void> ReadMilliseconds(const Document& aDocument,
+                              std::string_view aKey,
+                              std::int64_t aLeast,
+                              std::int64_t aMost,
+                              Duration& aOut)
+{
+  auto number = std::chrono::duration_cast<milliseconds>(aOut).count();
+  BOOST_OUTCOME_TRYV(ReadInteger(aDocument, aKey, aLeast, aMost, number));
+  aOut = milliseconds(number);
+  return Success();
+}
+
+Result<void> ReadFlag(const Document& aDocument, std::string_view aKey, bool& aOut)
+{
+  const auto* node = aDocument.table_->get(aKey);
+  if (node == nullptr) {
+    return Success();
+  }
+  const auto flag = node->value_exact<bool>();
+  if (!flag) {
+    return FailAt(aDocument, *node, ErrorCode::kWrongType, aKey, "true or false");
+  }
+  aOut = *flag;
+  return Success();
+}
+
+Result<Address> ReadAddressNode(const Document& aDocument,
+                                const toml::node& aNode,
+                                std::string_view aKey)
+{
+  const auto text = aNode.value_exact<std::string>();
+  if (!text) {
+    return FailAt(aDocument, aNode, ErrorCode::kWrongType, aKey, "a string \"ip:port\"");
+  }
+  const auto address = ParseAddress(*text);
+  if (!address) {
+    return FailAt(aDocument,
+                  aNode,
+                  ErrorCode::kOutOfRange,
+                  aKey,
+                  "ip:port with an IP number and port 0 to 65535");
+  }
+  return *address;
+}
+
+Result<void> ReadAddress(const Document& aDocument, std::string_view aKey, Address& aOut)
+{
+  if (const auto* node = aDocument.table_->get(aKey)) {
+    BOOST_OUTCOME_TRY(address, ReadAddressNode(aDocument, *node, aKey));
+    aOut = std::move(address);
+  }
+  return Success();
+}
+
+/// Reads addresses of other processes, which can't have port 0.
+Result<void> ReadAddresses(const Document& aDocument,
+                           std::string_view aKey,
+                           std::vector<Address>& aOut)
+{
+  const auto* node = aDocument.table_->get(aKey);
+  if (node == nullptr) {
+    return Success();
+  }
+  const auto* list = node->as_array();
+  if (list == nullptr) {
+    return FailAt(aDocument, *node, ErrorCode::kWrongType, aKey, "a list of \"ip:port\"");
+  }
+  if (list->size() > 64) {
+    return FailAt(aDocument, *node, ErrorCode::kOutOfRange, aKey, "at most 64 addresses");
+  }
+  for (const auto& element : *list) {
+    BOOST_OUTCOME_TRY(address, ReadAddressNode(aDocument, element, aKey));
+    if (address.port_ == 0) {
+      return FailAt(aDocument, element, ErrorCode::kOutOfRange, aKey, "port 1 to 65535");
+    }
+    aOut.push_back(std::move(address));
+  }
+  return Success();
+}
+
+Result<void> CheckListenersDiffer(const Document& aDocument, const NodeSettings& aSettings)
+{
+  const std::array<std::pair<std::string_view, const Address*>, 4> listeners = {
+    { { "callers", &aSettings.callers_ },
+      { "outbound", &aSettings.outbound_ },
+      { "peers", &aSettings.peers_ },
+      { "admin", &aSettings.admin_ } }
+  };
+  for (std::size_t i = 0; i < listeners.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      const bool same =
+        listeners[i].second->port_ != 0 && *listeners[i].second == *listeners[j].second;
+      const auto* node = aDocument.table_->get(listeners[i].first);
+      if (same && node != nullptr) {
+        return FailAt(aDocument,
+                      *node,
+                      ErrorCode::kContradiction,
+                      listeners[i].first,
+                      "another address than " + std::string(listeners[j].first));
+      }
+    }
+  }
+  return Success();
+}
+
+Result<NodeSettings> ReadSettings(const Document& aDocument)
+{
+  NodeSettings settings;
+  BOOST_OUTCOME_TRYV(CheckKnownKeys(aDocument));
+  BOOST_OUTCOME_TRYV(ReadId(aDocument, "host", settings.host_.value_));
+  BOOST_OUTCOME_TRYV(ReadId(aDocument, "data_centre", settings.dataCentre_.value_));
+  BOOST_OUTCOME_TRYV(ReadId(aDocument, "region", settings.region_.value_));
+  BOOST_OUTCOME_TRYV(ReadId(aDocument, "service", settings.service_.value_));
+  BOOST_OUTCOME_TRYV(ReadAddress(aDocument, "callers", settings.callers_));
+  BOOST_OUTCOME_TRYV(ReadAddress(aDocument, "outbound", settings.outbound_));
+  BOOST_OUTCOME_TRYV(ReadAddress(aDocument, "peers", settings.peers_));
+  BOOST_OUTCOME_TRYV(ReadAddress(aDocument, "admin", settings.admin_));
+  BOOST_OUTCOME_TRYV(ReadAddress(aDocument, "target", settings.target_));
+  BOOST_OUTCOME_TRYV(ReadAddresses(aDocument, "seeds", settings.seeds_));
+  BOOST_OUTCOME_TRYV(ReadAddresses(aDocument, "platform", settings.platform_));
+  BOOST_OUTCOME_TRYV(ReadText(aDocument, "port_file", settings.portFile_));
+  BOOST_OUTCOME_TRYV(ReadText(aDocument, "log_directory", settings.logDirectory_));
+  BOOST_OUTCOME_TRYV(
+    ReadInteger(aDocument, "target_connections", 1, 65535, settings.targetConnections_));
+  BOOST_OUTCOME_TRYV(
+    ReadInteger(aDocument, "caller_connections", 1, 65535, settings.callerConnections_));
+  // A body travels in one frame of at most 1 MiB with its headers, so both together stay below it.
+  BOOST_OUTCOME_TRYV(
+    ReadInteger(aDocument, "max_body_bytes", 0, 960 * 1024, settings.maxBodyBytes_));
+  BOOST_OUTCOME_TRYV(
+    ReadInteger(aDocument, "max_header_bytes", 1024, 48 * 1024, settings.maxHeaderBytes_));
+  BOOST_OUTCOME_TRYV(
+    ReadMilliseconds(aDocument, "read_timeout_ms", 10, 600000, settings.readTimeout_));
+  BOOST_OUTCOME_TRYV(
+    ReadMilliseconds(aDocument, "drain_timeout_ms", 0, 3600000, settings.drainTimeout_));
+  BOOST_OUTCOME_TRYV(
+    ReadInteger(aDocument, "seed", 0, std::numeric_limits<std::int64_t>::max(), settings.seed_));
+  BOOST_OUTCOME_TRYV(ReadFlag(aDocument, "naive", settings.naive_));
+  BOOST_OUTCOME_TRYV(CheckListenersDiffer(aDocument, settings));
+  return settings;
+}
+
+} // namespace
+
+Result<NodeSettings> ParseNodeSettings(const std::string& aFile)
+{
+  BOOST_OUTCOME_TRY(text, ReadWholeFile(aFile));
+  return ParseNodeSettingsText(text, aFile);
+}
+
+Result<NodeSettings> ParseNodeSettingsText(std::string_view aText, const std::string& aFile)
+{
+  BOOST_OUTCOME_TRY(table, ParseToml(aText, aFile));
+  return ReadSettings({ &table, &aFile });
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/version/Config.cpp
@@ -0,0 +1,117 @@
+// Look-ups in a configuration.
+#include "peridotquay/version/Config.h"
+
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace peridotquay {
+
+namespace {
+
+constexpr std::size_t kDigestDigits = 64;
+
+/// Leading hex digits by which keys are found before the constant-time comparison. A digest's
+/// prefix doesn't help to guess the key, and 8 digits leave about one candidate.
+constexpr std::size_t kIndexDigits = 8;
+
+/// Whether a target could resolve the path to another one: dot segments, empty segments, encoded
+/// dots, slashes or backslashes. Such a path could pass as an open route and run as a keyed one.
+bool IsAmbiguousPath(std::string_view aPath)
+{
+  std::string lower(aPath);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  for (const char* encoded : { "%2e", "%2f", "%5c", "%00", "\\", "//" }) {
+    if (lower.find(encoded) != std::string::npos) {
+      return true;
+    }
+  }
+  for (std::size_t start = 0; start < lower.size();) {
+    const auto end = std::min(lower.find('/', start), lower.size());
+    const auto segment = std::string_view(lower).substr(start, end - start);
+    if (segment == "." || segment == "..") {
+      return true;
+    }
+    start = end + 1;
+  }
+  return false;
+}
+
+const Route* FindPrefix(const Config& aConfig, std::string_view aPrefix)
+{
+  const auto found = std::lower_bound(aConfig.routes_.begin(),
+                                      aConfig.routes_.end(),
+                                      aPrefix,
+                                      [](const Route& aRoute, std::string_view aWanted) {
+                                        if (aRoute.prefix_.size() != aWanted.size()) {
+                                          return aRoute.prefix_.size() > aWanted.size();
+                                        }
+                                        return aRoute.prefix_ < aWanted;
+                                      });
+  const bool matches = found != aConfig.routes_.end() && found->prefix_ == aPrefix;
+  return matches ? &*found : nullptr;
+}
+
+} // namespace
+
+const Route* FindRoute(const Config& aConfig, std::string_view aPath)
+{
+  aPath = aPath.substr(0, aPath.find_first_of("?#"));
+  if (aPath.empty() || aPath.front() != '/' || IsAmbiguousPath(aPath)) {
+    return nullptr;
+  }
+  // Tries the path and each part of it that ends before or after a '/', longest first.
+  for (auto candidate = aPath; !candidate.empty();) {
+    if (const auto* route = FindPrefix(aConfig, candidate)) {
+      return route;
+    }
+    if (candidate.back() == '/') {
+      candidate.remove_suffix(1);
+    } else {
+      candidate = candidate.substr(0, candidate.rfind('/') + 1);
+    }
+  }
+  return nullptr;
+}
+
+const ClientAccount* FindKey(const Config& aConfig, std::string_view aDigestHex)
+{
+  if (aDigestHex.size() != kDigestDigits) {
+    return nullptr;
+  }
+  const std::string index(aDigestHex.substr(0, kIndexDigits));
+  const ClientAccountId* account = nullptr;
+  for (auto key = aConfig.keys_.lower_bound(index);
+       key != aConfig.keys_.end() && key->first.compare(0, kIndexDigits, index) == 0;
+       ++key) {
+    const bool equal = key->first.size() == kDigestDigits &&
+                       CRYPTO_memcmp(key->first.data(), aDigestHex.data(), kDigestDigits) == 0;
+    account = equal ? &key->second : account;
+  }
+  if (account == nullptr) {
+    return nullptr;
+  }
+  const auto found = aConfig.clientAccounts_.find(*account);
+  return found == aConfig.clientAccounts_.end() ? nullptr : &found->second;
+}
+
+std::string KeyDigest(std::string_view aKey)
+{
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  SHA256(reinterpret_cast<const unsigned char*>(aKey.data()), aKey.size(), digest.data());
+  constexpr std::string_view kHex = "0123456789abcdef";
+  std::string text;
+  text.reserve(kDigestDigits);
+  for (const auto byte : digest) {
+    text.push_back(kHex[byte >> 4U]);
+    text.push_back(kHex[byte & 15U]);
+  }
+  return text;
+}
+
+} // namespace peridotquay
--- a/peridotquay/version/Config.h
+++ b/peridotquay/version/Config.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace peridotquay {
@@ -18,6 +19,9 @@
   ClientAccountId id_;
   double ratePerSecond_ = 0; ///< Requests a second; more than 0.
   double burst_ = 0;         ///< Requests; at least 1.
+  /// Largest part of rate and burst that the data centre of this Config may hold; above 0, at most
+  /// 1. Set below 1 by the overlay of a site only.
+  double siteRatePart_ = 1.0;
   bool operator==(const ClientAccount&) const = default;
 };
 
@@ -72,7 +76,9 @@
   bool operator==(const Config&) const = default;
 };
 
-/// The route with the longest prefix that matches the path at a '/' boundary; null if none does.
+/// The route with the longest prefix that matches the path at a '/' boundary; null if none does,
+/// and for paths that a target may resolve differently (dot segments, empty segments, encoded dots
+/// or slashes). A query is ignored.
 const Route* FindRoute(const Config& aConfig, std::string_view aPath);
 
 /// The client account of a key given by its digest, compared in constant time; null for unknown and
--- /dev/null
+++ b/peridotquay/version/ConfigCompiler.cpp
@@ -0,0 +1,528 @@
+// Checks entities against their schema and each other, and applies the overlay of a data centre.
+#include "peridotquay/version/ConfigCompiler.h"
+
+#include "peridotquay/version/ConfigReader.h"
+
+#include <boost/outcome/try.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace peridotquay {
+
+namespace {
+
+constexpr std::size_t kMaxClientAccounts = 4096;
+constexpr std::size_t kMaxSites = 64;
+
+/// An overlay that was parsed, before it is compared with the base.
+struct ParsedSite
+{
+  Site site_;
+  std::string entity_;
+  ConfigJson overlay_;
+};
+
+/// All entities of a version, parsed, with the overlays still apart.
+struct ParsedConfig
+{
+  Config base_;
+  std::set<ServiceId> services_;
+  std::vector<ParsedSite> sites_;
+};
+
+Result<ClientAccount> ReadAccount(const ConfigTable& aTable, const std::string& aId)
+{
+  BOOST_OUTCOME_TRYV(CheckKeys(aTable, { "rate", "burst", "description" }));
+  ClientAccount account;
+  account.id_.value_ = aId;
+  BOOST_OUTCOME_TRY(rate, ReadNumber(aTable, "rate", 0.001, 1e6));
+  BOOST_OUTCOME_TRY(burst, ReadNumber(aTable, "burst", 1, 1e6));
+  BOOST_OUTCOME_TRYV(ReadText(aTable, "description", 256));
+  if (!rate) {
+    return Missing(aTable, "rate");
+  }
+  if (!burst) {
+    return Missing(aTable, "burst");
+  }
+  account.ratePerSecond_ = *rate;
+  account.burst_ = *burst;
+  return account;
+}
+
+bool IsDigest(std::string_view aText)
+{
+  return aText.size() == 64 && aText.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+Result<void> ReadKey(const ConfigTable& aTable, const std::string& aDigest, Config& aConfig)
+{
+  if (!IsDigest(aDigest)) {
+    return Fail(ErrorCode::kOutOfRange, aTable.entity_, "64 lower-case hex digits");
+  }
+  BOOST_OUTCOME_TRYV(CheckKeys(aTable, { "account", "label", "source", "withdrawn" }));
+  BOOST_OUTCOME_TRY(account, ReadText(aTable, "account", 64));
+  BOOST_OUTCOME_TRYV(ReadText(aTable, "label", 128));
+  BOOST_OUTCOME_TRY(source, ReadText(aTable, "source", 16));
+  BOOST_OUTCOME_TRY(withdrawn, ReadFlag(aTable, "withdrawn"));
+  if (!account) {
+    return Missing(aTable, "account");
+  }
+  if (source && *source != "file" && *source != "command") {
+    return Fail(ErrorCode::kOutOfRange, Subject(aTable, "source"), "file or command");
+  }
+  if (!withdrawn.value_or(false)) {
+    aConfig.keys_[aDigest] = ClientAccountId{ *account };
+  }
+  return Success();
+}
+
+/// Whether a prefix can be matched at a '/' boundary without ambiguity.
+bool IsPrefix(std::string_view aPrefix)
+{
+  if (aPrefix == "/") {
+    return true;
+  }
+  if (aPrefix.size() > 256 || aPrefix.empty() || aPrefix.front() != '/' || aPrefix.back() == '/') {
+    return false;
+  }
+  const bool plain =
+    aPrefix.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                              "0123456789-._~/") == std::string_view::npos;
+  const auto text = std::string(aPrefix) + "/";
+  return plain && text.find("//") == std::string::npos && text.find("/./") == std::string::npos &&
+         text.find("/../") == std::string::npos;
+}
+
+Result<std::optional<Importance>> ReadImportance(const ConfigTable& aTable)
+{
+  BOOST_OUTCOME_TRY(text, ReadText(aTable, "importance", 16));
+  if (!text) {
+    return std::optional<Importance>{};
+  }
+  const auto importance = ParseImportance(*text);
+  if (!importance) {
+    return Fail(
+      ErrorCode::kOutOfRange, Subject(aTable, "importance"), "critical, high, normal or low");
+  }
+  return importance;
+}
+
+/// Reads the keys that base and overlay have in common.
+Result<void> ReadRouteLimits(const ConfigTable& aTable, Route& aRoute)
+{
+  BOOST_OUTCOME_TRY(importance, ReadImportance(aTable));
+  BOOST_OUTCOME_TRY(open, ReadFlag(aTable, "open"));
+  BOOST_OUTCOME_TRY(retries, ReadInteger(aTable, "max_retries", 0, 16));
+  BOOST_OUTCOME_TRY(deadline, ReadInteger(aTable, "deadline_ms", 1, 600000));
+  BOOST_OUTCOME_TRY(accounts, ReadTexts(aTable, "accounts", kMaxClientAccounts));
+  aRoute.importance_ = importance.value_or(aRoute.importance_);
+  aRoute.open_ = open.value_or(aRoute.open_);
+  if (retries) {
+    aRoute.maxRetries_ = static_cast<std::uint32_t>(*retries);
+  }
+  if (deadline) {
+    aRoute.deadline_ = milliseconds(*deadline);
+  }
+  if (accounts) {
+    aRoute.clientAccounts_.clear();
+    std::transform(accounts->begin(),
+                   accounts->end(),
+                   std::back_inserter(aRoute.clientAccounts_),
+                   [](const std::string& aId) { return ClientAccountId{ aId }; });
+  }
+  return Success();
+}
+
+Result<Route> ReadRoute(const ConfigTable& aTable, const std::string& aId)
+{
+  BOOST_OUTCOME_TRYV(CheckKeys(aTable,
+                               { "prefix",
+                                 "service",
+                                 "importance",
+                                 "repeatable",
+                                 "open",
+                                 "max_retries",
+                                 "deadline_ms",
+                                 "accounts",
+                                 "description" }));
+  Route route;
+  route.id_.value_ = aId;
+  BOOST_OUTCOME_TRY(prefix, ReadText(aTable, "prefix", 256));
+  BOOST_OUTCOME_TRY(service, ReadText(aTable, "service", 64));
+  BOOST_OUTCOME_TRY(repeatable, ReadFlag(aTable, "repeatable"));
+  BOOST_OUTCOME_TRYV(ReadText(aTable, "description", 256));
+  BOOST_OUTCOME_TRYV(ReadRouteLimits(aTable, route));
+  if (!prefix) {
+    return Missing(aTable, "prefix");
+  }
+  if (!service) {
+    return Missing(aTable, "service");
+  }
+  if (!IsPrefix(*prefix)) {
+    return Fail(
+      ErrorCode::kOutOfRange,
+      Subject(aTable, "prefix"),
+      "begins with '/', letters, digits and -._~/, no '//' or dot segments, no '/' at the "
+      "end, at most 256 bytes");
+  }
+  if (route.open_ && !route.clientAccounts_.empty()) {
+    return Fail(ErrorCode::kContradiction, Subject(aTable, "accounts"), "empty on an open route");
+  }
+  route.prefix_ = *prefix;
+  route.service_.value_ = *service;
+  route.repeatable_ = repeatable.value_or(true);
+  return route;
+}
+
+Result<void> ReadPolicy(const ConfigTable& aTable, Policy& aPolicy)
+{
+  BOOST_OUTCOME_TRYV(CheckKeys(aTable,
+                               { "key_freshness_bound_ms",
+                                 "floor_fraction",
+                                 "floor_lease_ms",
+                                 "elastic_lease_ms",
+                                 "retry_ratio",
+                                 "queue_capacity",
+                                 "queue_deadline_fraction" }));
+  BOOST_OUTCOME_TRY(bound, ReadInteger(aTable, "key_freshness_bound_ms", 3000, 3600000));
+  BOOST_OUTCOME_TRY(floor, ReadNumber(aTable, "floor_fraction", 0, 0.9));
+  BOOST_OUTCOME_TRY(floorLease, ReadInteger(aTable, "floor_lease_ms", 10000, 86400000));
+  BOOST_OUTCOME_TRY(elasticLease, ReadInteger(aTable, "elastic_lease_ms", 2000, 60000));
+  BOOST_OUTCOME_TRY(retryRatio, ReadNumber(aTable, "retry_ratio", 0, 1));
+  BOOST_OUTCOME_TRY(capacity, ReadInteger(aTable, "queue_capacity", 0, 1024));
+  BOOST_OUTCOME_TRY(fraction, ReadNumber(aTable, "queue_deadline_fraction", 0, 1));
+  const auto setTime = [](Duration& aOut, const std::optional<std::int64_t>& aValue) {
+    aOut = aValue ? Duration(milliseconds(*aValue)) : aOut;
+  };
+  setTime(aPolicy.keyFreshnessBound_, bound);
+  setTime(aPolicy.floorLease_, floorLease);
+  setTime(aPolicy.elasticLease_, elasticLease);
+  aPolicy.floorFraction_ = floor.value_or(aPolicy.floorFraction_);
+  aPolicy.retryRatio_ = retryRatio.value_or(aPolicy.retryRatio_);
+  aPolicy.queueDeadlineFraction_ = fraction.value_or(aPolicy.queueDeadlineFraction_);
+  if (capacity) {
+    aPolicy.queueCapacity_ = static_cast<std::uint32_t>(*capacity);
+  }
+  if (aPolicy.elasticLease_ >= aPolicy.floorLease_) {
+    return Fail(
+      ErrorCode::kContradiction, Subject(aTable, "elastic_lease_ms"), "less than floor_lease_ms");
+  }
+  return Success();
+}
+
+Result<ParsedSite> ReadSite(const ConfigTable& aTable, const std::string& aId)
+{
+  BOOST_OUTCOME_TRYV(CheckKeys(aTable, { "region", "overlay" }));
+  BOOST_OUTCOME_TRY(region, ReadText(aTable, "region", 64));
+  if (!region) {
+    return Missing(aTable, "region");
+  }
+  if (!IsConfigId(*region)) {
+    return Fail(ErrorCode::kOutOfRange, Subject(aTable, "region"), std::string(kConfigIdRule));
+  }
+  BOOST_OUTCOME_TRY(overlay, ReadTable(aTable, "overlay"));
+  return ParsedSite{ { DataCentreId{ aId }, RegionId{ *region } },
+                     aTable.entity_,
+                     overlay ? *overlay->json_ : ConfigJson::object() };
+}
+
+Result<void> ReadEntity(const std::string& aKind,
+                        const std::string& aId,
+                        const ConfigTable& aTable,
+                        ParsedConfig& aParsed)
+{
+  if (!IsConfigId(aId)) {
+    return Fail(ErrorCode::kOutOfRange, aTable.entity_, std::string(kConfigIdRule));
+  }
+  if (aKind == "account") {
+    BOOST_OUTCOME_TRY(account, ReadAccount(aTable, aId));
+    aParsed.base_.clientAccounts_[account.id_] = account;
+  } else if (aKind == "key") {
+    return ReadKey(aTable, aId, aParsed.base_);
+  } else if (aKind == "route") {
+    BOOST_OUTCOME_TRY(route, ReadRoute(aTable, aId));
+    aParsed.base_.routes_.push_back(std::move(route));
+  } else if (aKind == "service") {
+    BOOST_OUTCOME_TRYV(CheckKeys(aTable, { "description" }));
+    BOOST_OUTCOME_TRYV(ReadText(aTable, "description", 256));
+    aParsed.services_.insert(ServiceId{ aId });
+  } else if (aKind == "site") {
+    BOOST_OUTCOME_TRY(site, ReadSite(aTable, aId));
+    aParsed.base_.sites_[site.site_.dataCentre_] = site.site_;
+    aParsed.sites_.push_back(std::move(site));
+  } else if (aKind == "policy" && aId == "default") {
+    return ReadPolicy(aTable, aParsed.base_.policy_);
+  } else {
+    return Fail(ErrorCode::kUnknownSetting,
+                aTable.entity_,
+                "account/, key/, route/, service/, site/ or policy/default");
+  }
+  return Success();
+}
+
+Result<ParsedConfig> ParseEntities(const Entities& aEntities)
+{
+  ParsedConfig parsed;
+  for (const auto& [name, text] : aEntities) {
+    const auto slash = name.find('/');
+    const auto json = ConfigJson::parse(text, nullptr, false);
+    if (!json.is_object()) {
+      return Fail(ErrorCode::kSyntax, name, "a JSON object");
+    }
+    const auto id = slash == std::string::npos ? std::string() : name.substr(slash + 1);
+    BOOST_OUTCOME_TRYV(ReadEntity(name.substr(0, slash), id, { &json, name, "" }, parsed));
+  }
+  std::sort(parsed.base_.routes_.begin(),
+            parsed.base_.routes_.end(),
+            [](const Route& aLeft, const Route& aRight) {
+              if (aLeft.prefix_.size() != aRight.prefix_.size()) {
+                return aLeft.prefix_.size() > aRight.prefix_.size();
+              }
+              return aLeft.prefix_ < aRight.prefix_;
+            });
+  return parsed;
+}
+
+Result<void> CheckAccountsKnown(const Route& aRoute,
+                                const Config& aConfig,
+                                const std::string& aSubject)
+{
+  std::set<ClientAccountId> seen;
+  for (const auto& id : aRoute.clientAccounts_) {
+    if (!aConfig.clientAccounts_.contains(id)) {
+      return Fail(ErrorCode::kUnknownReference, aSubject, "no account/" + id.value_);
+    }
+    if (!seen.insert(id).second) {
+      return Fail(ErrorCode::kContradiction, aSubject, id.value_ + " is listed twice");
+    }
+  }
+  return Success();
+}
+
+Result<void> CheckRoutes(const ParsedConfig& aParsed)
+{
+  const auto& routes = aParsed.base_.routes_;
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    const auto entity = "route/" + routes[i].id_.value_;
+    // Routes are sorted, so equal prefixes are neighbours.
+    if (i > 0 && routes[i - 1].prefix_ == routes[i].prefix_) {
+      return Fail(ErrorCode::kContradiction,
+                  entity + ": prefix",
+                  "route/" + routes[i - 1].id_.value_ + " has the same prefix");
+    }
+    if (!aParsed.services_.contains(routes[i].service_)) {
+      return Fail(ErrorCode::kUnknownReference,
+                  entity + ": service",
+                  "no service/" + routes[i].service_.value_);
+    }
+    BOOST_OUTCOME_TRYV(CheckAccountsKnown(routes[i], aParsed.base_, entity + ": accounts"));
+  }
+  return Success();
+}
+
+Result<void> CheckReferences(const ParsedConfig& aParsed)
+{
+  const auto& base = aParsed.base_;
+  if (base.clientAccounts_.size() > kMaxClientAccounts) {
+    return Fail(
+      ErrorCode::kOutOfRange, "accounts", "at most " + std::to_string(kMaxClientAccounts));
+  }
+  if (base.sites_.size() > kMaxSites) {
+    return Fail(ErrorCode::kOutOfRange, "sites", "at most " + std::to_string(kMaxSites));
+  }
+  for (const auto& [digest, account] : base.keys_) {
+    if (!base.clientAccounts_.contains(account)) {
+      return Fail(ErrorCode::kUnknownReference,
+                  "key/" + digest + ": account",
+                  "no account/" + account.value_);
+    }
+  }
+  return CheckRoutes(aParsed);
+}
+
+auto Widens(const ConfigTable& aTable, const char* aKey, std::string aAllowed)
+{
+  return Fail(ErrorCode::kOverlayWidens, Subject(aTable, aKey), std::move(aAllowed));
+}
+
+/// Whether every account of the narrowed route may use the base route.
+bool AccountsNarrow(const Route& aBase, const Route& aRoute)
+{
+  if (aBase.clientAccounts_.empty()) {
+    return true;
+  }
+  return std::all_of(aRoute.clientAccounts_.begin(),
+                     aRoute.clientAccounts_.end(),
+                     [&aBase](const ClientAccountId& aId) {
+                       return std::find(aBase.clientAccounts_.begin(),
+                                        aBase.clientAccounts_.end(),
+                                        aId) != aBase.clientAccounts_.end();
+                     });
+}
+
+/// Checks that the overlay's route allows nothing that the base route doesn't.
+Result<void> CheckNarrowed(const ConfigTable& aTable, const Route& aBase, const Route& aRoute)
+{
+  if (aRoute.importance_ != aBase.importance_) {
+    if (aBase.importance_ == Importance::kCritical) {
+      return Widens(aTable, "importance", "can't change on a critical route");
+    }
+    if (aRoute.importance_ < aBase.importance_) {
+      return Widens(
+        aTable, "importance", "at most " + std::string(ImportanceName(aBase.importance_)));
+    }
+  }
+  if (aRoute.open_ && !aBase.open_) {
+    return Widens(aTable, "open", "false");
+  }
+  if (aRoute.maxRetries_ > aBase.maxRetries_) {
+    return Widens(aTable, "max_retries", "at most " + std::to_string(aBase.maxRetries_));
+  }
+  if (aRoute.deadline_ > aBase.deadline_) {
+    const auto base = std::chrono::duration_cast<milliseconds>(aBase.deadline_).count();
+    return Widens(aTable, "deadline_ms", "at most " + std::to_string(base));
+  }
+  // An empty list would allow all accounts.
+  if (aRoute.clientAccounts_.empty() && !aBase.clientAccounts_.empty()) {
+    return Widens(aTable, "accounts", "not empty");
+  }
+  if (!AccountsNarrow(aBase, aRoute)) {
+    return Widens(aTable, "accounts", "accounts of the base route");
+  }
+  if (aRoute.open_ && !aRoute.clientAccounts_.empty()) {
+    return Fail(
+      ErrorCode::kContradiction, Subject(aTable, "accounts"), "needs open = false as well");
+  }
+  return Success();
+}
+
+Result<void> NarrowRoutes(const ConfigTable& aOverlay, Config& aConfig)
+{
+  BOOST_OUTCOME_TRY(routes, ReadTable(aOverlay, "routes"));
+  if (!routes) {
+    return Success();
+  }
+  for (const auto& [id, value] : routes->json_->items()) {
+    const auto name = id;
+    const auto found =
+      std::find_if(aConfig.routes_.begin(), aConfig.routes_.end(), [&name](const Route& aRoute) {
+        return aRoute.id_.value_ == name;
+      });
+    if (found == aConfig.routes_.end()) {
+      return Fail(ErrorCode::kUnknownReference, Subject(*routes, id), "no route/" + id);
+    }
+    BOOST_OUTCOME_TRY(table, ReadTable(*routes, id));
+    BOOST_OUTCOME_TRYV(
+      CheckKeys(*table, { "importance", "open", "max_retries", "deadline_ms", "accounts" }));
+    auto narrowed = *found;
+    BOOST_OUTCOME_TRYV(ReadRouteLimits(*table, narrowed));
+    BOOST_OUTCOME_TRYV(CheckNarrowed(*table, *found, narrowed));
+    BOOST_OUTCOME_TRYV(CheckAccountsKnown(narrowed, aConfig, Subject(*table, "accounts")));
+    *found = std::move(narrowed);
+  }
+  return Success();
+}
+
+Result<void> NarrowAccounts(const ConfigTable& aOverlay, Config& aConfig)
+{
+  BOOST_OUTCOME_TRY(accounts, ReadTable(aOverlay, "accounts"));
+  if (!accounts) {
+    return Success();
+  }
+  for (const auto& [id, value] : accounts->json_->items()) {
+    const auto found = aConfig.clientAccounts_.find(ClientAccountId{ id });
+    if (found == aConfig.clientAccounts_.end()) {
+      return Fail(ErrorCode::kUnknownReference, Subject(*accounts, id), "no account/" + id);
+    }
+    BOOST_OUTCOME_TRY(table, ReadTable(*accounts, id));
+    BOOST_OUTCOME_TRYV(CheckKeys(*table, { "rate_part" }));
+    BOOST_OUTCOME_TRY(part, ReadNumber(*table, "rate_part", 0.001, 1));
+    found->second.siteRatePart_ = part.value_or(1.0);
+  }
+  return Success();
+}
+
+Result<void> NarrowPolicy(const ConfigTable& aOverlay, Config& aConfig)
+{
+  BOOST_OUTCOME_TRY(table, ReadTable(aOverlay, "policy"));
+  if (!table) {
+    return Success();
+  }
+  // Leases and floors are agreements between data centres, so no site can set them alone.
+  BOOST_OUTCOME_TRYV(CheckKeys(
+    *table,
+    { "key_freshness_bound_ms", "retry_ratio", "queue_capacity", "queue_deadline_fraction" }));
+  const auto base = aConfig.policy_;
+  BOOST_OUTCOME_TRYV(ReadPolicy(*table, aConfig.policy_));
+  const auto& policy = aConfig.policy_;
+  if (policy.keyFreshnessBound_ > base.keyFreshnessBound_) {
+    const auto bound = std::chrono::duration_cast<milliseconds>(base.keyFreshnessBound_).count();
+    return Widens(*table, "key_freshness_bound_ms", "at most " + std::to_string(bound));
+  }
+  if (policy.retryRatio_ > base.retryRatio_) {
+    return Widens(*table, "retry_ratio", "at most " + std::to_string(base.retryRatio_));
+  }
+  if (policy.queueCapacity_ > base.queueCapacity_) {
+    return Widens(*table, "queue_capacity", "at most " + std::to_string(base.queueCapacity_));
+  }
+  if (policy.queueDeadlineFraction_ > base.queueDeadlineFraction_) {
+    return Widens(
+      *table, "queue_deadline_fraction", "at most " + std::to_string(base.queueDeadlineFraction_));
+  }
+  return Success();
+}
+
+/// Applies the overlay of a site to a copy of the base.
+Result<Config> Narrow(const Config& aBase, const ParsedSite& aSite)
+{
+  const ConfigTable overlay{ &aSite.overlay_, aSite.entity_, "overlay." };
+  auto config = aBase;
+  BOOST_OUTCOME_TRYV(CheckKeys(overlay, { "routes", "accounts", "policy" }));
+  BOOST_OUTCOME_TRYV(NarrowRoutes(overlay, config));
+  BOOST_OUTCOME_TRYV(NarrowAccounts(overlay, config));
+  BOOST_OUTCOME_TRYV(NarrowPolicy(overlay, config));
+  return config;
+}
+
+Result<ParsedConfig> ParseAndCheck(const Entities& aEntities)
+{
+  BOOST_OUTCOME_TRY(parsed, ParseEntities(aEntities));
+  BOOST_OUTCOME_TRYV(CheckReferences(parsed));
+  return parsed;
+}
+
+} // namespace
+
+Result<std::shared_ptr<const Config>> CompileConfig(const Entities& aEntities,
+                                                    const DataCentreId& aDataCentre,
+                                                    Version aVersion)
+{
+  BOOST_OUTCOME_TRY(parsed, ParseAndCheck(aEntities));
+  const bool known = parsed.base_.sites_.empty() || parsed.base_.sites_.contains(aDataCentre);
+  if (!known) {
+    return Fail(ErrorCode::kUnknownSite, aDataCentre.value_, "a site of the configuration");
+  }
+  auto compiled = parsed.base_;
+  for (const auto& site : parsed.sites_) {
+    BOOST_OUTCOME_TRY(narrowed, Narrow(parsed.base_, site));
+    if (site.site_.dataCentre_ == aDataCentre) {
+      compiled = std::move(narrowed);
+    }
+  }
+  compiled.version_ = aVersion;
+  return std::make_shared<const Config>(std::move(compiled));
+}
+
+Result<void> CheckEntities(const Entities& aEntities)
+{
+  BOOST_OUTCOME_TRY(parsed, ParseAndCheck(aEntities));
+  for (const auto& site : parsed.sites_) {
+    BOOST_OUTCOME_TRYV(Narrow(parsed.base_, site));
+  }
+  return Success();
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/version/ConfigReader.cpp
@@ -0,0 +1,172 @@
+// Typed access to the JSON of an entity.
+#include "peridotquay/version/ConfigReader.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace peridotquay {
+
+namespace {
+
+const ConfigJson* Find(const ConfigTable& aTable, const std::string& aKey)
+{
+  const auto found = aTable.json_->find(aKey);
+  return found == aTable.json_->end() ? nullptr : &*found;
+}
+
+std::string FormatNumber(double aNumber)
+{
+  std::ostringstream text;
+  text.precision(12);
+  text << aNumber;
+  return text.str();
+}
+
+std::string Range(double aLeast, double aMost)
+{
+  return FormatNumber(aLeast) + " to " + FormatNumber(aMost);
+}
+
+auto WrongType(const ConfigTable& aTable, const std::string& aKey, const char* aWanted)
+{
+  return Fail(ErrorCode::kWrongType, Subject(aTable, aKey), aWanted);
+}
+
+} // namespace
+
+bool IsConfigId(std::string_view aId)
+{
+  const bool dots = aId == "." || aId == "..";
+  return !aId.empty() && !dots && aId.size() <= 64 &&
+         aId.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                               "0123456789-._") == std::string_view::npos;
+}
+
+std::string Subject(const ConfigTable& aTable, const std::string& aKey)
+{
+  return aTable.entity_ + ": " + aTable.path_ + aKey;
+}
+
+Result<void> CheckKeys(const ConfigTable& aTable, std::initializer_list<std::string_view> aKeys)
+{
+  for (const auto& [key, value] : aTable.json_->items()) {
+    if (std::find(aKeys.begin(), aKeys.end(), std::string_view(key)) == aKeys.end()) {
+      std::string allowed;
+      for (const auto& known : aKeys) {
+        allowed += (allowed.empty() ? "" : ", ") + std::string(known);
+      }
+      return Fail(ErrorCode::kUnknownSetting, Subject(aTable, key), allowed);
+    }
+  }
+  return Success();
+}
+
+Result<std::optional<double>> ReadNumber(const ConfigTable& aTable,
+                                         const std::string& aKey,
+                                         double aLeast,
+                                         double aMost)
+{
+  const auto* value = Find(aTable, aKey);
+  if (value == nullptr) {
+    return std::optional<double>{};
+  }
+  if (!value->is_number()) {
+    return WrongType(aTable, aKey, "a number");
+  }
+  const auto number = value->get<double>();
+  // Negated, so that a NaN is out of range too.
+  if (!(number >= aLeast && number <= aMost)) {
+    return Fail(ErrorCode::kOutOfRange, Subject(aTable, aKey), Range(aLeast, aMost));
+  }
+  return std::optional<double>(number);
+}
+
+Result<std::optional<std::int64_t>> ReadInteger(const ConfigTable& aTable,
+                                                const std::string& aKey,
+                                                std::int64_t aLeast,
+                                                std::int64_t aMost)
+{
+  const auto* value = Find(aTable, aKey);
+  if (value == nullptr) {
+    return std::optional<std::int64_t>{};
+  }
+  if (!value->is_number_integer()) {
+    return WrongType(aTable, aKey, "an integer");
+  }
+  const auto number = value->get<std::int64_t>();
+  const bool wrapped = value->is_number_unsigned() && number < 0;
+  if (wrapped || number < aLeast || number > aMost) {
+    return Fail(ErrorCode::kOutOfRange,
+                Subject(aTable, aKey),
+                std::to_string(aLeast) + " to " + std::to_string(aMost));
+  }
+  return std::optional<std::int64_t>(number);
+}
+
+Result<std::optional<bool>> ReadFlag(const ConfigTable& aTable, const std::string& aKey)
+{
+  const auto* value = Find(aTable, aKey);
+  if (value == nullptr) {
+    return std::optional<bool>{};
+  }
+  if (!value->is_boolean()) {
+    return WrongType(aTable, aKey, "true or false");
+  }
+  return std::optional<bool>(value->get<bool>());
+}
+
+Result<std::optional<std::string>> ReadText(const ConfigTable& aTable,
+                                            const std::string& aKey,
+                                            std::size_t aMost)
+{
+  const auto* value = Find(aTable, aKey);
+  if (value == nullptr) {
+    return std::optional<std::string>{};
+  }
+  if (!value->is_string()) {
+    return WrongType(aTable, aKey, "a string");
+  }
+  auto text = value->get<std::string>();
+  if (text.size() > aMost) {
+    return Fail(
+      ErrorCode::kOutOfRange, Subject(aTable, aKey), "at most " + std::to_string(aMost) + " bytes");
+  }
+  return std::optional<std::string>(std::move(text));
+}
+
+Result<std::optional<std::vector<std::string>>> ReadTexts(const ConfigTable& aTable,
+                                                          const std::string& aKey,
+                                                          std::size_t aMost)
+{
+  const auto* value = Find(aTable, aKey);
+  if (value == nullptr) {
+    return std::optional<std::vector<std::string>>{};
+  }
+  const bool strings =
+    value->is_array() && std::all_of(value->begin(), value->end(), [](const ConfigJson& aElement) {
+      return aElement.is_string();
+    });
+  if (!strings) {
+    return WrongType(aTable, aKey, "a list of strings");
+  }
+  if (value->size() > aMost) {
+    return Fail(ErrorCode::kOutOfRange,
+                Subject(aTable, aKey),
+                "at most " + std::to_string(aMost) + " elements");
+  }
+  return std::make_optional(value->get<std::vector<std::string>>());
+}
+
+Result<std::optional<ConfigTable>> ReadTable(const ConfigTable& aTable, const std::string& aKey)
+{
+  const auto* value = Find(aTable, aKey);
+  if (value == nullptr) {
+    return std::optional<ConfigTable>{};
+  }
+  if (!value->is_object()) {
+    return WrongType(aTable, aKey, "a table");
+  }
+  return std::make_optional(ConfigTable{ value, aTable.entity_, aTable.path_ + aKey + "." });
+}
+
+} // namespace peridotquay
