--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -254,10 +254,10 @@
   BOOST_OUTCOME_TRYV(
     ReadInteger(aDocument, "caller_connections", 1, 65535, settings.callerConnections_));
   // A body travels in one frame of at most 1 MiB with its headers, so both together stay below it.
-  BOOST_OUTCOME_TRYV(
-    ReadInteger(aDocument, "max_body_bytes", 0, 960 * 1024, settings.maxBodyBytes_));
-  BOOST_OUTCOME_TRYV(
-    ReadInteger(aDocument, "max_header_bytes", 1024, 48 * 1024, settings.maxHeaderBytes_));
+  BOOST_OUTCOME_TRYV(ReadInteger(
+    aDocument, "max_body_bytes", 0, std::int64_t{ 960 } * 1024, settings.maxBodyBytes_));
+  BOOST_OUTCOME_TRYV(ReadInteger(
+    aDocument, "max_header_bytes", 1024, std::int64_t{ 48 } * 1024, settings.maxHeaderBytes_));
   BOOST_OUTCOME_TRYV(
     ReadMilliseconds(aDocument, "read_timeout_ms", 10, 600000, settings.readTimeout_));
   BOOST_OUTCOME_TRYV(
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -31,8 +31,8 @@
   std::uint32_t targetConnections_ = 400;  ///< Most connections to the local target.
   std::uint32_t callerConnections_ = 4096; ///< Most open connections of callers.
   std::size_t maxBodyBytes_ =
-    768 * 1024; ///< Largest request or answer body; a frame holds at most 1 MiB.
-  std::size_t maxHeaderBytes_ = 16 * 1024;
+    std::size_t{ 768 } * 1024; ///< Largest request or answer body; a frame holds at most 1 MiB.
+  std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
   Duration readTimeout_ = seconds(5); ///< A request must arrive whole within this.
   Duration drainTimeout_ = seconds(30);
   std::uint64_t seed_ = 0; ///< Seed of all random choices; 0 takes one from the system.
--- /dev/null
+++ b/standins/lib/PlatformService.cpp
@@ -0,0 +1,237 @@
+// Table service and object store of the platform stand-in.
+#include "standins/lib/PlatformService.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace peridotquay {
+
+namespace {
+
+/// How long a repeat of a transaction is answered like the first.
+constexpr Duration kOperationLifetime = seconds(600);
+
+constexpr std::uint32_t kMostRows = 1000;
+
+PlatformReply ErrorReply(unsigned aStatus, const std::string& aType)
+{
+  return { aStatus, nlohmann::json{ { "error", { { "type", aType } } } }.dump(), false };
+}
+
+std::optional<std::string> UnescapeUrl(std::string_view aText)
+{
+  std::string text;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] != '%') {
+      text.push_back(aText[i]);
+      continue;
+    }
+    unsigned byte = 0;
+    const auto digits = aText.substr(i + 1, 2);
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), byte, 16);
+    if (digits.size() != 2 || parsed.ptr != digits.data() + 2 || parsed.ec != std::errc()) {
+      return std::nullopt;
+    }
+    text.push_back(static_cast<char>(byte));
+    i += 2;
+  }
+  return text;
+}
+
+/// Value of a query parameter; empty text if it is absent.
+std::optional<std::string> QueryValue(std::string_view aQuery, std::string_view aName)
+{
+  while (!aQuery.empty()) {
+    const auto pair = aQuery.substr(0, aQuery.find('&'));
+    aQuery.remove_prefix(std::min(pair.size() + 1, aQuery.size()));
+    const auto equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == aName) {
+      return UnescapeUrl(pair.substr(equals + 1));
+    }
+  }
+  return std::string();
+}
+
+bool StartsWith(std::string_view aText, std::string_view aPrefix)
+{
+  return aText.substr(0, aPrefix.size()) == aPrefix;
+}
+
+} // namespace
+
+bool PlatformService::Ceiling::Take(double aPerSecond, TimePoint aNow)
+{
+  if (aPerSecond <= 0) {
+    return true;
+  }
+  const auto most = std::max(1.0, aPerSecond / 10);
+  tokens_ = std::min(most, tokens_ + ToSeconds(aNow - refilled_) * aPerSecond);
+  refilled_ = aNow;
+  if (tokens_ < 1) {
+    return false;
+  }
+  tokens_ -= 1;
+  return true;
+}
+
+PlatformService::PlatformService(PlatformFaults aFaults, std::uint64_t aSeed)
+  : faults_(aFaults)
+  , random_(aSeed)
+{
+}
+
+PlatformReply PlatformService::Handle(const PlatformRequest& aRequest, TimePoint aNow)
+{
+  const std::string_view target = aRequest.target_;
+  if (target == "/faults") {
+    return HandleFaults(aRequest);
+  }
+  if (target == "/stats") {
+    return StatsReply();
+  }
+  const bool write = aRequest.method_ != "GET";
+  if (Refused(write, aNow)) {
+    ++counts_.refused_;
+    return ErrorReply(503, "unavailable");
+  }
+  ++(write ? counts_.writes_ : counts_.reads_);
+  counts_.bytesIn_ += aRequest.body_.size();
+  constexpr std::string_view kObjects = "/v1/objects/";
+  auto reply = ErrorReply(404, "not-found");
+  if (!write && StartsWith(target, "/v1/rows")) {
+    reply = HandleRows(target);
+  } else if (aRequest.method_ == "POST" && target == "/v1/transactions") {
+    reply = HandleTransaction(aRequest.body_, aNow);
+  } else if (StartsWith(target, kObjects)) {
+    reply = HandleObject(aRequest, target.substr(kObjects.size()));
+  }
+  counts_.bytesOut_ += reply.body_.size();
+  return reply;
+}
+
+bool PlatformService::Refused(bool aWrite, TimePoint aNow)
+{
+  if (faults_.outage_ != PlatformOutage::kNone) {
+    return true;
+  }
+  return aWrite ? !writeCeiling_.Take(faults_.writesPerSecond_, aNow)
+                : !readCeiling_.Take(faults_.readsPerSecond_, aNow);
+}
+
+/// Decides whether the answer to a write that took effect is lost.
+bool PlatformService::LoseAnswer()
+{
+  bool lose = std::uniform_real_distribution<double>(0, 1)(random_) < faults_.loseAnswers_;
+  if (faults_.loseNext_ > 0) {
+    --faults_.loseNext_;
+    lose = true;
+  }
+  counts_.lost_ += lose ? 1 : 0;
+  return lose;
+}
+
+PlatformReply PlatformService::HandleRows(std::string_view aTarget)
+{
+  constexpr std::string_view kOneRow = "/v1/rows/";
+  if (StartsWith(aTarget, kOneRow)) {
+    const auto key = UnescapeUrl(aTarget.substr(kOneRow.size()));
+    const auto found = key ? rows_.find(*key) : rows_.end();
+    return found == rows_.end() ? ErrorReply(404, "not-found")
+                                : PlatformReply{ 200, EncodePlatformRow(found->second), false };
+  }
+  const auto mark = aTarget.find('?');
+  const auto query = mark == std::string_view::npos ? "" : aTarget.substr(mark + 1);
+  const auto prefix = QueryValue(query, "prefix");
+  const auto after = QueryValue(query, "after");
+  const auto limitText = QueryValue(query, "limit").value_or("");
+  std::uint32_t limit = 100;
+  std::from_chars(limitText.data(), limitText.data() + limitText.size(), limit);
+  if (!prefix || !after) {
+    return ErrorReply(400, "malformed");
+  }
+  std::vector<PlatformRow> rows;
+  auto row = *after < *prefix ? rows_.lower_bound(*prefix) : rows_.upper_bound(*after);
+  for (; row != rows_.end() && rows.size() < std::min(limit, kMostRows); ++row) {
+    if (!StartsWith(row->first, *prefix)) {
+      break;
+    }
+    rows.push_back(row->second);
+  }
+  return { 200, EncodePlatformRows(rows), false };
+}
+
+PlatformReply PlatformService::HandleTransaction(const std::string& aBody, TimePoint aNow)
+{
+  const auto decoded = DecodePlatformTransaction(aBody);
+  if (decoded.has_error() || decoded.assume_value().operationId_.empty()) {
+    return ErrorReply(400, "malformed");
+  }
+  const auto& transaction = decoded.assume_value();
+  std::erase_if(operations_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.done_ > kOperationLifetime;
+  });
+  if (const auto done = operations_.find(transaction.operationId_); done != operations_.end()) {
+    return { 200, EncodePlatformResult({ "", done->second.revision_ }), LoseAnswer() };
+  }
+  for (const auto& condition : transaction.conditions_) {
+    const auto found = rows_.find(condition.key_);
+    const auto revision = found == rows_.end() ? 0 : found->second.revision_;
+    if (revision != condition.revision_) {
+      return { 409, EncodePlatformResult({ condition.key_, revision }), false };
+    }
+  }
+  ++revision_;
+  for (const auto& write : transaction.writes_) {
+    if (write.value_) {
+      rows_[write.key_] = { write.key_, revision_, *write.value_ };
+    } else {
+      rows_.erase(write.key_);
+    }
+  }
+  operations_[transaction.operationId_] = { revision_, aNow };
+  return { 200, EncodePlatformResult({ "", revision_ }), LoseAnswer() };
+}
+
+PlatformReply PlatformService::HandleObject(const PlatformRequest& aRequest, std::string_view aName)
+{
+  const auto name = UnescapeUrl(aName);
+  if (!name || name->empty()) {
+    return ErrorReply(400, "malformed");
+  }
+  if (aRequest.method_ == "PUT") {
+    objects_[*name] = aRequest.body_;
+    return { 200, "{}", LoseAnswer() };
+  }
+  const auto found = objects_.find(*name);
+  if (aRequest.method_ != "GET") {
+    return ErrorReply(405, "method");
+  }
+  return found == objects_.end() ? ErrorReply(404, "not-found")
+                                 : PlatformReply{ 200, found->second, false };
+}
+
+PlatformReply PlatformService::HandleFaults(const PlatformRequest& aRequest)
+{
+  if (aRequest.method_ == "POST") {
+    const auto updated = UpdatePlatformFaults(faults_, aRequest.body_);
+    if (updated.has_error()) {
+      return ErrorReply(400, Describe(updated.assume_error()));
+    }
+  }
+  return { 200, EncodePlatformFaults(faults_), false };
+}
+
+PlatformReply PlatformService::StatsReply() const
+{
+  const auto json =
+    nlohmann::json{ { "reads", counts_.reads_ },      { "writes", counts_.writes_ },
+                    { "refused", counts_.refused_ },  { "lost", counts_.lost_ },
+                    { "bytes_in", counts_.bytesIn_ }, { "bytes_out", counts_.bytesOut_ },
+                    { "rows", rows_.size() },         { "objects", objects_.size() } };
+  return { 200, json.dump(), false };
+}
+
+} // namespace peridotquay
