--- /dev/null
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -0,0 +1,484 @@
+// msgpack form of peer messages. Each message type lists its fields once, for both directions.
+#include "peridotquay/connection/PeerCodec.h"
+
+#include <cmath>
+#include <exception>
+#include <limits>
+#include <msgpack.hpp>
+#include <type_traits>
+
+namespace peridotquay {
+
+namespace {
+
+// Most elements of one array in a frame. Bounds what the parser allocates for a claimed length.
+constexpr std::size_t kMaxElements = 65536;
+
+// Fields of each type, in the order of the wire form. A is a visitor that takes all of them.
+template<typename A>
+void Fields(A& aVisit, Hello& aItem)
+{
+  aVisit(aItem.protocol_, aItem.host_, aItem.incarnation_, aItem.dataCentre_);
+}
+template<typename A>
+void Fields(A& aVisit, Call& aItem)
+{
+  aVisit(aItem.callId_,
+         aItem.service_,
+         aItem.route_,
+         aItem.method_,
+         aItem.path_,
+         aItem.headers_,
+         aItem.body_,
+         aItem.clientAccount_,
+         aItem.importance_,
+         aItem.deadlineMs_,
+         aItem.retries_,
+         aItem.repeatable_,
+         aItem.depth_);
+}
+template<typename A>
+void Fields(A& aVisit, AdmissionLevel& aItem)
+{
+  aVisit(aItem.lowestAdmitted_, aItem.admittedFraction_);
+}
+template<typename A>
+void Fields(A& aVisit, Answer& aItem)
+{
+  aVisit(aItem.callId_,
+         aItem.outcome_,
+         aItem.error_,
+         aItem.retryAfterMs_,
+         aItem.status_,
+         aItem.headers_,
+         aItem.body_,
+         aItem.bodyBytes_,
+         aItem.retriesUnused_,
+         aItem.inFlight_,
+         aItem.limit_,
+         aItem.queued_,
+         aItem.level_);
+}
+template<typename A>
+void Fields(A& aVisit, Cancel& aItem)
+{
+  aVisit(aItem.callId_);
+}
+template<typename A>
+void Fields(A& aVisit, CallFate& aItem)
+{
+  aVisit(aItem.incarnation_, aItem.callId_);
+}
+template<typename A>
+void Fields(A& aVisit, CallFateReply& aItem)
+{
+  aVisit(aItem.callId_, aItem.fate_);
+}
+template<typename A>
+void Fields(A& aVisit, OwnerCall& aItem)
+{
+  aVisit(aItem.requestId_, aItem.call_);
+}
+template<typename A>
+void Fields(A& aVisit, Ping& aItem)
+{
+  aVisit(aItem.nonce_);
+}
+template<typename A>
+void Fields(A& aVisit, Ack& aItem)
+{
+  aVisit(aItem.nonce_);
+}
+template<typename A>
+void Fields(A& aVisit, Address& aItem)
+{
+  aVisit(aItem.ip_, aItem.port_);
+}
+template<typename A>
+void Fields(A& aVisit, MemberEntry& aItem)
+{
+  aVisit(aItem.host_,
+         aItem.incarnation_,
+         aItem.state_,
+         aItem.peer_,
+         aItem.dataCentre_,
+         aItem.region_,
+         aItem.service_,
+         aItem.targetState_,
+         aItem.slots_,
+         aItem.load_,
+         aItem.successor_);
+}
+template<typename A>
+void Fields(A& aVisit, Probe& aItem)
+{
+  aVisit(aItem.sequence_, aItem.sender_, aItem.updates_);
+}
+template<typename A>
+void Fields(A& aVisit, ProbeAck& aItem)
+{
+  aVisit(aItem.sequence_, aItem.sender_, aItem.updates_);
+}
+template<typename A>
+void Fields(A& aVisit, ProbeRequest& aItem)
+{
+  aVisit(aItem.sequence_, aItem.sender_, aItem.subject_, aItem.subjectAddress_, aItem.updates_);
+}
+template<typename A>
+void Fields(A& aVisit, MemberTable& aItem)
+{
+  aVisit(aItem.request_, aItem.members_);
+}
+template<typename A>
+void Fields(A& aVisit, EntityEdit& aItem)
+{
+  aVisit(aItem.name_, aItem.json_);
+}
+template<typename A>
+void Fields(A& aVisit, Change& aItem)
+{
+  aVisit(aItem.version_,
+         aItem.operatorName_,
+         aItem.operationId_,
+         aItem.wallMs_,
+         aItem.summary_,
+         aItem.edits_);
+}
+template<typename A>
+void Fields(A& aVisit, SyncRequest& aItem)
+{
+  aVisit(aItem.nonce_, aItem.version_, aItem.subtreeLeast_, aItem.subtreeNodes_, aItem.lagging_);
+}
+template<typename A>
+void Fields(A& aVisit, SyncReply& aItem)
+{
+  aVisit(aItem.nonce_, aItem.version_, aItem.ageMs_, aItem.changes_, aItem.snapshot_);
+}
+template<typename A>
+void Fields(A& aVisit, VersionPush& aItem)
+{
+  aVisit(aItem.root_, aItem.changes_);
+}
+template<typename A>
+void Fields(A& aVisit, ShareRequest& aItem)
+{
+  aVisit(aItem.nonce_, aItem.clientAccount_, aItem.grant_, aItem.used_, aItem.wanted_);
+}
+template<typename A>
+void Fields(A& aVisit, ShareGrant& aItem)
+{
+  aVisit(aItem.nonce_,
+         aItem.clientAccount_,
+         aItem.grant_,
+         aItem.tokens_,
+         aItem.lifetimeMs_,
+         aItem.retryAfterMs_);
+}
+template<typename A>
+void Fields(A& aVisit, Summary& aItem)
+{
+  aVisit(aItem.dataCentre_, aItem.version_, aItem.ageMs_, aItem.platformReachable_, aItem.members_);
+}
+template<typename A>
+void Fields(A& aVisit, HandoverRecord& aItem)
+{
+  aVisit(aItem.sequence_, aItem.ageMs_, aItem.done_, aItem.requestDigest_, aItem.answer_);
+}
+template<typename A>
+void Fields(A& aVisit, RequestHandover& aItem)
+{
+  aVisit(aItem.host_, aItem.incarnation_, aItem.secret_, aItem.records_, aItem.last_);
+}
+
+template<typename T>
+concept StringId = requires(T aItem)
+{
+  {
+    aItem.value_
+    } -> std::same_as<std::string&>;
+};
+
+template<typename T>
+struct IsVector : std::false_type
+{
+};
+template<typename T>
+struct IsVector<std::vector<T>> : std::true_type
+{
+};
+template<typename T>
+struct IsOptional : std::false_type
+{
+};
+template<typename T>
+struct IsOptional<std::optional<T>> : std::true_type
+{
+};
+template<typename T>
+struct IsPair : std::false_type
+{
+};
+template<typename A, typename B>
+struct IsPair<std::pair<A, B>> : std::true_type
+{
+};
+
+// Largest value of each enum on the wire.
+template<typename T>
+constexpr std::uint64_t kEnumLast = 0;
+template<>
+constexpr std::uint64_t kEnumLast<Outcome> = static_cast<std::uint64_t>(Outcome::kUnknown);
+template<>
+constexpr std::uint64_t kEnumLast<Importance> = static_cast<std::uint64_t>(Importance::kLow);
+template<>
+constexpr std::uint64_t kEnumLast<Fate> = static_cast<std::uint64_t>(Fate::kForgotten);
+template<>
+constexpr std::uint64_t kEnumLast<MemberState> = static_cast<std::uint64_t>(MemberState::kLeft);
+template<>
+constexpr std::uint64_t kEnumLast<TargetState> = static_cast<std::uint64_t>(TargetState::kLeft);
+
+// Output that msgpack::packer writes to.
+struct StringOutput
+{
+  std::string text_;
+  // The name is given by msgpack's stream concept.
+  void write(const char* aData, std::size_t aSize) // NOLINT(readability-identifier-naming)
+  {
+    text_.append(aData, aSize);
+  }
+};
+
+class Encoder
+{
+public:
+  explicit Encoder(StringOutput& aOutput)
+    : packer_(aOutput)
+  {
+  }
+
+  template<typename... T>
+  void operator()(T&... aFields)
+  {
+    packer_.pack_array(sizeof...(T));
+    (Put(aFields), ...);
+  }
+
+  template<typename T>
+  void Put(T& aItem)
+  {
+    if constexpr (std::is_same_v<T, std::string>) {
+      packer_.pack_str(static_cast<std::uint32_t>(aItem.size()));
+      packer_.pack_str_body(aItem.data(), static_cast<std::uint32_t>(aItem.size()));
+    } else if constexpr (StringId<T>) {
+      Put(aItem.value_);
+    } else if constexpr (std::is_enum_v<T>) {
+      packer_.pack(static_cast<std::uint64_t>(aItem));
+    } else if constexpr (std::is_arithmetic_v<T>) {
+      packer_.pack(aItem);
+    } else if constexpr (IsVector<T>::value) {
+      packer_.pack_array(static_cast<std::uint32_t>(aItem.size()));
+      for (auto& element : aItem) {
+        Put(element);
+      }
+    } else if constexpr (IsOptional<T>::value) {
+      if (aItem) {
+        Put(*aItem);
+      } else {
+        packer_.pack_nil();
+      }
+    } else if constexpr (IsPair<T>::value) {
+      (*this)(aItem.first, aItem.second);
+    } else {
+      Fields(*this, aItem);
+    }
+  }
+
+private:
+  msgpack::packer<StringOutput> packer_;
+};
+
+// Reads fields from a parsed msgpack array. After the first mismatch good_ is false.
+class Decoder
+{
+public:
+  explicit Decoder(const msgpack::object& aObject)
+    : object_(aObject)
+  {
+  }
+
+  bool good_ = true;
+
+  template<typename... T>
+  void operator()(T&... aFields)
+  {
+    if (object_.type != msgpack::type::ARRAY || object_.via.array.size != sizeof...(T)) {
+      good_ = false;
+      return;
+    }
+    const msgpack::object* element = object_.via.array.ptr;
+    (Get(*element++, aFields), ...);
+  }
+
+  template<typename T>
+  void Get(const msgpack::object& aObject, T& aItem)
+  {
+    if (!good_) {
+      return;
+    }
+    if constexpr (std::is_same_v<T, std::string>) {
+      if (Check(aObject.type == msgpack::type::STR)) {
+        aItem.assign(aObject.via.str.ptr, aObject.via.str.size);
+      }
+    } else if constexpr (StringId<T>) {
+      Get(aObject, aItem.value_);
+    } else if constexpr (std::is_same_v<T, bool>) {
+      if (Check(aObject.type == msgpack::type::BOOLEAN)) {
+        aItem = aObject.via.boolean;
+      }
+    } else if constexpr (std::is_enum_v<T>) {
+      if (Check(aObject.type == msgpack::type::POSITIVE_INTEGER &&
+                aObject.via.u64 <= kEnumLast<T>)) {
+        aItem = static_cast<T>(aObject.via.u64);
+      }
+    } else if constexpr (std::is_integral_v<T>) {
+      if (Check(aObject.type == msgpack::type::POSITIVE_INTEGER &&
+                aObject.via.u64 <= std::numeric_limits<T>::max())) {
+        aItem = static_cast<T>(aObject.via.u64);
+      }
+    } else if constexpr (std::is_floating_point_v<T>) {
+      // The packer writes whole numbers as integers.
+      if (aObject.type == msgpack::type::POSITIVE_INTEGER) {
+        aItem = static_cast<T>(aObject.via.u64);
+      } else if (aObject.type == msgpack::type::NEGATIVE_INTEGER) {
+        aItem = static_cast<T>(aObject.via.i64);
+      } else if (Check(aObject.type == msgpack::type::FLOAT64 && std::isfinite(aObject.via.f64))) {
+        aItem = aObject.via.f64;
+      }
+    } else if constexpr (IsVector<T>::value) {
+      if (Check(aObject.type == msgpack::type::ARRAY)) {
+        aItem.resize(aObject.via.array.size);
+        for (std::size_t i = 0; i < aItem.size() && good_; ++i) {
+          Get(aObject.via.array.ptr[i], aItem[i]);
+        }
+      }
+    } else if constexpr (IsOptional<T>::value) {
+      if (aObject.type == msgpack::type::NIL) {
+        aItem.reset();
+      } else {
+        Get(aObject, aItem.emplace());
+      }
+    } else if constexpr (IsPair<T>::value) {
+      Decoder inner(aObject);
+      inner(aItem.first, aItem.second);
+      Check(inner.good_);
+    } else {
+      Decoder inner(aObject);
+      Fields(inner, aItem);
+      Check(inner.good_);
+    }
+  }
+
+private:
+  bool Check(bool aCondition)
+  {
+    good_ = good_ && aCondition;
+    return good_;
+  }
+
+  const msgpack::object& object_;
+};
+
+Result<PeerMessage> Malformed()
+{
+  return Fail(ErrorCode::kFrameMalformed, "peer message");
+}
+
+// Decodes the fields as the alternative with the given number.
+template<std::size_t I = 0>
+Result<PeerMessage> DecodeAlternative(std::size_t aNumber, const msgpack::object& aFields)
+{
+  if constexpr (I < std::variant_size_v<PeerMessage>) {
+    if (aNumber != I) {
+      return DecodeAlternative<I + 1>(aNumber, aFields);
+    }
+    std::variant_alternative_t<I, PeerMessage> message;
+    Decoder decoder(aFields);
+    Fields(decoder, message);
+    if (!decoder.good_) {
+      return Malformed();
+    }
+    return PeerMessage(std::move(message));
+  } else {
+    return Malformed();
+  }
+}
+
+// Strings stay in the body during parsing; they are copied once, into the message.
+bool ReferenceBody(msgpack::type::object_type /*aType*/, std::size_t /*aSize*/, void* /*aUser*/)
+{
+  return true;
+}
+
+void AppendEncoded(StringOutput& aOutput, const PeerMessage& aMessage)
+{
+  msgpack::packer<StringOutput> packer(aOutput);
+  packer.pack_array(2);
+  packer.pack(static_cast<std::uint32_t>(aMessage.index()));
+  Encoder encoder(aOutput);
+  std::visit(
+    [&](const auto& aItem) {
+      // Field lists serve both directions and take mutable references; encoding doesn't write.
+      using Item = std::remove_cvref_t<decltype(aItem)>;
+      encoder.Put(const_cast<Item&>(aItem)); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+    },
+    aMessage);
+}
+
+} // namespace
+
+std::string EncodePeerMessage(const PeerMessage& aMessage)
+{
+  StringOutput output;
+  AppendEncoded(output, aMessage);
+  return std::move(output.text_);
+}
+
+Result<PeerMessage> DecodePeerMessage(std::string_view aBody)
+{
+  if (aBody.size() > kMaxFrameBytes) {
+    return Fail(ErrorCode::kFrameTooLarge, "peer message", "at most 1048576 bytes");
+  }
+  try {
+    std::size_t offset = 0;
+    const msgpack::unpack_limit limit(kMaxElements, 0, kMaxFrameBytes, 0, 0, kMaxFrameNesting);
+    const msgpack::object_handle handle =
+      msgpack::unpack(aBody.data(), aBody.size(), offset, &ReferenceBody, nullptr, limit);
+    const msgpack::object& object = handle.get();
+    if (offset != aBody.size() || object.type != msgpack::type::ARRAY ||
+        object.via.array.size != 2 ||
+        object.via.array.ptr[0].type != msgpack::type::POSITIVE_INTEGER) {
+      return Malformed();
+    }
+    return DecodeAlternative(object.via.array.ptr[0].via.u64, object.via.array.ptr[1]);
+  } catch (const msgpack::depth_size_overflow&) {
+    return Fail(ErrorCode::kFrameNesting, "peer message", "at most 8 levels");
+  } catch (const msgpack::size_overflow&) {
+    return Fail(ErrorCode::kFrameTooLarge, "peer message", "at most 65536 elements");
+  } catch (const std::exception&) {
+    return Malformed();
+  }
+}
+
+std::string FramePeerMessage(const PeerMessage& aMessage)
+{
+  StringOutput output;
+  output.text_.assign(4, '\0');
+  AppendEncoded(output, aMessage);
+  const std::size_t length = output.text_.size() - 4;
+  for (std::size_t i = 0; i < 4; ++i) {
+    output.text_[i] = static_cast<char>((length >> (8U * (3U - i))) & 0xFFU);
+  }
+  return std::move(output.text_);
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/tests/connection/PeerCodecTest.cpp
@@ -0,0 +1,202 @@
+// Tests of the msgpack form of peer messages and of frame reading.
+#include "peridotquay/connection/PeerCodec.h"
+
+#include "peridotquay/connection/FrameReader.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace peridotquay;
+
+namespace {
+
+MemberEntry SampleMember()
+{
+  return { { "h1" },
+           7,
+           MemberState::kSuspect,
+           { "127.0.0.1", 4711 },
+           { "dc1" },
+           { "r1" },
+           { "bell" },
+           TargetState::kReady,
+           50,
+           0.25,
+           { "h2" } };
+}
+
+Call SampleCall()
+{
+  return { 9,
+           { "bell" },
+           { "r" },
+           "POST",
+           "/bells?x=1",
+           { { "A", "b" }, { "C", "" } },
+           std::string("body\0\xff", 6),
+           { "acc" },
+           Importance::kCritical,
+           1500,
+           2,
+           false,
+           3 };
+}
+
+Answer SampleAnswer()
+{
+  return { 9,
+           Outcome::kRan,
+           0,
+           5,
+           201,
+           { { "X", "y" } },
+           "done",
+           4,
+           1,
+           10,
+           50,
+           3,
+           { Importance::kHigh, 0.5 } };
+}
+
+std::vector<PeerMessage> Samples()
+{
+  const Change change{ 4, "op", "id", 123, "sum", { { "account/a", "{}" }, { "key/b", {} } } };
+  HandoverRecord record{ 3, 1000, true, "digest", SampleAnswer() };
+  return { Hello{ 1, { "h1" }, 8, { "dc1" } },
+           SampleCall(),
+           SampleAnswer(),
+           Cancel{ 9 },
+           CallFate{ 8, 9 },
+           CallFateReply{ 9, Fate::kRefused },
+           OwnerCall{ "h1.8.1.aa", SampleCall() },
+           Ping{ ~0ULL },
+           Ack{ 2 },
+           Probe{ 1, SampleMember(), { SampleMember() } },
+           ProbeAck{ 1, SampleMember(), {} },
+           ProbeRequest{ 1, SampleMember(), { "h9" }, { "127.0.0.1", 1 }, { SampleMember() } },
+           MemberTable{ true, { SampleMember() } },
+           SyncRequest{ 1, 2, 1, 5, { { "h3" } } },
+           SyncReply{ 1, 2, ~0ULL, { change }, true },
+           VersionPush{ { "h1" }, { change } },
+           ShareRequest{ 1, { "acc" }, 2, 0.5, 10 },
+           ShareGrant{ 1, { "acc" }, 3, 10, 1000, 0 },
+           Summary{ { "dc1" }, 2, 100, true, { SampleMember() } },
+           RequestHandover{
+             { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true } };
+}
+
+} // namespace
+
+// Guards against a field that is written in one order and read in another, or not at all.
+TEST_CASE("every message decodes to what was encoded", "[codec]")
+{
+  REQUIRE(Samples().size() == std::variant_size_v<PeerMessage>);
+  for (const auto& message : Samples()) {
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded.assume_value() == message);
+  }
+}
+
+// Guards against a peer that crashes the process or makes it read outside the frame by a bad body.
+TEST_CASE("mutated bodies give an error or a valid message and never throw", "[codec]")
+{
+  std::mt19937_64 random(20260104);
+  std::size_t rejected = 0;
+  for (int round = 0; round < 20000; ++round) {
+    const auto samples = Samples();
+    std::string body = EncodePeerMessage(samples[random() % samples.size()]);
+    const int edits = 1 + static_cast<int>(random() % 4);
+    for (int i = 0; i < edits && !body.empty(); ++i) {
+      switch (random() % 4) {
+        case 0:
+          body[random() % body.size()] = static_cast<char>(random());
+          break;
+        case 1:
+          body.resize(random() % body.size());
+          break;
+        case 2:
+          body.insert(random() % body.size(), 1 + random() % 5, static_cast<char>(random()));
+          break;
+        default:
+          body.erase(random() % body.size(), 1 + random() % 3);
+          break;
+      }
+    }
+    const auto decoded = DecodePeerMessage(body);
+    if (decoded.has_error()) {
+      ++rejected;
+    } else {
+      CHECK(DecodePeerMessage(EncodePeerMessage(decoded.assume_value())).assume_value() ==
+            decoded.assume_value());
+    }
+  }
+  CHECK(rejected > 10000);
+}
+
+// Guards against stack or memory exhaustion by deep nesting and by claimed lengths.
+TEST_CASE("nesting and claimed sizes are bounded", "[codec]")
+{
+  CHECK(DecodePeerMessage(std::string(1000, '\x91')).assume_error().code_ ==
+        ErrorCode::kFrameNesting);
+  CHECK(DecodePeerMessage(std::string(kMaxFrameBytes + 1, 'x')).assume_error().code_ ==
+        ErrorCode::kFrameTooLarge);
+  // An array header that claims 2^32 - 1 elements.
+  CHECK(DecodePeerMessage("\xdd\xff\xff\xff\xff").assume_error().code_ ==
+        ErrorCode::kFrameTooLarge);
+  CHECK(DecodePeerMessage("").has_error());
+  const std::string body = EncodePeerMessage(Ping{ 1 });
+  CHECK(DecodePeerMessage(body + "x").assume_error().code_ == ErrorCode::kFrameMalformed);
+}
+
+// Guards against a not-a-number that would poison averages and comparisons of the receiver.
+TEST_CASE("numbers that are not finite are rejected", "[codec]")
+{
+  ShareRequest request;
+  request.used_ = std::numeric_limits<double>::quiet_NaN();
+  CHECK(DecodePeerMessage(EncodePeerMessage(request)).has_error());
+  request.used_ = std::numeric_limits<double>::infinity();
+  CHECK(DecodePeerMessage(EncodePeerMessage(request)).has_error());
+}
+
+// Guards against frames that are cut or merged when bytes arrive in other portions than sent.
+TEST_CASE("frames survive any split of the stream", "[frames]")
+{
+  std::string stream;
+  const auto samples = Samples();
+  for (const auto& message : samples) {
+    stream += FramePeerMessage(message);
+  }
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 50; ++round) {
+    FrameReader reader;
+    std::vector<PeerMessage> read;
+    for (std::size_t offset = 0; offset < stream.size();) {
+      const std::size_t size = 1 + random() % (round == 0 ? 1 : 300);
+      reader.Add(std::string_view(stream).substr(offset, size));
+      offset += size;
+      while (true) {
+        const auto body = reader.Next();
+        REQUIRE(body.has_value());
+        if (!body.assume_value()) {
+          break;
+        }
+        read.push_back(DecodePeerMessage(*body.assume_value()).assume_value());
+      }
+    }
+    CHECK(read == samples);
+  }
+}
+
+// Guards against a peer that claims a frame of gigabytes and makes the receiver wait for it.
+TEST_CASE("oversized and empty frames are rejected at the length", "[frames]")
+{
+  FrameReader large;
+  large.Add(std::string_view("\x00\x10\x00\x01", 4));
+  CHECK(large.Next().assume_error().code_ == ErrorCode::kFrameTooLarge);
+  FrameReader empty;
+  empty.Add(std::string_view("\x00\x00\x00\x00", 4));
+  CHECK(empty.Next().assume_error().code_ == ErrorCode::kFrameMalformed);
+}
