Add HTTP front and target client

Cause: callers and the target speak plain HTTP; different readings of a request head and cut answers must not pass. Change: HttpFront checks the raw head before Beast parses it, answers bad input with its status and 'not-run', keeps order under pipelining and reports closed connections. TargetClient pools connections and tells whole answers from truncated ones. Measured: 35 bad inputs get 400, 408, 413 or 431; 10 answer scripts end as expected.

--- /dev/null
+++ b/peridotquay/connection/HttpFront.cpp
@@ -0,0 +1,576 @@
+// HTTP front on Boost.Beast's parser. The head of a request is checked as raw bytes before it is
+// parsed, because the parser folds lines and merges repeated headers.
+#include "peridotquay/connection/HttpFront.h"
+
+// Asio 1.74 needs both before its own headers.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <array>
+#include <coroutine>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace peridotquay {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+class Session;
+
+// Bytes read at once.
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+std::string ToLower(std::string_view aText)
+{
+  std::string text(aText);
+  std::transform(text.begin(), text.end(), text.begin(), [](char aCharacter) {
+    return aCharacter >= 'A' && aCharacter <= 'Z' ? static_cast<char>(aCharacter + 32) : aCharacter;
+  });
+  return text;
+}
+
+// Headers that must not appear twice, because different readers would take different values.
+bool MustBeUnique(const std::string& aLowerName)
+{
+  return aLowerName == "content-length" || aLowerName == "transfer-encoding" ||
+         aLowerName == "host" || aLowerName == "expect" || aLowerName.starts_with("quay-");
+}
+
+// Checks a raw request head including its final empty line.
+std::optional<ErrorCode> CheckHead(std::string_view aHead)
+{
+  std::set<std::string> seen;
+  bool first = true;
+  while (!aHead.empty()) {
+    const std::size_t end = aHead.find("\r\n");
+    if (end == std::string_view::npos) {
+      return ErrorCode::kMalformedRequest;
+    }
+    const std::string_view line = aHead.substr(0, end);
+    aHead.remove_prefix(end + 2);
+    // A lone CR, LF or NUL ends a line for some readers and not for others.
+    if (line.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos) {
+      return ErrorCode::kMalformedRequest;
+    }
+    if (first || line.empty()) {
+      first = false;
+      continue;
+    }
+    const std::size_t colon = line.find(':');
+    // A line that begins with a space continues the line before it; that form is obsolete.
+    if (colon == std::string_view::npos || colon == 0 ||
+        line.substr(0, colon).find_first_of(" \t") != std::string_view::npos) {
+      return ErrorCode::kMalformedRequest;
+    }
+    const std::string name = ToLower(line.substr(0, colon));
+    if (MustBeUnique(name) && !seen.insert(name).second) {
+      return ErrorCode::kConflictingHeaders;
+    }
+    // The parser also takes a list of equal lengths, which other readers refuse or misread.
+    const std::size_t value = std::min(line.find_first_not_of(" \t", colon + 1), line.size());
+    if (name == "content-length" &&
+        line.find_first_not_of("0123456789", value) != std::string_view::npos) {
+      return ErrorCode::kConflictingHeaders;
+    }
+  }
+  if (seen.contains("content-length") && seen.contains("transfer-encoding")) {
+    return ErrorCode::kConflictingHeaders;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+struct HttpFront::State
+{
+  EventLoop& loop_;
+  HttpFrontSettings settings_;
+  Handler handler_;
+  tcp::acceptor acceptor_;
+  std::set<std::shared_ptr<Session>> sessions_;
+  std::uint64_t rejected_ = 0;
+  std::size_t pendingAnswers_ = 0;
+  bool closeAfterAnswers_ = false;
+
+  State(EventLoop& aLoop, const HttpFrontSettings& aSettings, Handler aHandler)
+    : loop_(aLoop)
+    , settings_(aSettings)
+    , handler_(std::move(aHandler))
+    , acceptor_(aLoop.Context())
+  {
+  }
+};
+
+namespace {
+
+class Exchange final : public HttpExchange
+{
+public:
+  explicit Exchange(const std::shared_ptr<Session>& aSession)
+    : session_(aSession)
+  {
+  }
+  void Respond(HttpResponse aResponse) override;
+
+private:
+  std::weak_ptr<Session> session_;
+  bool answered_ = false;
+};
+
+class Session final : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(HttpFront::State& aFront, tcp::socket aSocket)
+    : front_(aFront)
+    , socket_(std::move(aSocket))
+  {
+  }
+
+  void Start()
+  {
+    Restart(front_.settings_.idleTimeout_, false);
+    Read();
+  }
+
+  // Ends the connection and tells the handler of a request that isn't answered yet.
+  void Close()
+  {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    front_.loop_.CancelTimer(timer_);
+    error_code ignored;
+    socket_.close(ignored);
+    if (writing_) {
+      --front_.pendingAnswers_;
+    }
+    const auto self = shared_from_this();
+    front_.sessions_.erase(self);
+    if (exchange_) {
+      const auto exchange = std::move(exchange_);
+      if (exchange->onClosed_) {
+        auto function = std::move(exchange->onClosed_);
+        function();
+      }
+    }
+  }
+
+  void Answer(HttpResponse aResponse)
+  {
+    if (closed_) {
+      return;
+    }
+    exchange_.reset();
+    const bool keep = keepAlive_ && !front_.closeAfterAnswers_;
+    keepAlive_ = keep;
+    output_ = "HTTP/1.1 " + std::to_string(aResponse.status_) + " ";
+    output_ += http::obsolete_reason(http::int_to_status(aResponse.status_));
+    output_ += "\r\n";
+    for (const auto& [name, value] : aResponse.headers_) {
+      output_ += name;
+      output_ += ": ";
+      output_ += value;
+      output_ += "\r\n";
+    }
+    const bool bodiless = aResponse.status_ == 204 || aResponse.status_ == 304;
+    if (!bodiless || aResponse.declaredLength_) {
+      output_ += "Content-Length: " +
+                 std::to_string(aResponse.declaredLength_.value_or(aResponse.body_.size())) +
+                 "\r\n";
+    }
+    output_ += keep ? "\r\n" : "Connection: close\r\n\r\n";
+    if (!head_ && !bodiless) {
+      output_ += aResponse.body_;
+    }
+    Restart(front_.settings_.writeTimeout_, false);
+    writing_ = true;
+    ++front_.pendingAnswers_;
+    boost::asio::async_write(
+      socket_,
+      boost::asio::buffer(output_),
+      [self = shared_from_this()](const error_code& aError, std::size_t /*aBytes*/) {
+        self->OnWritten(aError);
+      });
+  }
+
+  void Reject(ErrorCode aCode)
+  {
+    ++front_.rejected_;
+    keepAlive_ = false;
+    rejected_ = true;
+    Answer(ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted"));
+  }
+
+  std::shared_ptr<Exchange> exchange_; ///< The request that is being handled.
+
+private:
+  using Parser = http::request_parser<http::string_body>;
+
+  void Restart(Duration aTimeout, bool aSlowRequest)
+  {
+    front_.loop_.CancelTimer(timer_);
+    timer_ = front_.loop_.After(aTimeout, [weak = weak_from_this(), aSlowRequest] {
+      const auto self = weak.lock();
+      if (!self || self->closed_) {
+        return;
+      }
+      if (aSlowRequest) {
+        self->Reject(ErrorCode::kRequestTooSlow);
+      } else {
+        self->Close();
+      }
+    });
+  }
+
+  void Read()
+  {
+    // While a request is handled, reading goes on to notice that the caller closed; requests sent
+    // ahead are kept up to one request's size.
+    if (reading_ || closed_ || input_.size() > Limit()) {
+      return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+      boost::asio::buffer(chunk_),
+      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+        self->reading_ = false;
+        self->OnRead(aError, aBytes);
+      });
+  }
+
+  std::size_t Limit() const
+  {
+    return front_.settings_.maxBodyBytes_ + front_.settings_.maxHeaderBytes_;
+  }
+
+  void OnRead(const error_code& aError, std::size_t aBytes)
+  {
+    if (closed_) {
+      return;
+    }
+    if (aError) {
+      // An answer that is being written is still delivered if only the sending side was closed.
+      if (writing_ && aError == boost::asio::error::eof) {
+        keepAlive_ = false;
+        return;
+      }
+      Close();
+      return;
+    }
+    if (rejected_) {
+      Read();
+      return;
+    }
+    input_.append(chunk_.data(), aBytes);
+    Parse();
+    Read();
+  }
+
+  void Parse()
+  {
+    if (closed_ || exchange_ || writing_ || input_.empty()) {
+      return;
+    }
+    if (!parser_) {
+      // Empty lines before a request line are ignored, as RFC 9112 asks for.
+      const std::size_t start = std::min(input_.find_first_not_of("\r\n"), input_.size());
+      input_.erase(0, start);
+      if (input_.empty()) {
+        return;
+      }
+      if (!arriving_) {
+        arriving_ = true;
+        Restart(front_.settings_.readTimeout_, true);
+      }
+      const std::size_t end = input_.find("\r\n\r\n");
+      const std::size_t headBytes = end == std::string::npos ? input_.size() : end + 4;
+      if (headBytes > front_.settings_.maxHeaderBytes_) {
+        Reject(ErrorCode::kHeadersTooLarge);
+        return;
+      }
+      if (end == std::string::npos) {
+        return;
+      }
+      if (!ParseHead(std::string_view(input_).substr(0, headBytes))) {
+        return;
+      }
+      input_.erase(0, headBytes);
+    }
+    ParseBody();
+  }
+
+  bool ParseHead(std::string_view aHead)
+  {
+    if (const auto fault = CheckHead(aHead)) {
+      Reject(*fault);
+      return false;
+    }
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(front_.settings_.maxHeaderBytes_));
+    parser_->body_limit(front_.settings_.maxBodyBytes_);
+    error_code error;
+    parser_->put(boost::asio::buffer(aHead.data(), aHead.size()), error);
+    if (error == http::error::body_limit) {
+      Reject(ErrorCode::kRequestTooLarge);
+      return false;
+    }
+    if ((error && error != http::error::need_more) || !parser_->is_header_done()) {
+      Reject(ErrorCode::kMalformedRequest);
+      return false;
+    }
+    const auto& message = parser_->get();
+    const auto target = message.target();
+    const auto coding = message.find(http::field::transfer_encoding);
+    const bool badCoding =
+      coding != message.end() &&
+      ToLower(std::string_view(coding->value().data(), coding->value().size())) != "chunked";
+    const bool http10 = message.version() == 10;
+    const auto version = message.version();
+    const std::size_t hosts = message.count(http::field::host);
+    if (target.empty() || target.front() != '/' || badCoding ||
+        (http10 && coding != message.end()) || (version != 10 && version != 11) ||
+        (version == 11 && hosts != 1) || message.method() == http::verb::connect) {
+      Reject(ErrorCode::kMalformedRequest);
+      return false;
+    }
+    const auto length = parser_->content_length();
+    if (length && *length > front_.settings_.maxBodyBytes_) {
+      Reject(ErrorCode::kRequestTooLarge);
+      return false;
+    }
+    const auto expect = message.find(http::field::expect);
+    if (expect != message.end()) {
+      if (ToLower(std::string_view(expect->value().data(), expect->value().size())) !=
+          "100-continue") {
+        Reject(ErrorCode::kMalformedRequest);
+        return false;
+      }
+      if (!parser_->is_done()) {
+        SendContinue();
+      }
+    }
+    parser_->eager(true);
+    return true;
+  }
+
+  void SendContinue()
+  {
+    // Nothing else is being written while a request arrives, so this can't interleave.
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::asio::async_write(socket_,
+                             boost::asio::buffer(kContinue.data(), kContinue.size()),
+                             [self = shared_from_this()](const error_code&, std::size_t) {});
+  }
+
+  void ParseBody()
+  {
+    std::size_t used = 0;
+    while (!parser_->is_done() && used < input_.size()) {
+      error_code error;
+      const std::size_t taken =
+        parser_->put(boost::asio::buffer(input_.data() + used, input_.size() - used), error);
+      used += taken;
+      if (error == http::error::need_more) {
+        break;
+      }
+      if (error) {
+        Reject(error == http::error::body_limit ? ErrorCode::kRequestTooLarge
+                                                : ErrorCode::kMalformedRequest);
+        return;
+      }
+      if (taken == 0) {
+        break;
+      }
+    }
+    input_.erase(0, used);
+    if (parser_->is_done()) {
+      Dispatch();
+    } else if (input_.size() > front_.settings_.maxHeaderBytes_) {
+      // The parser holds back an incomplete chunk header only.
+      Reject(ErrorCode::kMalformedRequest);
+    }
+  }
+
+  void Dispatch()
+  {
+    auto message = parser_->release();
+    parser_.reset();
+    arriving_ = false;
+    front_.loop_.CancelTimer(timer_);
+    timer_ = 0;
+    keepAlive_ = message.keep_alive();
+    head_ = message.method() == http::verb::head;
+    exchange_ = std::make_shared<Exchange>(shared_from_this());
+    HttpRequest& request = exchange_->request_;
+    request.method_ = std::string(message.method_string());
+    request.path_ = std::string(message.target());
+    for (const auto& field : message) {
+      request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    RemoveHopByHopHeaders(request.headers_);
+    RemoveHeader(request.headers_, "Content-Length");
+    request.body_ = std::move(message.body());
+    front_.handler_(exchange_);
+  }
+
+  void OnWritten(const error_code& aError)
+  {
+    if (closed_) {
+      return;
+    }
+    writing_ = false;
+    --front_.pendingAnswers_;
+    if (aError) {
+      Close();
+      return;
+    }
+    if (!keepAlive_) {
+      // The sending side closes first and what still arrives is read away for a moment. A full
+      // close with unread input resets the connection, and the caller can lose the answer.
+      error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      rejected_ = true;
+      input_.clear();
+      Restart(milliseconds(500), false);
+      Read();
+      return;
+    }
+    Restart(front_.settings_.idleTimeout_, false);
+    Parse();
+    Read();
+  }
+
+  HttpFront::State& front_;
+  tcp::socket socket_;
+  std::array<char, kReadBytes> chunk_;
+  std::string input_;
+  std::string output_;
+  std::optional<Parser> parser_; ///< Set while the body of a request arrives.
+  std::uint64_t timer_ = 0;
+  bool arriving_ = false; ///< The first byte of a request is here.
+  bool reading_ = false;
+  bool writing_ = false;
+  bool keepAlive_ = true;
+  bool head_ = false;     ///< The request in hand has method HEAD.
+  bool rejected_ = false; ///< Further input is read and thrown away.
+  bool closed_ = false;
+};
+
+void Exchange::Respond(HttpResponse aResponse)
+{
+  const auto session = session_.lock();
+  if (answered_ || !session || session->exchange_.get() != this) {
+    return;
+  }
+  answered_ = true;
+  onClosed_ = nullptr;
+  session->Answer(std::move(aResponse));
+}
+
+void Accept(const std::shared_ptr<HttpFront::State>& aState)
+{
+  aState->acceptor_.async_accept(
+    [weak = std::weak_ptr(aState)](const error_code& aError, tcp::socket aSocket) {
+      const auto state = weak.lock();
+      if (!state || aError == boost::asio::error::operation_aborted) {
+        return;
+      }
+      if (aError) {
+        // Out of descriptors: accepting again at once would spin.
+        state->loop_.After(milliseconds(20), [weak] {
+          if (const auto again = weak.lock()) {
+            Accept(again);
+          }
+        });
+        return;
+      }
+      error_code ignored;
+      aSocket.set_option(tcp::no_delay(true), ignored);
+      const auto session = std::make_shared<Session>(*state, std::move(aSocket));
+      state->sessions_.insert(session);
+      session->Start();
+      if (state->sessions_.size() > state->settings_.maxConnections_) {
+        session->Reject(ErrorCode::kLimitReached);
+      }
+      Accept(state);
+    });
+}
+
+} // namespace
+
+Result<std::unique_ptr<HttpFront>> HttpFront::Listen(EventLoop& aLoop,
+                                                     const HttpFrontSettings& aSettings,
+                                                     Handler aHandler)
+{
+  auto state = std::make_shared<State>(aLoop, aSettings, std::move(aHandler));
+  const std::string text = aSettings.listen_.ip_ + ":" + std::to_string(aSettings.listen_.port_);
+  error_code error;
+  const auto ip = boost::asio::ip::make_address(aSettings.listen_.ip_, error);
+  if (error) {
+    return Fail(ErrorCode::kOutOfRange, text, "an IP number");
+  }
+  const tcp::endpoint endpoint(ip, aSettings.listen_.port_);
+  state->acceptor_.open(endpoint.protocol(), error);
+  if (!error) {
+    state->acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    state->acceptor_.bind(endpoint, error);
+  }
+  if (!error) {
+    state->acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kAddressInUse, text, error.message());
+  }
+  Accept(state);
+  return std::unique_ptr<HttpFront>(new HttpFront(std::move(state)));
+}
+
+HttpFront::HttpFront(std::shared_ptr<State> aState)
+  : state_(std::move(aState))
+{
+}
+
+HttpFront::~HttpFront()
+{
+  error_code ignored;
+  state_->acceptor_.close(ignored);
+  while (!state_->sessions_.empty()) {
+    (*state_->sessions_.begin())->Close();
+  }
+}
+
+std::uint16_t HttpFront::Port() const
+{
+  return state_->acceptor_.local_endpoint().port();
+}
+
+std::size_t HttpFront::Connections() const
+{
+  return state_->sessions_.size();
+}
+
+std::uint64_t HttpFront::Rejected() const
+{
+  return state_->rejected_;
+}
+
+std::size_t HttpFront::PendingAnswers() const
+{
+  return state_->pendingAnswers_;
+}
+
+void HttpFront::CloseAfterAnswers()
+{
+  state_->closeAfterAnswers_ = true;
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/connection/TargetClient.h
@@ -0,0 +1,67 @@
+// HTTP client for the one local target, with a pool of kept connections.
+#pragma once
+
+#include "peridotquay/connection/EventLoop.h"
+#include "peridotquay/connection/HttpMessage.h"
+#include "peridotquay/process/Time.h"
+#include "peridotquay/version/Ids.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace peridotquay {
+
+struct TargetClientSettings
+{
+  Address target_{ "127.0.0.1", 0 };
+  std::uint32_t maxConnections_ = 400;
+  std::size_t maxBodyBytes_ = 768 * 1024;
+  std::size_t maxHeaderBytes_ = 16 * 1024;
+  Duration connectTimeout_ = milliseconds(500);
+  Duration idleTimeout_ = seconds(30); ///< An unused connection is closed after this.
+};
+
+/// How a request to the target ended.
+enum class TargetEnd : std::uint8_t
+{
+  kAnswered,  ///< The whole answer is here.
+  kNotSent,   ///< No connection could be had; no byte was sent.
+  kLost,      ///< The connection ended before the answer began.
+  kTruncated, ///< The answer began and its end can't be proved, or it is malformed or too large.
+};
+
+struct TargetResult
+{
+  TargetEnd end_ = TargetEnd::kNotSent;
+  HttpResponse response_;     ///< With kAnswered.
+  Duration connectTime_{ 0 }; ///< Zero on a kept connection.
+};
+
+/// Sends each request once. An answer whose end is marked by closing only counts as truncated,
+/// because a whole answer can't be told from a cut one.
+class TargetClient
+{
+public:
+  using Done = std::function<void(TargetResult)>;
+
+  TargetClient(EventLoop& aLoop, const TargetClientSettings& aSettings);
+  TargetClient(const TargetClient&) = delete;
+  TargetClient& operator=(const TargetClient&) = delete;
+  ~TargetClient();
+
+  /// Sends a request. aDone is called once, never from within Send, unless Cancel comes first.
+  /// Returns a number for Cancel.
+  std::uint64_t Send(const HttpRequest& aRequest, Done aDone);
+  /// Ends a request by closing its connection. Returns true if a byte of it may have been sent.
+  bool Cancel(std::uint64_t aRequest);
+  /// Connections in use or kept.
+  std::size_t Connections() const;
+
+  struct State;
+
+private:
+  std::shared_ptr<State> state_;
+};
+
+} // namespace peridotquay
--- /dev/null
+++ b/tests/connection/HttpFrontTest.cpp
@@ -0,0 +1,261 @@
+// Tests of the HTTP front and of the client for the target, against raw bytes over loopback.
+#include "peridotquay/connection/HttpFront.h"
+
+#include "peridotquay/connection/TargetClient.h"
+
+#include "tests/connection/RawSocket.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace peridotquay;
+using peridotquay::testing::RawListener;
+using peridotquay::testing::RawSocket;
+
+namespace {
+
+// A front that answers with the request it saw, on its own thread.
+struct EchoFront
+{
+  EventLoop loop_;
+  std::unique_ptr<HttpFront> front_;
+  std::thread thread_;
+  std::atomic<int> closed_{ 0 };
+  std::vector<std::shared_ptr<HttpExchange>> held_;
+
+  explicit EchoFront(HttpFrontSettings aSettings = {})
+  {
+    auto front =
+      HttpFront::Listen(loop_, aSettings, [this](std::shared_ptr<HttpExchange> aExchange) {
+        if (aExchange->request_.path_ == "/hold") {
+          aExchange->onClosed_ = [this] { ++closed_; };
+          held_.push_back(std::move(aExchange));
+          return;
+        }
+        std::string text = aExchange->request_.method_ + " " + aExchange->request_.path_ + " " +
+                           aExchange->request_.body_;
+        // Answers of later requests must still come later.
+        const Duration delay = milliseconds(aExchange->request_.path_ == "/slow" ? 30 : 0);
+        loop_.After(delay, [aExchange, text] {
+          aExchange->Respond({ 200, {}, text, std::nullopt });
+        });
+      });
+    REQUIRE(front.has_value());
+    front_ = std::move(front.assume_value());
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+  ~EchoFront()
+  {
+    loop_.Stop();
+    thread_.join();
+  }
+};
+
+struct BadInput
+{
+  std::string name_;
+  std::string bytes_;
+  int status_;
+};
+
+} // namespace
+
+// Guards against request smuggling and against input that is taken for something it isn't.
+TEST_CASE("bad requests get their status and the connection ends", "[http]")
+{
+  HttpFrontSettings settings;
+  settings.maxBodyBytes_ = 1000;
+  settings.maxHeaderBytes_ = 2000;
+  settings.readTimeout_ = milliseconds(150);
+  EchoFront front(settings);
+  const std::string host = "Host: h\r\n";
+  const std::vector<BadInput> inputs = {
+    { "not HTTP", "hello\r\n\r\n", 400 },
+    { "binary", std::string("\x16\x03\x01\x02\x00\x01\r\n\r\n", 10), 400 },
+    { "no host", "GET / HTTP/1.1\r\n\r\n", 400 },
+    { "two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400 },
+    { "two lengths",
+      "POST / HTTP/1.1\r\n" + host + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      400 },
+    { "two equal lengths",
+      "POST / HTTP/1.1\r\n" + host + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na",
+      400 },
+    { "length list", "POST / HTTP/1.1\r\n" + host + "Content-Length: 1, 1\r\n\r\na", 400 },
+    { "negative length", "POST / HTTP/1.1\r\n" + host + "Content-Length: -1\r\n\r\n", 400 },
+    { "signed length", "POST / HTTP/1.1\r\n" + host + "Content-Length: +1\r\n\r\na", 400 },
+    { "hex length", "POST / HTTP/1.1\r\n" + host + "Content-Length: 0x1\r\n\r\na", 400 },
+    { "huge length",
+      "POST / HTTP/1.1\r\n" + host + "Content-Length: 99999999999999999999999\r\n\r\na",
+      400 },
+    { "length and chunked",
+      "POST / HTTP/1.1\r\n" + host +
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      400 },
+    { "chunked twice",
+      "POST / HTTP/1.1\r\n" + host +
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      400 },
+    { "other coding",
+      "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      400 },
+    { "coding with a twist",
+      "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      400 },
+    { "chunked in 1.0",
+      "POST / HTTP/1.0\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      400 },
+    { "bad chunk size",
+      "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+      400 },
+    { "key twice", "GET / HTTP/1.1\r\n" + host + "Quay-Key: a\r\nQuay-Key: b\r\n\r\n", 400 },
+    { "budget twice",
+      "GET / HTTP/1.1\r\n" + host + "quay-retry-budget: 1\r\nQuay-Retry-Budget: 1\r\n\r\n",
+      400 },
+    { "folded header", "GET / HTTP/1.1\r\n" + host + "A: b\r\n c\r\n\r\n", 400 },
+    { "space before colon", "GET / HTTP/1.1\r\n" + host + "Content-Length : 1\r\n\r\n", 400 },
+    { "lone LF", "GET / HTTP/1.1\r\n" + host + "A: b\nC: d\r\n\r\n", 400 },
+    { "lone CR", "GET / HTTP/1.1\r\n" + host + "A: b\rC: d\r\n\r\n", 400 },
+    { "NUL", "GET / HTTP/1.1\r\n" + host + std::string("A: b\0c\r\n\r\n", 10), 400 },
+    { "absolute form", "GET http://h/ HTTP/1.1\r\n" + host + "\r\n", 400 },
+    { "asterisk", "OPTIONS * HTTP/1.1\r\n" + host + "\r\n", 400 },
+    { "connect", "CONNECT h:1 HTTP/1.1\r\n" + host + "\r\n", 400 },
+    { "version 2", "GET / HTTP/2.0\r\n" + host + "\r\n", 400 },
+    { "unknown expectation", "POST / HTTP/1.1\r\n" + host + "Expect: more\r\n\r\n", 400 },
+    { "large body", "POST / HTTP/1.1\r\n" + host + "Content-Length: 1001\r\n\r\n", 413 },
+    { "large chunked body",
+      "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n" + "3e9\r\n" +
+        std::string(1001, 'x') + "\r\n0\r\n\r\n",
+      413 },
+    { "large headers",
+      "GET / HTTP/1.1\r\n" + host + "A: " + std::string(2500, 'x') + "\r\n\r\n",
+      431 },
+    { "endless headers", "GET / HTTP/1.1\r\n" + host + "A: " + std::string(2500, 'x'), 431 },
+    { "slow head", "GET / HTTP/1.1\r\n", 408 },
+    { "slow body", "POST / HTTP/1.1\r\n" + host + "Content-Length: 5\r\n\r\nab", 408 },
+  };
+  for (const auto& input : inputs) {
+    INFO(input.name_);
+    RawSocket socket(front.front_->Port());
+    socket.Write(input.bytes_);
+    const std::string answer = socket.ReadToEnd();
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 " + std::to_string(input.status_));
+    CHECK(answer.find("Quay-Outcome: not-run\r\n") != std::string::npos);
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+  }
+}
+
+// Guards against answers in the wrong order when requests are sent ahead.
+TEST_CASE("pipelined requests are answered in order", "[http]")
+{
+  EchoFront front;
+  RawSocket socket(front.front_->Port());
+  socket.Write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+               "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+               "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nConnection: close\r\n\r\nxy");
+  const std::string answer = socket.ReadToEnd();
+  const auto first = answer.find("\r\n\r\nGET /slow ");
+  const auto second = answer.find("\r\n\r\nPOST /b abcde");
+  const auto third = answer.find("\r\n\r\nPOST /c xy");
+  CHECK(first != std::string::npos);
+  CHECK(second != std::string::npos);
+  CHECK(third != std::string::npos);
+  CHECK(first < second);
+  CHECK(second < third);
+}
+
+// Guards against a request that runs on although nobody waits for its answer.
+TEST_CASE("a closed connection is reported to the handler", "[http]")
+{
+  EchoFront front;
+  {
+    RawSocket socket(front.front_->Port());
+    socket.Write("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(30));
+    CHECK(front.closed_ == 0);
+  }
+  for (int i = 0; i < 100 && front.closed_ == 0; ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  CHECK(front.closed_ == 1);
+}
+
+// Guards against a cut answer that is passed on as whole, and against a false "not sent".
+TEST_CASE("the target client tells whole answers from cut ones", "[target]")
+{
+  struct Script
+  {
+    std::string name_;
+    std::string answer_;
+    TargetEnd end_;
+  };
+  const std::vector<Script> scripts = {
+    { "whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", TargetEnd::kAnswered },
+    { "chunked",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+      TargetEnd::kAnswered },
+    { "interim answer first",
+      "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+      TargetEnd::kAnswered },
+    { "cut body", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", TargetEnd::kTruncated },
+    { "cut chunks",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+      TargetEnd::kTruncated },
+    { "cut head", "HTTP/1.1 200 OK\r\nContent-Le", TargetEnd::kTruncated },
+    { "ended by closing", "HTTP/1.1 200 OK\r\n\r\nok", TargetEnd::kTruncated },
+    { "two lengths",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+      TargetEnd::kTruncated },
+    { "too large", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n", TargetEnd::kTruncated },
+    { "nothing", "", TargetEnd::kLost },
+  };
+  for (const auto& script : scripts) {
+    INFO(script.name_);
+    RawListener listener;
+    std::thread target([&] {
+      RawSocket socket = listener.Accept();
+      socket.ReadUntil("\r\n\r\n");
+      socket.Write(script.answer_);
+    });
+    EventLoop loop;
+    TargetClientSettings settings;
+    settings.target_ = { "127.0.0.1", listener.Port() };
+    settings.maxBodyBytes_ = 100;
+    TargetClient client(loop, settings);
+    TargetResult result;
+    client.Send({ "GET", "/", {}, "" }, [&](TargetResult aResult) {
+      result = std::move(aResult);
+      loop.Stop();
+    });
+    loop.Run();
+    target.join();
+    CHECK(result.end_ == script.end_);
+    if (script.end_ == TargetEnd::kAnswered) {
+      CHECK(result.response_.status_ == 200);
+      CHECK(result.response_.body_ == "ok");
+    }
+  }
+}
+
+// Guards against a refusal that claims "not run" for a request that reached the target.
+TEST_CASE("no connection means that nothing was sent", "[target]")
+{
+  std::uint16_t port = 0;
+  {
+    RawListener listener;
+    port = listener.Port();
+  }
+  EventLoop loop;
+  TargetClientSettings settings;
+  settings.target_ = { "127.0.0.1", port };
+  TargetClient client(loop, settings);
+  TargetResult result;
+  result.end_ = TargetEnd::kLost;
+  client.Send({ "GET", "/", {}, "" }, [&](TargetResult aResult) {
+    result = std::move(aResult);
+    loop.Stop();
+  });
+  loop.Run();
+  CHECK(result.end_ == TargetEnd::kNotSent);
+}
--- /dev/null
+++ b/tests/connection/RawSocket.h
@@ -0,0 +1,160 @@
+// Blocking sockets for tests that need control over every byte.
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unistd.h>
+#include <utility>
+
+namespace peridotquay::testing {
+
+inline sockaddr_in Loopback(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+/// A connected TCP socket. Reads give up after 5 s.
+class RawSocket
+{
+public:
+  explicit RawSocket(std::uint16_t aPort)
+    : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    const sockaddr_in address = Loopback(aPort);
+    if (::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+      throw std::runtime_error("connect failed");
+    }
+    LimitReads();
+  }
+  static RawSocket Adopt(int aDescriptor)
+  {
+    RawSocket socket;
+    socket.descriptor_ = aDescriptor;
+    socket.LimitReads();
+    return socket;
+  }
+  RawSocket(RawSocket&& aOther) noexcept
+    : descriptor_(std::exchange(aOther.descriptor_, -1))
+    , buffer_(std::move(aOther.buffer_))
+  {
+  }
+  RawSocket(const RawSocket&) = delete;
+  RawSocket& operator=(const RawSocket&) = delete;
+  ~RawSocket()
+  {
+    if (descriptor_ >= 0) {
+      ::close(descriptor_);
+    }
+  }
+
+  void Write(std::string_view aBytes)
+  {
+    while (!aBytes.empty()) {
+      const auto sent = ::send(descriptor_, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+      if (sent <= 0) {
+        return;
+      }
+      aBytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+  }
+
+  /// Bytes up to and with the mark, or up to the end.
+  std::string ReadUntil(std::string_view aMark)
+  {
+    while (true) {
+      const auto found = buffer_.find(aMark);
+      if (found != std::string::npos) {
+        return TakeFront(found + aMark.size());
+      }
+      if (!Fill()) {
+        return TakeFront(buffer_.size());
+      }
+    }
+  }
+  std::string ReadBytes(std::size_t aCount)
+  {
+    while (buffer_.size() < aCount && Fill()) {
+    }
+    return TakeFront(std::min(aCount, buffer_.size()));
+  }
+  std::string ReadToEnd()
+  {
+    while (Fill()) {
+    }
+    return TakeFront(buffer_.size());
+  }
+
+private:
+  RawSocket() = default;
+  void LimitReads()
+  {
+    const timeval limit{ 5, 0 };
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  std::string TakeFront(std::size_t aCount)
+  {
+    std::string front = buffer_.substr(0, aCount);
+    buffer_.erase(0, aCount);
+    return front;
+  }
+  bool Fill()
+  {
+    char bytes[16384];
+    const auto got = ::recv(descriptor_, bytes, sizeof(bytes), 0);
+    if (got <= 0) {
+      return false;
+    }
+    buffer_.append(bytes, static_cast<std::size_t>(got));
+    return true;
+  }
+
+  int descriptor_ = -1;
+  std::string buffer_;
+};
+
+/// A listener on a port that the kernel chooses.
+class RawListener
+{
+public:
+  RawListener()
+    : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address = Loopback(0);
+    ::bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    ::listen(descriptor_, 64);
+    socklen_t size = sizeof(address);
+    ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+  }
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+  ~RawListener() { Close(); }
+
+  std::uint16_t Port() const { return port_; }
+  RawSocket Accept() { return RawSocket::Adopt(::accept(descriptor_, nullptr, nullptr)); }
+  void Close()
+  {
+    if (descriptor_ >= 0) {
+      ::shutdown(descriptor_, SHUT_RDWR);
+      ::close(descriptor_);
+      descriptor_ = -1;
+    }
+  }
+
+private:
+  int descriptor_ = -1;
+  std::uint16_t port_ = 0;
+};
+
+} // namespace peridotquay::testing
