Add peer links, hub and datagrams

Cause: calls between nodes need one multiplexed connection for each pair that says, when it ends, whether a call may have been sent. Change: PeerLink sends nothing before the peer's Hello, pings after 250 ms of silence with calls outstanding and gives up at 500 ms; PeerHub keeps links by address and reports lost calls; Datagram carries probes.

--- a/peridotquay/connection/EventLoop.cpp
+++ b/peridotquay/connection/EventLoop.cpp
@@ -102,6 +102,7 @@
 
 void EventLoop::Run()
 {
+  state_->context_.restart();
   state_->context_.run();
 }
 
--- a/peridotquay/connection/EventLoop.h
+++ b/peridotquay/connection/EventLoop.h
@@ -31,7 +31,7 @@
   void CancelTimer(std::uint64_t aTimer);
   /// Calls the function on the loop's thread. May be called from any thread.
   void Post(std::function<void()> aFunction);
-  /// Serves events until Stop.
+  /// Serves events until Stop. Can be called again after that.
   void Run();
   /// Ends Run. May be called from any thread.
   void Stop();
--- a/peridotquay/connection/HttpFront.cpp
+++ b/peridotquay/connection/HttpFront.cpp
@@ -26,7 +26,7 @@
 class Session;
 
 // Bytes read at once.
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
 std::string ToLower(std::string_view aText)
 {
@@ -118,7 +118,7 @@
     : session_(aSession)
   {
   }
-  void Respond(HttpResponse aResponse) override;
+  void Respond(const HttpResponse& aResponse) override;
 
 private:
   std::weak_ptr<Session> session_;
@@ -164,7 +164,7 @@
     }
   }
 
-  void Answer(HttpResponse aResponse)
+  void Answer(const HttpResponse& aResponse)
   {
     if (closed_) {
       return;
@@ -465,7 +465,7 @@
   bool closed_ = false;
 };
 
-void Exchange::Respond(HttpResponse aResponse)
+void Exchange::Respond(const HttpResponse& aResponse)
 {
   const auto session = session_.lock();
   if (answered_ || !session || session->exchange_.get() != this) {
@@ -473,7 +473,7 @@
   }
   answered_ = true;
   onClosed_ = nullptr;
-  session->Answer(std::move(aResponse));
+  session->Answer(aResponse);
 }
 
 void Accept(const std::shared_ptr<HttpFront::State>& aState)
--- a/peridotquay/connection/HttpFront.h
+++ b/peridotquay/connection/HttpFront.h
@@ -17,8 +17,8 @@
 struct HttpFrontSettings
 {
   Address listen_{ "127.0.0.1", 0 };
-  std::size_t maxBodyBytes_ = 768 * 1024;
-  std::size_t maxHeaderBytes_ = 16 * 1024;
+  std::size_t maxBodyBytes_ = std::size_t{ 768 } * 1024;
+  std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
   std::uint32_t maxConnections_ = 4096;
   Duration readTimeout_ = seconds(5);   ///< A request must arrive whole within this.
   Duration idleTimeout_ = seconds(60);  ///< A connection between requests is closed after this.
@@ -35,7 +35,7 @@
   virtual ~HttpExchange() = default;
 
   /// Sends the answer. Only the first call has an effect, and none if the connection is gone.
-  virtual void Respond(HttpResponse aResponse) = 0;
+  virtual void Respond(const HttpResponse& aResponse) = 0;
 
   HttpRequest request_;
   /// Called if the caller closes the connection before the answer. Set it in the handler.
--- /dev/null
+++ b/peridotquay/connection/PeerHub.cpp
@@ -0,0 +1,285 @@
+// Connection table and outstanding calls.
+#include "peridotquay/connection/PeerHub.h"
+
+// Asio 1.74 needs both before its own headers.
+#include <boost/asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <coroutine>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace peridotquay {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// After a failed connect, sends to that address fail at once for this long, so that a dead host
+// doesn't cost a connect for each call.
+constexpr Duration kReconnectPause = milliseconds(50);
+
+// Most connections, both ways; bounds descriptors and buffers.
+constexpr std::size_t kMaxLinks = 4096;
+
+struct AddressOrder
+{
+  bool operator()(const Address& aLeft, const Address& aRight) const
+  {
+    return aLeft.port_ != aRight.port_ ? aLeft.port_ < aRight.port_ : aLeft.ip_ < aRight.ip_;
+  }
+};
+
+} // namespace
+
+struct PeerHub::State : std::enable_shared_from_this<State>
+{
+  struct Outstanding
+  {
+    std::shared_ptr<PeerLink> link_;
+  };
+
+  EventLoop& loop_;
+  PeerLinkSettings settings_;
+  PeerHubEvents events_;
+  tcp::acceptor acceptor_;
+  std::map<Address, std::shared_ptr<PeerLink>, AddressOrder> byAddress_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<PeerLink>> byNumber_;
+  std::unordered_map<std::uint64_t, Outstanding> calls_; ///< By call id.
+  std::map<Address, TimePoint, AddressOrder>
+    failed_; ///< Last failed connect of addresses without a link.
+
+  State(EventLoop& aLoop, const PeerLinkSettings& aSettings, PeerHubEvents aEvents)
+    : loop_(aLoop)
+    , settings_(aSettings)
+    , events_(std::move(aEvents))
+    , acceptor_(aLoop.Context())
+  {
+  }
+
+  PeerLinkEvents LinkEvents()
+  {
+    PeerLinkEvents events;
+    events.onMessage_ = [weak = weak_from_this()](PeerLink& aLink, PeerMessage aMessage) {
+      const auto self = weak.lock();
+      if (self && self->events_.onMessage_) {
+        self->events_.onMessage_({ aLink.Number(), aLink.Peer(), aLink.PeerAddress() },
+                                 std::move(aMessage));
+      }
+    };
+    events.onEnd_ = [weak = weak_from_this()](PeerLink& aLink, LinkEnd aEnd) {
+      if (const auto self = weak.lock()) {
+        self->OnEnd(aLink, aEnd);
+      }
+    };
+    return events;
+  }
+
+  void OnEnd(PeerLink& aLink, LinkEnd aEnd)
+  {
+    const auto entry = byAddress_.find(aLink.PeerAddress());
+    if (entry != byAddress_.end() && entry->second.get() == &aLink) {
+      byAddress_.erase(entry);
+    }
+    byNumber_.erase(aLink.Number());
+    if (aEnd == LinkEnd::kNotConnected) {
+      NoteFailed(aLink.PeerAddress());
+    }
+    std::vector<LostCall> lost;
+    for (const auto& [callId, call] : calls_) {
+      if (call.link_.get() == &aLink) {
+        lost.push_back({ callId, aEnd != LinkEnd::kNotConnected, aEnd, aLink.Peer() });
+      }
+    }
+    // Lowest id first, so that the order doesn't depend on the hash table.
+    std::sort(lost.begin(), lost.end(), [](const LostCall& aLeft, const LostCall& aRight) {
+      return aLeft.callId_ < aRight.callId_;
+    });
+    for (const auto& call : lost) {
+      calls_.erase(call.callId_);
+    }
+    for (const auto& call : lost) {
+      events_.onCallLost_(call);
+    }
+    if (events_.onLinkEnded_) {
+      events_.onLinkEnded_(aLink.Number());
+    }
+  }
+
+  void NoteFailed(const Address& aAddress)
+  {
+    const TimePoint now = loop_.Now();
+    std::erase_if(failed_,
+                  [&](const auto& aEntry) { return now - aEntry.second > kReconnectPause; });
+    failed_[aAddress] = now;
+  }
+
+  // The link to an address; null if a connect has just failed or there are too many.
+  std::shared_ptr<PeerLink> LinkTo(const Address& aPeer)
+  {
+    const auto entry = byAddress_.find(aPeer);
+    if (entry != byAddress_.end()) {
+      return entry->second;
+    }
+    const auto failure = failed_.find(aPeer);
+    if ((failure != failed_.end() && loop_.Now() - failure->second < kReconnectPause) ||
+        byNumber_.size() >= kMaxLinks) {
+      return nullptr;
+    }
+    auto link = PeerLink::Connect(loop_, settings_, aPeer, LinkEvents());
+    byAddress_.emplace(aPeer, link);
+    byNumber_.emplace(link->Number(), link);
+    return link;
+  }
+
+  void Accept()
+  {
+    acceptor_.async_accept(
+      [weak = weak_from_this()](const error_code& aError, tcp::socket aSocket) {
+        const auto self = weak.lock();
+        if (!self || aError == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (aError) {
+          self->loop_.After(milliseconds(20), [weak] {
+            if (const auto again = weak.lock()) {
+              again->Accept();
+            }
+          });
+          return;
+        }
+        self->Adopt(std::move(aSocket));
+        self->Accept();
+      });
+  }
+
+  void Adopt(tcp::socket aSocket)
+  {
+    error_code error;
+    const auto remote = aSocket.remote_endpoint(error);
+    if (error || byNumber_.size() >= kMaxLinks) {
+      return;
+    }
+    const Address peer{ remote.address().to_string(), remote.port() };
+    const int descriptor = aSocket.release(error);
+    if (error) {
+      return;
+    }
+    auto link = PeerLink::Adopt(loop_, settings_, descriptor, peer, LinkEvents());
+    byAddress_[peer] = link;
+    byNumber_.emplace(link->Number(), link);
+  }
+};
+
+PeerHub::PeerHub(EventLoop& aLoop, const PeerLinkSettings& aSettings, PeerHubEvents aEvents)
+  : state_(std::make_shared<State>(aLoop, aSettings, std::move(aEvents)))
+{
+}
+
+PeerHub::~PeerHub()
+{
+  error_code ignored;
+  state_->acceptor_.close(ignored);
+  for (const auto& [number, link] : state_->byNumber_) {
+    link->Close();
+  }
+}
+
+Result<std::uint16_t> PeerHub::Listen(const Address& aAddress)
+{
+  const std::string text = aAddress.ip_ + ":" + std::to_string(aAddress.port_);
+  error_code error;
+  const auto ip = boost::asio::ip::make_address(aAddress.ip_, error);
+  if (error) {
+    return Fail(ErrorCode::kOutOfRange, text, "an IP number");
+  }
+  const tcp::endpoint endpoint(ip, aAddress.port_);
+  auto& acceptor = state_->acceptor_;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(tcp::acceptor::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kAddressInUse, text, error.message());
+  }
+  state_->Accept();
+  return acceptor.local_endpoint().port();
+}
+
+void PeerHub::Send(const Address& aPeer, const PeerMessage& aMessage)
+{
+  if (const auto link = state_->LinkTo(aPeer)) {
+    link->Send(aMessage);
+  }
+}
+
+void PeerHub::SendCall(const Address& aPeer, std::uint64_t aCallId, const PeerMessage& aMessage)
+{
+  const auto link = state_->LinkTo(aPeer);
+  if (!link || !link->Send(aMessage)) {
+    state_->loop_.Post([weak = std::weak_ptr(state_), aCallId] {
+      if (const auto state = weak.lock()) {
+        state->events_.onCallLost_({ aCallId, false, LinkEnd::kNotConnected, {} });
+      }
+    });
+    return;
+  }
+  link->AddOutstanding();
+  state_->calls_[aCallId] = { link };
+}
+
+bool PeerHub::EndCall(std::uint64_t aCallId)
+{
+  const auto entry = state_->calls_.find(aCallId);
+  if (entry == state_->calls_.end()) {
+    return false;
+  }
+  entry->second.link_->RemoveOutstanding();
+  state_->calls_.erase(entry);
+  return true;
+}
+
+const Hello* PeerHub::PeerOf(std::uint64_t aCallId) const
+{
+  const auto entry = state_->calls_.find(aCallId);
+  return entry == state_->calls_.end() ? nullptr : &entry->second.link_->Peer();
+}
+
+bool PeerHub::Reply(std::uint64_t aLink, const PeerMessage& aMessage)
+{
+  const auto entry = state_->byNumber_.find(aLink);
+  return entry != state_->byNumber_.end() && entry->second->Send(aMessage);
+}
+
+void PeerHub::CancelCall(std::uint64_t aCallId)
+{
+  const auto entry = state_->calls_.find(aCallId);
+  if (entry != state_->calls_.end()) {
+    entry->second.link_->Send(Cancel{ aCallId });
+    EndCall(aCallId);
+  }
+}
+
+bool PeerHub::IsFlushed() const
+{
+  return std::all_of(state_->byNumber_.begin(), state_->byNumber_.end(), [](const auto& aEntry) {
+    return aEntry.second->IsFlushed();
+  });
+}
+
+std::size_t PeerHub::OpenLinks() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(state_->byNumber_.begin(), state_->byNumber_.end(), [](const auto& aEntry) {
+      return aEntry.second->IsOpen();
+    }));
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/connection/PeerLink.cpp
@@ -0,0 +1,359 @@
+// Peer connection on Boost.Asio: handshake, frames, silence detection.
+#include "peridotquay/connection/PeerLink.h"
+
+#include "peridotquay/connection/FrameReader.h"
+#include "peridotquay/connection/PeerCodec.h"
+#include "peridotquay/process/Events.h"
+
+// Asio 1.74 needs both before its own headers.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <atomic>
+#include <coroutine>
+#include <utility>
+
+namespace peridotquay {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
+
+// A check that comes this much late means that this process was paused; the peer's bytes may wait
+// unread, so silence is counted anew.
+constexpr Duration kPauseSlack = milliseconds(100);
+
+class TcpPeerLink final
+  : public PeerLink
+  , public std::enable_shared_from_this<TcpPeerLink>
+{
+public:
+  TcpPeerLink(EventLoop& aLoop,
+              const PeerLinkSettings& aSettings,
+              Address aPeer,
+              PeerLinkEvents aEvents)
+    : loop_(aLoop)
+    , settings_(aSettings)
+    , events_(std::move(aEvents))
+    , peerAddress_(std::move(aPeer))
+    , socket_(aLoop.Context())
+  {
+    static std::atomic<std::uint64_t> next{ 1 };
+    number_ = next++;
+  }
+
+  void StartConnect()
+  {
+    StartHandshakeTimer();
+    error_code error;
+    const auto ip = boost::asio::ip::make_address(peerAddress_.ip_, error);
+    socket_.async_connect(tcp::endpoint(ip, peerAddress_.port_),
+                          [self = shared_from_this()](const error_code& aError) {
+                            if (self->ended_) {
+                              return;
+                            }
+                            if (aError) {
+                              self->End(LinkEnd::kNotConnected);
+                              return;
+                            }
+                            self->StartStream();
+                          });
+  }
+
+  void StartAdopted(int aSocket)
+  {
+    error_code error;
+    socket_.assign(
+      peerAddress_.ip_.find(':') == std::string::npos ? tcp::v4() : tcp::v6(), aSocket, error);
+    StartHandshakeTimer();
+    if (error) {
+      loop_.Post([self = shared_from_this()] { self->End(LinkEnd::kNotConnected); });
+      return;
+    }
+    StartStream();
+  }
+
+  bool Send(const PeerMessage& aMessage) override
+  {
+    if (ended_) {
+      return false;
+    }
+    std::string& queue = open_ ? queued_ : beforeHello_;
+    const std::string frame = FramePeerMessage(aMessage);
+    if (frame.size() > kMaxFrameBytes + 4 ||
+        queue.size() + frame.size() > settings_.maxQueuedBytes_) {
+      return false;
+    }
+    queue += frame;
+    Write();
+    return true;
+  }
+
+  void AddOutstanding() override
+  {
+    if (outstanding_++ == 0) {
+      heard_ = loop_.Now();
+      if (!watching_) {
+        Watch();
+      }
+    }
+  }
+
+  void RemoveOutstanding() override
+  {
+    if (outstanding_ > 0) {
+      --outstanding_;
+    }
+  }
+
+  bool IsOpen() const override { return open_ && !ended_; }
+  bool IsFlushed() const override
+  {
+    return ended_ || (!writing_ && queued_.empty() && beforeHello_.empty());
+  }
+  const Hello& Peer() const override { return peer_; }
+  const Address& PeerAddress() const override { return peerAddress_; }
+  std::uint64_t Number() const override { return number_; }
+
+  void Close() override
+  {
+    if (ended_) {
+      return;
+    }
+    ended_ = true;
+    loop_.CancelTimer(handshakeTimer_);
+    loop_.CancelTimer(watchTimer_);
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+private:
+  void StartHandshakeTimer()
+  {
+    handshakeTimer_ = loop_.After(settings_.connectTimeout_, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->End(LinkEnd::kNotConnected);
+      }
+    });
+  }
+
+  void StartStream()
+  {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    connected_ = true;
+    queued_ = FramePeerMessage(settings_.own_) + queued_;
+    Write();
+    Read();
+  }
+
+  void End(LinkEnd aEnd)
+  {
+    if (ended_) {
+      return;
+    }
+    const auto self = shared_from_this();
+    Close();
+    if (open_) {
+      LogEvent(Event::kPeerDisconnected,
+               { { "peer", peer_.host_.value_ },
+                 { "reason", aEnd == LinkEnd::kSilent ? "silent" : "closed" } });
+    }
+    if (events_.onEnd_) {
+      events_.onEnd_(*this, open_ ? aEnd : LinkEnd::kNotConnected);
+    }
+  }
+
+  void Write()
+  {
+    if (writing_ || !connected_ || ended_ || queued_.empty()) {
+      return;
+    }
+    writing_ = true;
+    output_.swap(queued_);
+    queued_.clear();
+    boost::asio::async_write(socket_,
+                             boost::asio::buffer(output_),
+                             [self = shared_from_this()](const error_code& aError, std::size_t) {
+                               self->writing_ = false;
+                               if (aError) {
+                                 self->End(LinkEnd::kClosed);
+                                 return;
+                               }
+                               self->Write();
+                             });
+  }
+
+  void Read()
+  {
+    socket_.async_read_some(
+      boost::asio::buffer(chunk_),
+      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+        if (self->ended_) {
+          return;
+        }
+        if (aError) {
+          self->End(LinkEnd::kClosed);
+          return;
+        }
+        self->heard_ = self->loop_.Now();
+        self->OnBytes(std::string_view(self->chunk_.data(), aBytes));
+        if (!self->ended_) {
+          self->Read();
+        }
+      });
+  }
+
+  void OnBytes(std::string_view aBytes)
+  {
+    reader_.Add(aBytes);
+    while (!ended_) {
+      const auto body = reader_.Next();
+      if (body.has_error()) {
+        RejectFrame(body.assume_error());
+        return;
+      }
+      if (!body.assume_value()) {
+        return;
+      }
+      auto message = DecodePeerMessage(*body.assume_value());
+      if (message.has_error()) {
+        RejectFrame(message.assume_error());
+        return;
+      }
+      OnMessage(std::move(message.assume_value()));
+    }
+  }
+
+  void RejectFrame(const Error& aError)
+  {
+    LogEvent(Event::kPeerFrameRejected,
+             { { "peer", peer_.host_.value_ },
+               { "address", peerAddress_.ip_ + ":" + std::to_string(peerAddress_.port_) },
+               { "error", Describe(aError) } });
+    End(LinkEnd::kClosed);
+  }
+
+  void OnMessage(PeerMessage aMessage)
+  {
+    if (const auto* hello = std::get_if<Hello>(&aMessage)) {
+      OnHello(*hello);
+    } else if (!open_) {
+      RejectFrame({ ErrorCode::kFrameMalformed, "first frame", "Hello", {} });
+    } else if (const auto* ping = std::get_if<Ping>(&aMessage)) {
+      Send(Ack{ ping->nonce_ });
+    } else if (!std::holds_alternative<Ack>(aMessage) && events_.onMessage_) {
+      events_.onMessage_(*this, std::move(aMessage));
+    }
+  }
+
+  void OnHello(const Hello& aHello)
+  {
+    if (open_ || aHello.host_.value_.empty()) {
+      RejectFrame({ ErrorCode::kFrameMalformed, "Hello", "once, with a host", {} });
+      return;
+    }
+    if (aHello.protocol_ != kPeerProtocolVersion) {
+      RejectFrame(
+        { ErrorCode::kProtocolVersion, "Hello", std::to_string(kPeerProtocolVersion), {} });
+      return;
+    }
+    peer_ = aHello;
+    open_ = true;
+    loop_.CancelTimer(handshakeTimer_);
+    handshakeTimer_ = 0;
+    queued_ += beforeHello_;
+    beforeHello_.clear();
+    LogEvent(Event::kPeerConnected, { { "peer", peer_.host_.value_ } });
+    if (events_.onOpen_) {
+      events_.onOpen_(*this);
+    }
+    Write();
+  }
+
+  void Watch()
+  {
+    watching_ = true;
+    const Duration step = settings_.pingAfter_ / 2;
+    const TimePoint due = loop_.Now() + step;
+    watchTimer_ = loop_.After(step, [weak = weak_from_this(), due] {
+      if (const auto self = weak.lock()) {
+        self->CheckSilence(due);
+      }
+    });
+  }
+
+  void CheckSilence(TimePoint aDue)
+  {
+    watching_ = false;
+    if (outstanding_ == 0 || ended_) {
+      return;
+    }
+    const TimePoint now = loop_.Now();
+    if (now - aDue > kPauseSlack) {
+      heard_ = now;
+    }
+    const Duration silence = now - heard_;
+    if (silence >= settings_.suspectAfter_) {
+      LogEvent(Event::kPeerConnectionSilent, { { "peer", peer_.host_.value_ } });
+      End(LinkEnd::kSilent);
+      return;
+    }
+    if (silence >= settings_.pingAfter_) {
+      Send(Ping{ ++pings_ });
+    }
+    Watch();
+  }
+
+  EventLoop& loop_;
+  PeerLinkSettings settings_;
+  PeerLinkEvents events_;
+  Address peerAddress_;
+  tcp::socket socket_;
+  std::uint64_t number_ = 0;
+  Hello peer_;
+  FrameReader reader_;
+  std::array<char, kReadBytes> chunk_;
+  std::string beforeHello_; ///< Frames that wait for the peer's Hello.
+  std::string queued_;
+  std::string output_; ///< Bytes that are being written.
+  TimePoint heard_{};  ///< Last byte received, or when the first outstanding call was added.
+  std::uint64_t pings_ = 0;
+  std::uint64_t handshakeTimer_ = 0;
+  std::uint64_t watchTimer_ = 0;
+  std::size_t outstanding_ = 0;
+  bool connected_ = false;
+  bool open_ = false;
+  bool writing_ = false;
+  bool watching_ = false;
+  bool ended_ = false;
+};
+
+} // namespace
+
+std::shared_ptr<PeerLink> PeerLink::Connect(EventLoop& aLoop,
+                                            const PeerLinkSettings& aSettings,
+                                            const Address& aPeer,
+                                            PeerLinkEvents aEvents)
+{
+  auto link = std::make_shared<TcpPeerLink>(aLoop, aSettings, aPeer, std::move(aEvents));
+  link->StartConnect();
+  return link;
+}
+
+std::shared_ptr<PeerLink> PeerLink::Adopt(EventLoop& aLoop,
+                                          const PeerLinkSettings& aSettings,
+                                          int aSocket,
+                                          const Address& aPeer,
+                                          PeerLinkEvents aEvents)
+{
+  auto link = std::make_shared<TcpPeerLink>(aLoop, aSettings, aPeer, std::move(aEvents));
+  link->StartAdopted(aSocket);
+  return link;
+}
+
+} // namespace peridotquay
--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 class TargetConnection;
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
 std::string RequestText(const HttpRequest& aRequest, const Address& aTarget)
 {
--- a/peridotquay/connection/TargetClient.h
+++ b/peridotquay/connection/TargetClient.h
@@ -16,8 +16,8 @@
 {
   Address target_{ "127.0.0.1", 0 };
   std::uint32_t maxConnections_ = 400;
-  std::size_t maxBodyBytes_ = 768 * 1024;
-  std::size_t maxHeaderBytes_ = 16 * 1024;
+  std::size_t maxBodyBytes_ = std::size_t{ 768 } * 1024;
+  std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
   Duration connectTimeout_ = milliseconds(500);
   Duration idleTimeout_ = seconds(30); ///< An unused connection is closed after this.
 };
--- /dev/null
+++ b/tests/connection/PeerHubTest.cpp
@@ -0,0 +1,213 @@
+// Tests of peer connections over loopback: calls, loss, silence, bad peers.
+#include "peridotquay/connection/PeerHub.h"
+
+#include "peridotquay/connection/Datagram.h"
+#include "peridotquay/connection/PeerCodec.h"
+
+#include "tests/connection/RawSocket.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+#include <vector>
+
+using namespace peridotquay;
+using peridotquay::testing::RawListener;
+using peridotquay::testing::RawSocket;
+
+namespace {
+
+// A hub that records what happens to it.
+struct Peer
+{
+  std::vector<std::pair<PeerSource, PeerMessage>> messages_;
+  std::vector<LostCall> lost_;
+  std::vector<std::uint64_t> ended_;
+  std::unique_ptr<PeerHub> hub_;
+  Address address_{ "127.0.0.1", 0 };
+
+  Peer(EventLoop& aLoop, const std::string& aHost, Incarnation aIncarnation = 1)
+  {
+    PeerLinkSettings settings;
+    settings.own_ = { kPeerProtocolVersion, { aHost }, aIncarnation, { "dc1" } };
+    PeerHubEvents events;
+    events.onMessage_ = [this](const PeerSource& aSource, PeerMessage aMessage) {
+      messages_.emplace_back(aSource, std::move(aMessage));
+    };
+    events.onCallLost_ = [this](const LostCall& aCall) { lost_.push_back(aCall); };
+    events.onLinkEnded_ = [this](std::uint64_t aLink) { ended_.push_back(aLink); };
+    hub_ = std::make_unique<PeerHub>(aLoop, settings, std::move(events));
+    const auto port = hub_->Listen(address_);
+    REQUIRE(port.has_value());
+    address_.port_ = port.assume_value();
+  }
+};
+
+// Runs the loop until the condition holds, at most 3 s.
+template<typename F>
+bool RunUntil(EventLoop& aLoop, F aCondition)
+{
+  const TimePoint end = Clock::now() + seconds(3);
+  bool held = false;
+  std::function<void()> check = [&] {
+    held = aCondition();
+    if (held || Clock::now() > end) {
+      aLoop.Stop();
+      return;
+    }
+    aLoop.After(milliseconds(1), check);
+  };
+  check();
+  if (!held) {
+    aLoop.Run();
+  }
+  return held;
+}
+
+} // namespace
+
+// Guards against frames that are lost while the connection opens, and answers on another link.
+TEST_CASE("frames sent before the connection is open arrive in order", "[peer]")
+{
+  EventLoop loop;
+  Peer left(loop, "left");
+  Peer right(loop, "right", 7);
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    left.hub_->SendCall(right.address_, i, Cancel{ i });
+  }
+  REQUIRE(RunUntil(loop, [&] { return right.messages_.size() == 20; }));
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    CHECK(std::get<Cancel>(right.messages_[i - 1].second).callId_ == i);
+  }
+  CHECK(right.messages_[0].first.hello_.host_.value_ == "left");
+  REQUIRE(left.hub_->PeerOf(20) != nullptr);
+  CHECK(left.hub_->PeerOf(20)->incarnation_ == 7);
+  // The control side answers by address; that must use the same connection.
+  right.hub_->Send(right.messages_[0].first.address_, Cancel{ 99 });
+  REQUIRE(right.hub_->Reply(right.messages_[0].first.link_, Cancel{ 100 }));
+  REQUIRE(RunUntil(loop, [&] { return left.messages_.size() == 2; }));
+  CHECK(left.messages_[0].first.link_ == left.messages_[1].first.link_);
+  CHECK(right.hub_->OpenLinks() == 1);
+}
+
+// Guards against "not sent" for a call that may have left, and against the opposite.
+TEST_CASE("a lost call says whether it was sent", "[peer]")
+{
+  EventLoop loop;
+  Peer left(loop, "left");
+  std::uint16_t dead = 0;
+  {
+    RawListener listener;
+    dead = listener.Port();
+  }
+  left.hub_->SendCall({ "127.0.0.1", dead }, 1, Cancel{ 1 });
+  REQUIRE(RunUntil(loop, [&] { return left.lost_.size() == 1; }));
+  CHECK_FALSE(left.lost_[0].sent_);
+
+  auto right = std::make_unique<Peer>(loop, "right");
+  left.hub_->SendCall(right->address_, 2, Cancel{ 2 });
+  REQUIRE(RunUntil(loop, [&] { return right->messages_.size() == 1; }));
+  right.reset();
+  REQUIRE(RunUntil(loop, [&] { return left.lost_.size() == 2; }));
+  CHECK(left.lost_[1].callId_ == 2);
+  CHECK(left.lost_[1].sent_);
+  CHECK(left.lost_[1].peer_.host_.value_ == "right");
+}
+
+// Guards against a peer that accepts connections and then never says Hello: nothing may count as
+// sent to it, and the calls must end.
+TEST_CASE("a peer without Hello gets no calls", "[peer]")
+{
+  EventLoop loop;
+  Peer left(loop, "left");
+  RawListener listener;
+  left.hub_->SendCall({ "127.0.0.1", listener.Port() }, 1, Cancel{ 1 });
+  REQUIRE(RunUntil(loop, [&] { return left.lost_.size() == 1; }));
+  CHECK_FALSE(left.lost_[0].sent_);
+  RawSocket socket = listener.Accept();
+  const std::string hello =
+    FramePeerMessage(Hello{ kPeerProtocolVersion, { "left" }, 1, { "dc1" } });
+  CHECK(socket.ReadToEnd() == hello);
+}
+
+// Guards against calls that hang on a connection that went silent while the host lives.
+TEST_CASE("a silent connection is pinged and given up; an idle one is left alone", "[peer]")
+{
+  EventLoop loop;
+  Peer left(loop, "left");
+  RawListener listener;
+  std::string received;
+  std::thread silent([&] {
+    RawSocket socket = listener.Accept();
+    socket.Write(FramePeerMessage(Hello{ kPeerProtocolVersion, { "right" }, 1, { "dc1" } }));
+    received = socket.ReadToEnd();
+  });
+  const TimePoint start = Clock::now();
+  left.hub_->SendCall({ "127.0.0.1", listener.Port() }, 1, Cancel{ 1 });
+  REQUIRE(RunUntil(loop, [&] { return left.lost_.size() == 1; }));
+  const Duration took = Clock::now() - start;
+  silent.join();
+  CHECK(left.lost_[0].end_ == LinkEnd::kSilent);
+  CHECK(left.lost_[0].sent_);
+  CHECK(took >= milliseconds(500));
+  CHECK(took < milliseconds(800));
+  CHECK(received.find(FramePeerMessage(Ping{ 1 })) != std::string::npos);
+
+  Peer right(loop, "right");
+  left.hub_->SendCall(right.address_, 2, Cancel{ 2 });
+  REQUIRE(RunUntil(loop, [&] { return right.messages_.size() == 1; }));
+  // The peer answers pings, so a call may take longer than the limit of silence.
+  const TimePoint later = Clock::now() + milliseconds(900);
+  REQUIRE(RunUntil(loop, [&] { return Clock::now() > later; }));
+  CHECK(left.lost_.size() == 1);
+  CHECK(left.hub_->EndCall(2));
+}
+
+// Guards against a peer of another protocol and against hostile first bytes.
+TEST_CASE("bad peers are disconnected and others go on", "[peer]")
+{
+  EventLoop loop;
+  Peer left(loop, "left");
+  Peer right(loop, "right");
+  std::thread bad([&] {
+    const std::vector<std::string> firsts = { FramePeerMessage(Hello{ 99, { "x" }, 1, { "dc1" } }),
+                                              FramePeerMessage(Ping{ 1 }),
+                                              "GET / HTTP/1.1\r\n\r\n",
+                                              std::string("\x00\x00\x00\x01\xc1", 5),
+                                              FramePeerMessage(Hello{ 1, { "x" }, 1, { "dc1" } }) +
+                                                FramePeerMessage(
+                                                  Hello{ 1, { "y" }, 1, { "dc1" } }) };
+    for (const auto& first : firsts) {
+      RawSocket socket(right.address_.port_);
+      socket.Write(first);
+      socket.ReadToEnd();
+    }
+  });
+  left.hub_->Send(right.address_, Cancel{ 1 });
+  REQUIRE(RunUntil(loop, [&] { return right.messages_.size() == 1 && right.ended_.size() == 5; }));
+  bad.join();
+  left.hub_->Send(right.address_, Cancel{ 2 });
+  REQUIRE(RunUntil(loop, [&] { return right.messages_.size() == 2; }));
+}
+
+// Guards against a stray datagram that ends the receiver.
+TEST_CASE("datagrams arrive and bad ones are dropped", "[datagram]")
+{
+  EventLoop loop;
+  std::vector<PeerMessage> received;
+  Datagram right(
+    loop, [&](const Address&, PeerMessage aMessage) { received.push_back(std::move(aMessage)); });
+  Datagram left(loop, [](const Address&, const PeerMessage&) {});
+  const auto port = right.Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.has_value());
+  REQUIRE(left.Listen({ "127.0.0.1", 0 }).has_value());
+  const int raw = ::socket(AF_INET, SOCK_DGRAM, 0);
+  const sockaddr_in to = peridotquay::testing::Loopback(port.assume_value());
+  ::sendto(raw, "junk", 4, 0, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  ::sendto(raw, "", 0, 0, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  ::close(raw);
+  left.Send({ "127.0.0.1", port.assume_value() }, Ping{ 5 });
+  REQUIRE(RunUntil(loop, [&] { return received.size() == 1; }));
+  CHECK(received[0] == PeerMessage(Ping{ 5 }));
+  CHECK(right.Dropped() == 2);
+}
