Add the stand-in target

Cause: experiments and tests need targets with slots, faults and a log of what ran. Change: HTTP server on Beast coroutines with slots, a bound on connections, service time distributions, cold start, drain, refusal, cancellation, deadlines, deeper calls, lagging or false reports, run-time faults and an execution log; answers are computable from the request.

--- /dev/null
+++ b/standins/lib/FleetHttp.h
@@ -0,0 +1,36 @@
+// Blocking HTTP/1.1 exchange over a fresh connection, for tools and tests.
+#pragma once
+
+#include "peridotquay/process/Error.h"
+#include "peridotquay/process/Time.h"
+#include "peridotquay/version/Ids.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace peridotquay::standins {
+
+struct HttpReply
+{
+  unsigned status_ = 0;
+  std::map<std::string, std::string> headers_; ///< Names in lower case.
+  std::string body_;
+};
+
+/// What is sent with one exchange.
+struct HttpQuery
+{
+  std::string method_ = "GET";
+  std::string target_ = "/";
+  std::vector<std::pair<std::string, std::string>> headers_;
+  std::string body_;
+  Duration timeout_ = seconds(2); ///< For the whole exchange.
+};
+
+/// Sends a request and reads the whole answer. Errors: kTargetUnreachable, kTruncatedAnswer,
+/// kDeadlineExceeded.
+Result<HttpReply> FetchHttp(const Address& aServer, const HttpQuery& aQuery);
+
+} // namespace peridotquay::standins
--- /dev/null
+++ b/tests/standins/TargetTest.cpp
@@ -0,0 +1,277 @@
+// Tests of the stand-in target over real sockets, in process.
+#include "standins/lib/FleetHttp.h"
+#include "standins/lib/TargetBody.h"
+#include "standins/lib/TargetServer.h"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace peridotquay;
+using namespace peridotquay::standins;
+
+namespace {
+
+// A target that runs on a thread of its own until the end of the test.
+class RunningTarget
+{
+public:
+  explicit RunningTarget(TargetSettings aSettings)
+    : context_(1)
+    , server_(std::make_shared<TargetServer>(context_, std::move(aSettings)))
+  {
+    REQUIRE(server_->Start().has_value());
+    address_ = { "127.0.0.1", server_->Port() };
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~RunningTarget()
+  {
+    boost::asio::post(context_, [this] { server_->Stop(); });
+    thread_.join();
+  }
+
+  HttpReply Fetch(HttpQuery aQuery) const
+  {
+    const auto reply = FetchHttp(address_, aQuery);
+    REQUIRE(reply.has_value());
+    return reply.assume_value();
+  }
+
+  HttpReply Get(const std::string& aTarget) const { return Fetch({ "GET", aTarget, {}, "" }); }
+
+  void Fault(const std::string& aJson) const
+  {
+    REQUIRE(Fetch({ "POST", "/faults", {}, aJson }).status_ == 200);
+  }
+
+  std::uint32_t InUse() const
+  {
+    return nlohmann::json::parse(Get("/load").body_).at("in_use").get<std::uint32_t>();
+  }
+
+  // Waits for a number of slots in use; fails the test after 5 s.
+  void AwaitInUse(std::uint32_t aCount) const
+  {
+    const auto end = Clock::now() + seconds(5);
+    while (InUse() != aCount) {
+      REQUIRE(Clock::now() < end);
+      std::this_thread::yield();
+    }
+  }
+
+  std::vector<TargetExecution> Executions() const
+  {
+    return ParseExecutions(Get("/executions").body_).assume_value();
+  }
+
+  Address address_;
+
+private:
+  boost::asio::io_context context_;
+  std::shared_ptr<TargetServer> server_;
+  std::thread thread_;
+};
+
+TargetSettings Quick()
+{
+  TargetSettings settings;
+  settings.serviceTime_ = milliseconds(1);
+  return settings;
+}
+
+} // namespace
+
+// Guards against answers that can't be told apart, which would hide mixed-up answers.
+TEST_CASE("answer bodies depend on path, body and length", "[target]")
+{
+  CHECK(TargetBody("/a?tag=1", "", 64) != TargetBody("/a?tag=2", "", 64));
+  CHECK(TargetBody("/a", "x", 64) != TargetBody("/a", "y", 64));
+  CHECK(TargetBody("/a", "x", 100).size() == 100);
+  CHECK(QueryValue("/a?tag=1&from=b&length=7", "from") == "b");
+  CHECK(QueryValue("/a?xtag=1", "tag").empty());
+  CHECK(BodyLength("/a?length=7", 64) == 7);
+  CHECK(BodyLength("/a?length=99999999", 64) == kMaxTargetBody);
+  CHECK(WithQuery(WithQuery("/a", "b", "c"), "d", "e") == "/a?b=c&d=e");
+}
+
+// Guards against a log that lacks what the history checks need.
+TEST_CASE("target answers and logs a request", "[target]")
+{
+  RunningTarget target(Quick());
+  const auto reply = target.Fetch({ "POST",
+                                    "/stock?length=200&tag=7",
+                                    { { "Quay-Request-Id", "id-1" },
+                                      { "Quay-Key", "secret" },
+                                      { "Quay-Client-Account", "kaya" },
+                                      { "Quay-Retry-Budget", "2" } },
+                                    "iron" });
+  CHECK(reply.status_ == 200);
+  CHECK(reply.body_ == TargetBody("/stock?length=200&tag=7", "iron", 200));
+  const auto log = target.Executions();
+  REQUIRE(log.size() == 1);
+  CHECK(log[0].requestId_ == "id-1");
+  CHECK(log[0].path_ == "/stock?length=200&tag=7");
+  CHECK(log[0].clientAccount_ == "kaya");
+  CHECK(log[0].retryBudget_ == "2");
+  CHECK(log[0].keySeen_);
+  CHECK_FALSE(log[0].callSeen_);
+  CHECK(log[0].end_ == ExecutionEnd::kAnswered);
+  CHECK(log[0].endUs_ > log[0].startUs_);
+  CHECK(ParseExecutions(WriteExecutions(log)).assume_value() == log);
+}
+
+// Guards against a target that runs more than its slots, or that keeps a slot after its caller
+// left.
+TEST_CASE("full slots refuse without starting and a closed connection frees its slot", "[target]")
+{
+  TargetSettings settings = Quick();
+  settings.slots_ = 1;
+  settings.serviceTime_ = seconds(60);
+  RunningTarget target(settings);
+  HttpQuery slow{ "GET", "/slow", {}, "" };
+  slow.timeout_ = milliseconds(300);
+  auto first = std::async(std::launch::async, [&] { return FetchHttp(target.address_, slow); });
+  target.AwaitInUse(1);
+  const auto refused = target.Get("/other");
+  CHECK(refused.status_ == 503);
+  CHECK(refused.headers_.at("quay-outcome") == "not-run");
+  CHECK_FALSE(first.get().has_value());
+  target.AwaitInUse(0);
+  const auto log = target.Executions();
+  REQUIRE(log.size() == 2);
+  CHECK(log[0].end_ == ExecutionEnd::kCancelled);
+  CHECK(log[1].end_ == ExecutionEnd::kRefused);
+  CHECK_FALSE(log[1].Started());
+}
+
+// Guards against work that goes on after its deadline.
+TEST_CASE("deadlines end the work", "[target]")
+{
+  TargetSettings settings = Quick();
+  settings.serviceTime_ = seconds(60);
+  RunningTarget target(settings);
+  CHECK(target.Fetch({ "GET", "/a", { { "Quay-Deadline-Ms", "30" } }, "" }).status_ == 504);
+  CHECK(target.Fetch({ "GET", "/a", { { "Quay-Deadline-Ms", "0" } }, "" }).status_ == 503);
+  CHECK(target.InUse() == 0);
+}
+
+// Guards against deeper calls that lose the call token or accept another request's answer.
+TEST_CASE("deeper calls carry the call token and their origin", "[target]")
+{
+  for (const bool parallel : { false, true }) {
+    RunningTarget deep(Quick());
+    TargetSettings settings = Quick();
+    settings.outbound_ = deep.address_;
+    settings.deeper_ = { "/deep/a?length=32", "/deep/b" };
+    settings.parallel_ = parallel;
+    RunningTarget target(settings);
+    const auto reply = target.Fetch({ "GET", "/top?tag=9", { { "Quay-Call", "token" } }, "" });
+    CHECK(reply.status_ == 200);
+    const auto own = target.Executions();
+    const auto log = deep.Executions();
+    REQUIRE(log.size() == 2);
+    CHECK(QueryValue(log[0].path_, "tag") == "9");
+    CHECK(QueryValue(log[0].path_, "from") == own.at(0).id_);
+    CHECK(log[0].callSeen_);
+    deep.Fault(R"({"refuse":1})");
+    CHECK(target.Get("/top").status_ == 502);
+    CHECK(target.Executions().back().end_ == ExecutionEnd::kDeeperError);
+  }
+}
+
+// Guards against faults that change nothing: each experiment relies on them.
+TEST_CASE("faults are in force at once and end at once", "[target]")
+{
+  RunningTarget target(Quick());
+  target.Fault(R"({"drop_answers":1})");
+  const auto cut = FetchHttp(target.address_, { "GET", "/a?length=1000", {}, "" });
+  REQUIRE_FALSE(cut.has_value());
+  CHECK(cut.assume_error().code_ == ErrorCode::kTruncatedAnswer);
+  CHECK(target.Get("/a").status_ == 200);
+
+  target.Fault(R"({"freeze":true})");
+  HttpQuery brief{ "GET", "/a", {}, "" };
+  brief.timeout_ = milliseconds(100);
+  const auto frozen = FetchHttp(target.address_, brief);
+  REQUIRE_FALSE(frozen.has_value());
+  CHECK(frozen.assume_error().code_ == ErrorCode::kDeadlineExceeded);
+  target.Fault(R"({"freeze":false})");
+  CHECK(target.Get("/a").status_ == 200);
+
+  target.Fault(R"({"false_slots":999,"false_in_use":0,"state":"cold"})");
+  CHECK(nlohmann::json::parse(target.Get("/load").body_).at("slots") == 999);
+  CHECK(nlohmann::json::parse(target.Get("/health").body_).at("state") == "cold");
+  target.Fault(R"({"false_slots":null,"state":""})");
+  CHECK(nlohmann::json::parse(target.Get("/load").body_).at("slots") == 50);
+
+  target.Fault(R"({"slow_factor":100})");
+  const auto before = Clock::now();
+  CHECK(target.Get("/a").status_ == 200);
+  CHECK(Clock::now() - before >= milliseconds(100));
+  CHECK(target.Fetch({ "POST", "/faults", {}, R"({"slow":2})" }).status_ == 400);
+  CHECK(target.Fetch({ "POST", "/faults", {}, R"({"slow_factor":0})" }).status_ == 400);
+}
+
+// Guards against a draining target that takes new work or cuts running work.
+TEST_CASE("drain refuses new work and finishes the old", "[target]")
+{
+  TargetSettings settings = Quick();
+  settings.serviceTime_ = milliseconds(200);
+  RunningTarget target(settings);
+  auto first = std::async(std::launch::async, [&] {
+    return FetchHttp(target.address_, { "GET", "/a", {}, "" });
+  });
+  target.AwaitInUse(1);
+  CHECK(target.Fetch({ "POST", "/drain", {}, "" }).status_ == 200);
+  CHECK(nlohmann::json::parse(target.Get("/health").body_).at("state") == "draining");
+  const auto refused = target.Get("/b");
+  CHECK(refused.status_ == 503);
+  CHECK(refused.headers_.at("quay-outcome") == "not-run");
+  CHECK(first.get().assume_value().status_ == 200);
+}
+
+// Guards against a report without lag, which would make stale load look fresh in experiments.
+TEST_CASE("load reports lag", "[target]")
+{
+  TargetSettings settings = Quick();
+  settings.serviceTime_ = milliseconds(400);
+  settings.reportLag_ = seconds(60);
+  RunningTarget target(settings);
+  auto first = std::async(std::launch::async, [&] {
+    return FetchHttp(target.address_, { "GET", "/a", {}, "" });
+  });
+  const auto end = Clock::now() + seconds(5);
+  while (target.Executions().empty()) {
+    REQUIRE(Clock::now() < end);
+  }
+  CHECK(target.InUse() == 0);
+  CHECK(first.get().has_value());
+}
+
+// Guards against more open connections than the bound.
+TEST_CASE("connections beyond the bound are closed", "[target]")
+{
+  TargetSettings settings = Quick();
+  settings.connections_ = 0;
+  RunningTarget target(settings);
+  CHECK_FALSE(FetchHttp(target.address_, { "GET", "/a", {}, "" }).has_value());
+  CHECK(target.Get("/health").status_ == 200);
+}
+
+// Guards against a cold start that is as fast as a warm target.
+TEST_CASE("a cold target is slower and says so", "[target]")
+{
+  TargetSettings settings = Quick();
+  settings.serviceTime_ = milliseconds(20);
+  settings.coldFor_ = seconds(60);
+  settings.coldFactor_ = 5;
+  RunningTarget target(settings);
+  const auto before = Clock::now();
+  CHECK(target.Get("/a").status_ == 200);
+  CHECK(Clock::now() - before >= milliseconds(60));
+  CHECK(nlohmann::json::parse(target.Get("/health").body_).at("state") == "cold");
+}
