--- /dev/null
+++ b/tests/standins/LinkTest.cpp
@@ -0,0 +1,177 @@
+// Tests of the stand-in link before a stand-in target, in process.
+#include "standins/lib/FleetHttp.h"
+#include "standins/lib/LinkRelay.h"
+#include "standins/lib/TargetServer.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <catch2/catch.hpp>
+#include <sys/time.h>
+
+#include <thread>
+
+using namespace peridotquay;
+using namespace peridotquay::standins;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+// A target with a link before it; both run on a thread of their own until the end of the test.
+class LinkedTarget
+{
+public:
+  LinkedTarget()
+    : context_(1)
+  {
+    TargetSettings target;
+    target.serviceTime_ = milliseconds(1);
+    target_ = std::make_shared<TargetServer>(context_, target);
+    REQUIRE(target_->Start().has_value());
+    LinkSettings link;
+    link.remote_ = { "127.0.0.1", target_->Port() };
+    link_ = std::make_shared<LinkRelay>(context_, link);
+    REQUIRE(link_->Start().has_value());
+    address_ = { "127.0.0.1", link_->Port() };
+    control_ = { "127.0.0.1", link_->ControlPort() };
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~LinkedTarget()
+  {
+    asio::post(context_, [this] {
+      target_->Stop();
+      link_->Stop();
+      context_.stop();
+    });
+    thread_.join();
+  }
+
+  void Set(const std::string& aJson) const
+  {
+    const auto reply = FetchHttp(control_, { "POST", "/link", {}, aJson });
+    REQUIRE(reply.has_value());
+    REQUIRE(reply.assume_value().status_ == 200);
+  }
+
+  Result<HttpReply> Get(const std::string& aTarget, Duration aTimeout = seconds(5)) const
+  {
+    HttpQuery query{ "GET", aTarget, {}, "" };
+    query.timeout_ = aTimeout;
+    return FetchHttp(address_, query);
+  }
+
+  Address address_;
+  Address control_;
+
+private:
+  asio::io_context context_;
+  std::shared_ptr<TargetServer> target_;
+  std::shared_ptr<LinkRelay> link_;
+  std::thread thread_;
+};
+
+} // namespace
+
+// Guards against a link that changes bytes, or whose delay and bandwidth have no effect.
+TEST_CASE("link passes bytes unchanged with delay and bandwidth", "[link]")
+{
+  LinkedTarget linked;
+  const std::string big = "/a?length=100000";
+  const auto direct = linked.Get(big).assume_value().body_;
+  CHECK(direct.size() == 100000);
+  linked.Set(R"({"delay_ms":20})");
+  auto before = Clock::now();
+  CHECK(linked.Get(big).assume_value().body_ == direct);
+  CHECK(Clock::now() - before >= milliseconds(40));
+  linked.Set(R"({"delay_ms":0,"bandwidth":500000})");
+  before = Clock::now();
+  CHECK(linked.Get(big).assume_value().body_ == direct);
+  CHECK(Clock::now() - before >= milliseconds(190));
+}
+
+// Guards against a cut that still passes bytes, or that never heals.
+TEST_CASE("link cut stalls connections until it ends", "[link]")
+{
+  LinkedTarget linked;
+  linked.Set(R"({"cut":true})");
+  CHECK_FALSE(linked.Get("/a", milliseconds(100)).has_value());
+  linked.Set(R"({"cut":false})");
+  CHECK(linked.Get("/a").has_value());
+}
+
+// Guards against silence that also hits new connections, or that ends for old ones.
+TEST_CASE("existing connections fall silent and new ones work", "[link]")
+{
+  LinkedTarget linked;
+  asio::io_context context;
+  asio::ip::tcp::socket old(context);
+  old.connect({ asio::ip::make_address("127.0.0.1"), linked.address_.port_ });
+  http::request<http::string_body> request(http::verb::get, "/a", 11);
+  http::response<http::string_body> response;
+  boost::beast::flat_buffer buffer;
+  http::write(old, request);
+  http::read(old, buffer, response);
+  CHECK(response.result_int() == 200);
+
+  linked.Set(R"({"silence_existing":true})");
+  const timeval timeout{ 0, 100'000 };
+  ::setsockopt(old.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  http::write(old, request);
+  char byte = 0;
+  CHECK(::recv(old.native_handle(), &byte, 1, 0) < 0);
+  CHECK(errno == EAGAIN);
+  CHECK(linked.Get("/a").has_value());
+  CHECK(FetchHttp(linked.control_, { "GET", "/link", {}, "" })
+          .assume_value()
+          .body_.find("\"silent_connections\":1") != std::string::npos);
+}
+
+// Guards against datagrams that get lost or can't be answered through the link.
+TEST_CASE("datagrams go both ways and are lost in a cut", "[link]")
+{
+  asio::io_context context;
+  using Udp = asio::ip::udp;
+  const auto loopback = asio::ip::make_address("127.0.0.1");
+  Udp::socket remote(context, Udp::endpoint(loopback, 0));
+  Udp::socket sender(context, Udp::endpoint(loopback, 0));
+  const timeval timeout{ 1, 0 };
+  ::setsockopt(remote.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  ::setsockopt(sender.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+
+  LinkSettings settings;
+  settings.remote_ = { "127.0.0.1", remote.local_endpoint().port() };
+  asio::io_context linkContext(1);
+  const auto link = std::make_shared<LinkRelay>(linkContext, settings);
+  REQUIRE(link->Start().has_value());
+  std::thread thread([&] { linkContext.run(); });
+  const Udp::endpoint linkEnd(loopback, link->Port());
+  const Address control{ "127.0.0.1", link->ControlPort() };
+
+  char data[16] = {};
+  sender.send_to(asio::buffer("ping", 4), linkEnd);
+  Udp::endpoint from;
+  boost::system::error_code failure;
+  REQUIRE(remote.receive_from(asio::buffer(data), from, 0, failure) == 4);
+  remote.send_to(asio::buffer("pong!", 5), from);
+  CHECK(sender.receive_from(asio::buffer(data), from, 0, failure) == 5);
+  CHECK(from == linkEnd);
+
+  REQUIRE(FetchHttp(control, { "POST", "/link", {}, R"({"cut":true})" }).has_value());
+  sender.send_to(asio::buffer("lost", 4), linkEnd);
+  const auto end = Clock::now() + seconds(5);
+  std::string report;
+  while (report.find("\"lost_datagrams\":1") == std::string::npos) {
+    REQUIRE(Clock::now() < end);
+    report = FetchHttp(control, { "GET", "/link", {}, "" }).assume_value().body_;
+  }
+  asio::post(linkContext, [&] {
+    link->Stop();
+    linkContext.stop();
+  });
+  thread.join();
+}
