Close only wholly shed classes upstream; hold the limit at what a target takes

Cause: callers' hosts don't know the fair shares, so refusing a part of a class there also hit accounts below their share, and the shed counts that steered it lag by the time in the queue, so it overshot. After a refusal by the target the limit fell by a tenth and grew back within 80 ms, only to be refused again.

Change: the level announces the lowest class that is started at all; a class served in part stays open and the guard's fair queue decides. After a refusal the limit falls to what still runs and grows by 1 a second for 5 s. The floor is no ground for growth while it still falls.

--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kLeastWindow = milliseconds(20);
 constexpr std::uint32_t kLeastWindowSamples = 16;
 
+/// A mean below this part of the floor is a real change; a smaller step down may be noise.
+constexpr double kFloorChanged = 0.7;
+
 /// Up to this ratio of window mean to floor the limit may grow.
 constexpr double kGrowTolerance = 1.5;
 
@@ -38,30 +41,29 @@
 /// Pause between trials without a new rise of latency.
 constexpr Duration kTrialPause = seconds(10);
 
-/// Growth of the limit in one window, far from and near the limit at which the target refused.
+/// Growth of the limit in one window.
 constexpr double kFastGrowth = 0.1;
-constexpr double kSlowGrowth = 0.25;
+
+/// Growth in one second near the limit at which the target refused lately.
+constexpr double kSlowGrowth = 1.0;
 constexpr double kNearRefusal = 0.9;
+constexpr Duration kRefusalMemory = seconds(5);
 
-/// Decrease after a refusal by the target.
+/// Least limit after a refusal by the target, as part of the limit before.
 constexpr double kRefusalDecrease = 0.9;
 
 /// A refusal lowers the limit at most once in this time: calls that started together are refused
 /// together.
 constexpr Duration kLeastDecreaseInterval = milliseconds(20);
 
-/// Interval of the counts behind the early refusal.
+/// Least length of the interval of the counts behind the early refusal, and least number of offered
+/// calls in it unless it lasted a second.
 constexpr Duration kLevelInterval = milliseconds(100);
+constexpr double kLevelSamples = 20;
+constexpr Duration kLongestLevelInterval = seconds(1);
 
-/// Part of offered calls shed at the guard above which upstream hosts are told to send less. Some
-/// excess must arrive, or the target would idle whenever arrivals are uneven.
-constexpr double kShedTolerance = 0.05;
-
-/// Part of the excess that is corrected in one interval; callers' hosts react with a delay.
-constexpr double kLevelGain = 0.5;
-
-/// Growth of the fraction in one interval without shedding.
-constexpr double kLevelGrowth = 1.25;
+/// A class of which a smaller part is started is closed to callers' hosts.
+constexpr double kClosedPart = 0.02;
 
 /// Least fraction of a shed class that is sent as a probe.
 constexpr double kProbeFraction = 0.01;
@@ -143,12 +145,12 @@
 
 void Refuse(AdmissionState& aState,
             AdmissionStep& aStep,
-            std::uint64_t aId,
+            const WaitingCall& aCall,
             ErrorCode aCode,
             TimePoint aNow)
 {
-  aState.shed_ += 1;
-  aStep.refuse_.push_back({ aId, aCode, RetryAfterMs(aState, aNow) });
+  aState.shed_[Index(aCall.importance_)] += 1;
+  aStep.refuse_.push_back({ aCall.id_, aCode, RetryAfterMs(aState, aNow) });
 }
 
 void Start(AdmissionState& aState, AdmissionStep& aStep, const WaitingCall& aCall)
@@ -208,7 +210,7 @@
       account.calls_.pop_front();
       // A dropped call took nothing from the target, so it isn't charged to its account.
       if (MustDrop(aState, call, aNow)) {
-        Refuse(aState, aStep, call.id_, ErrorCode::kDeadlineExceeded, aNow);
+        Refuse(aState, aStep, call, ErrorCode::kDeadlineExceeded, aNow);
       } else {
         queue.virtualTime_ = account.finishTag_;
         account.finishTag_ += 1 / Weight(call);
@@ -286,14 +288,14 @@
   SetLimit(aState, window.limitBefore_);
 }
 
-void GrowLimit(AdmissionState& aState)
+void GrowLimit(AdmissionState& aState, TimePoint aNow)
 {
   const LimitWindow& window = aState.window_;
-  const bool nearRefusal =
-    window.refusedAt_ > 0 && aState.limit_ >= kNearRefusal * window.refusedAt_;
-  SetLimit(aState,
-           aState.limit_ +
-             (nearRefusal ? kSlowGrowth : std::max(1.0, kFastGrowth * aState.limit_)));
+  const bool nearRefusal = window.refusedAt_ > 0 && aNow - aState.lastDecrease_ < kRefusalMemory &&
+                           aState.limit_ >= kNearRefusal * window.refusedAt_;
+  const double growth = nearRefusal ? kSlowGrowth * ToSeconds(aNow - window.start_)
+                                    : std::max(1.0, kFastGrowth * aState.limit_);
+  SetLimit(aState, aState.limit_ + growth);
 }
 
 /// Adapts the limit to a finished window.
@@ -308,10 +310,13 @@
   if (aState.floorSeconds_ <= 0) {
     aState.floorSeconds_ = mean;
     aState.floorSince_ = aNow;
+  } else if (mean < kFloorChanged * aState.floorSeconds_) {
+    // The target became faster. Until the floor has followed it says nothing about room to grow.
+    aState.floorSeconds_ += 0.5 * (mean - aState.floorSeconds_);
+    aState.floorSince_ = aNow;
+    return;
   } else if (mean < aState.floorSeconds_) {
-    // A small step down may be noise, a large one is a real change.
-    const double weight = mean < 0.7 * aState.floorSeconds_ ? 0.5 : 0.1;
-    aState.floorSeconds_ += weight * (mean - aState.floorSeconds_);
+    aState.floorSeconds_ += 0.1 * (mean - aState.floorSeconds_);
     aState.floorSince_ = aNow;
   }
   const double ratio = mean / aState.floorSeconds_;
@@ -319,7 +324,7 @@
   const bool used = window.peakRunning_ + 1 >= aState.limit_;
   if (ratio < kGrowTolerance) {
     if (used && window.refusals_ == 0) {
-      GrowLimit(aState);
+      GrowLimit(aState, aNow);
     }
     return;
   }
@@ -379,63 +384,54 @@
     return;
   }
   aState.lastDecrease_ = aNow;
-  // The target refuses at what runs, which may be less than the limit.
-  const double refusedAt = std::min(aState.limit_, static_cast<double>(aState.running_) + 1);
-  window.refusedAt_ = refusedAt;
+  // What still runs is what the target could take. A larger step down would leave slots idle.
+  const double running = aState.running_;
+  window.refusedAt_ = std::min(aState.limit_, running + 1);
   SetLimit(aState,
-           std::min(aState.limit_, std::max(refusedAt, aState.limit_ / 2) * kRefusalDecrease));
+           std::min(aState.limit_ - 1, std::max(running, kRefusalDecrease * aState.limit_)));
 }
 
-/// Lowers the part that callers' hosts send by aExcess calls of the interval, least important
-/// first.
-void LowerUpstream(AdmissionState& aState, double aExcess)
+/// Closes the lowest open class if hardly any of it is started, or opens the next class if there is
+/// room. A class of which a part is started stays open as a whole: callers' hosts don't know the
+/// fair shares, so that a part refused there would fall on accounts below their share as well. In
+/// the policy trials that cost the worst account half of its share.
+void UpdateOpenClasses(AdmissionState& aState)
 {
-  for (std::size_t i = aState.queues_.size() - 1; i > Index(Importance::kCritical) && aExcess > 0;
-       --i) {
-    double& fraction = aState.upstreamFraction_[i];
-    if (fraction <= 0) {
-      continue;
-    }
-    const double offered = aState.offered_[i];
-    if (offered > aExcess) {
-      fraction *= 1 - aExcess / offered;
-      return;
-    }
-    aExcess -= offered;
-    fraction = 0;
+  std::size_t& open = aState.openClasses_;
+  const std::size_t lowest = open - 1;
+  const double offered = aState.offered_[lowest];
+  if (lowest > Index(Importance::kCritical) && offered >= kLevelSamples &&
+      aState.admitted_[lowest] < kClosedPart * offered && aState.shed_[lowest] > 0.5 * offered) {
+    --open;
+    return;
   }
-}
-
-/// Raises the part that callers' hosts send, most important first.
-void RaiseUpstream(AdmissionState& aState)
-{
-  for (double& fraction : aState.upstreamFraction_) {
-    if (fraction < 1) {
-      fraction = std::min(1.0, std::max(fraction, kProbeFraction) * kLevelGrowth);
+  if (open == aState.queues_.size()) {
+    return;
+  }
+  // Everything open was started at once, and so were the probes of the next class.
+  for (std::size_t i = 0; i <= open; ++i) {
+    if (aState.shed_[i] > 0 || aState.queues_[i].size_ > 0) {
       return;
     }
   }
+  ++open;
 }
 
 void UpdateUpstream(AdmissionState& aState, TimePoint aNow)
 {
-  if (aNow - aState.countsDecayed_ < kLevelInterval) {
-    return;
-  }
+  const Duration age = aNow - aState.countsSince_;
   double offered = 0;
   for (const double count : aState.offered_) {
     offered += count;
   }
-  const double shed = offered > 0 ? std::min(1.0, aState.shed_ / offered) : 0;
-  if (shed > kShedTolerance) {
-    LowerUpstream(aState, kLevelGain * (shed - kShedTolerance / 2) * offered);
-  } else if (aState.shed_ == 0) {
-    RaiseUpstream(aState);
+  if (age < kLevelInterval || (offered < kLevelSamples && age < kLongestLevelInterval)) {
+    return;
   }
+  UpdateOpenClasses(aState);
   aState.offered_ = {};
   aState.admitted_ = {};
-  aState.shed_ = 0;
-  aState.countsDecayed_ = aNow;
+  aState.shed_ = {};
+  aState.countsSince_ = aNow;
 }
 
 } // namespace
@@ -446,13 +442,13 @@
   UpdateUpstream(aState, aNow);
   aState.offered_[Index(aCall.importance_)] += 1;
   if (IsTooLate(aState, aCall, aNow)) {
-    Refuse(aState, step, aCall.id_, ErrorCode::kDeadlineExceeded, aNow);
+    Refuse(aState, step, aCall, ErrorCode::kDeadlineExceeded, aNow);
     return step;
   }
   if (aState.queued_ >= aState.settings_.queueCapacity_ &&
       !(aState.queued_ == 0 && HasSlot(aState))) {
     const WaitingCall victim = ChooseVictim(aState, aCall);
-    Refuse(aState, step, victim.id_, ErrorCode::kShed, aNow);
+    Refuse(aState, step, victim, ErrorCode::kShed, aNow);
     if (victim.id_ == aCall.id_) {
       return step;
     }
@@ -513,7 +509,7 @@
         if (!MustDrop(aState, aCall, aNow)) {
           return false;
         }
-        Refuse(aState, step, aCall.id_, ErrorCode::kDeadlineExceeded, aNow);
+        Refuse(aState, step, aCall, ErrorCode::kDeadlineExceeded, aNow);
         return true;
       });
     }
@@ -533,12 +529,7 @@
 AdmissionLevel CurrentLevel(AdmissionState& aState, TimePoint aNow)
 {
   UpdateUpstream(aState, aNow);
-  for (std::size_t i = 0; i < aState.upstreamFraction_.size(); ++i) {
-    if (aState.upstreamFraction_[i] < 1) {
-      return { static_cast<Importance>(i), aState.upstreamFraction_[i] };
-    }
-  }
-  return {};
+  return { static_cast<Importance>(aState.openClasses_ - 1), 1.0 };
 }
 
 void NoteLevel(UpstreamLevel& aUpstream, const AdmissionLevel& aLevel, TimePoint aNow)
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -96,14 +96,14 @@
   TimePoint lastDecrease_{};
   LimitWindow window_;
   std::array<double, kImportanceClasses>
-    offered_{}; ///< Offered calls of each class since countsDecayed_.
+    offered_{}; ///< Offered calls of each class since countsSince_.
   std::array<double, kImportanceClasses>
-    admitted_{};    ///< Started calls of each class since countsDecayed_.
-  double shed_ = 0; ///< Calls refused or dropped since countsDecayed_, without cancelled ones.
-  TimePoint countsDecayed_{}; ///< Start of the present interval of the three counts.
-  /// Part of each class that callers' hosts should send. Invariant: 1 for `critical`; below 1 for
-  /// one class at most, and 0 for the classes after it.
-  std::array<double, kImportanceClasses> upstreamFraction_{ 1, 1, 1, 1 };
+    admitted_{}; ///< Started calls of each class since countsSince_.
+  std::array<double, kImportanceClasses>
+    shed_{}; ///< Refused or dropped calls of each class since countsSince_.
+  TimePoint countsSince_{};
+  std::size_t openClasses_ =
+    kImportanceClasses; ///< Classes that callers' hosts should send, 1 to 4.
 };
 
 /// A call that was refused before it started, with the reason. Always "not run".
