Close a class upstream only after it starved for half a second

Cause: at 400 calls a second a burst of critical calls starves the normal class for 100 ms by chance. That closed it, and it stayed closed until its queue had drained, so that the target idled.

Change: five starved intervals in a row close a class; it opens again once less waits than the target takes at once.

All tests of request/ pass.

--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -65,6 +65,9 @@
 /// A class of which a smaller part is started is closed to callers' hosts.
 constexpr double kClosedPart = 0.02;
 
+/// Intervals in a row before a class is closed: a burst of more important calls starves it for one.
+constexpr std::uint32_t kStarvedIntervals = 5;
+
 /// Least fraction of a shed class that is sent as a probe.
 constexpr double kProbeFraction = 0.01;
 
@@ -255,7 +258,7 @@
   if (victim == queue.accounts_.end()) {
     return aCall;
   }
-  const WaitingCall call = victim->second.calls_.back();
+  WaitingCall call = victim->second.calls_.back();
   victim->second.calls_.pop_back();
   Shrink(aState, queue, 1);
   return call;
@@ -400,21 +403,27 @@
   std::size_t& open = aState.openClasses_;
   const std::size_t lowest = open - 1;
   const double offered = aState.offered_[lowest];
-  if (lowest > Index(Importance::kCritical) && offered >= kLevelSamples &&
-      aState.admitted_[lowest] < kClosedPart * offered && aState.shed_[lowest] > 0.5 * offered) {
+  const bool starved = offered >= kLevelSamples &&
+                       aState.admitted_[lowest] < kClosedPart * offered &&
+                       aState.shed_[lowest] > 0.5 * offered;
+  aState.starvedIntervals_ = starved ? aState.starvedIntervals_ + 1 : 0;
+  if (lowest > Index(Importance::kCritical) && aState.starvedIntervals_ >= kStarvedIntervals) {
     --open;
+    aState.starvedIntervals_ = 0;
     return;
   }
   if (open == aState.queues_.size()) {
     return;
   }
-  // Everything open was started at once, and so were the probes of the next class.
+  // Less work waits than the target takes at once, so that it would soon be idle.
+  std::size_t waiting = 0;
   for (std::size_t i = 0; i <= open; ++i) {
-    if (aState.shed_[i] > 0 || aState.queues_[i].size_ > 0) {
-      return;
-    }
+    waiting += aState.queues_[i].size_;
+  }
+  if (static_cast<double>(waiting) < aState.limit_) {
+    ++open;
+    aState.starvedIntervals_ = 0;
   }
-  ++open;
 }
 
 void UpdateUpstream(AdmissionState& aState, TimePoint aNow)
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -102,6 +102,8 @@
   std::array<double, kImportanceClasses>
     shed_{}; ///< Refused or dropped calls of each class since countsSince_.
   TimePoint countsSince_{};
+  std::uint32_t starvedIntervals_ =
+    0; ///< Intervals in a row in which the lowest open class starved.
   std::size_t openClasses_ =
     kImportanceClasses; ///< Classes that callers' hosts should send, 1 to 4.
 };
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -105,6 +105,7 @@
     ejected.resize(most);
   }
   std::vector<HostId> hosts;
+  hosts.reserve(ejected.size());
   for (auto& entry : ejected) {
     hosts.push_back(std::move(entry.second));
   }
