Judge latency trials by two slow windows and ignore calls of the old limit

Cause: with a target that queues inside, the limit could reach twice its slots, and critical calls then waited in the target's queue. A trial begun on one slow window often 'confirmed' by chance, and calls that had started under the old limit caused a second decrease.

Change: tolerances 1.3 and 1.7 instead of 1.5 and 2, two slow windows of at least 32 calls before a trial, a confirmed trial goes to where the latency would be at the floor (at least half), the next windows ignore calls of the old limit, and the floor follows a faster target at once.

--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -20,16 +20,19 @@
 
 /// Least length of a window in time and in calls; shorter ones are mostly noise.
 constexpr Duration kLeastWindow = milliseconds(20);
-constexpr std::uint32_t kLeastWindowSamples = 16;
+constexpr std::uint32_t kLeastWindowSamples = 32;
 
 /// A mean below this part of the floor is a real change; a smaller step down may be noise.
 constexpr double kFloorChanged = 0.7;
 
 /// Up to this ratio of window mean to floor the limit may grow.
-constexpr double kGrowTolerance = 1.5;
+constexpr double kGrowTolerance = 1.3;
 
 /// From this ratio on a trial finds out whether a lower limit helps.
-constexpr double kTrialTolerance = 2.0;
+constexpr double kTrialTolerance = 1.7;
+
+/// Windows in a row above it that start a trial.
+constexpr std::uint32_t kSlowWindows = 2;
 
 /// Limit during a trial, as part of the limit before. In a saturated target latency falls by the
 /// same factor.
@@ -38,6 +41,9 @@
 /// The trial confirms the lower limit if latency fell at least to this part.
 constexpr double kTrialConfirmed = 0.85;
 
+/// Least limit after a confirmed trial, as part of the limit before.
+constexpr double kLeastTrialResult = 0.5;
+
 /// Pause between trials without a new rise of latency.
 constexpr Duration kTrialPause = seconds(10);
 
@@ -269,7 +275,7 @@
 {
   LimitWindow& window = aState.window_;
   window.trial_ = LimitWindow::Trial::kSettling;
-  window.settling_ = aState.running_;
+  window.settling_ = std::max(1U, aState.running_);
   window.limitBefore_ = aState.limit_;
   window.latencyBefore_ = aMean;
   window.lastTrial_ = aNow;
@@ -283,6 +289,12 @@
   window.trial_ = LimitWindow::Trial::kNone;
   if (aMean <= window.latencyBefore_ * kTrialConfirmed) {
     aState.lastDecrease_ = aNow;
+    // Calls queue inside the target. Their latency is in proportion to the limit, so this is where
+    // it would be back at the floor.
+    const double part = std::max(kLeastTrialResult, aState.floorSeconds_ / window.latencyBefore_);
+    SetLimit(aState, std::min(aState.limit_, window.limitBefore_ * part));
+    // What runs started under the higher limit; its latency would cause the next decrease.
+    window.settling_ = aState.running_;
     return;
   }
   // Fewer calls at once don't make the target faster: it became slower for another reason.
@@ -314,8 +326,8 @@
     aState.floorSeconds_ = mean;
     aState.floorSince_ = aNow;
   } else if (mean < kFloorChanged * aState.floorSeconds_) {
-    // The target became faster. Until the floor has followed it says nothing about room to grow.
-    aState.floorSeconds_ += 0.5 * (mean - aState.floorSeconds_);
+    // The target became faster. A mean that still falls says nothing about room to grow.
+    aState.floorSeconds_ = mean;
     aState.floorSince_ = aNow;
     return;
   } else if (mean < aState.floorSeconds_) {
@@ -326,13 +338,17 @@
   // Without this condition the limit of an idle target would grow without bound.
   const bool used = window.peakRunning_ + 1 >= aState.limit_;
   if (ratio < kGrowTolerance) {
+    window.slowWindows_ = 0;
     if (used && window.refusals_ == 0) {
       GrowLimit(aState, aNow);
     }
     return;
   }
+  // A single slow window is often chance, and the next one would seem to confirm the lower limit.
+  window.slowWindows_ = ratio >= kTrialTolerance ? window.slowWindows_ + 1 : 0;
   const bool due = aNow - window.lastTrial_ >= kTrialPause;
-  if (ratio >= kTrialTolerance || due) {
+  if (window.slowWindows_ >= kSlowWindows || due) {
+    window.slowWindows_ = 0;
     BeginTrial(aState, mean, aNow);
   }
 }
@@ -358,13 +374,14 @@
   aState.lastSample_ = aNow;
 
   LimitWindow& window = aState.window_;
-  if (window.trial_ == LimitWindow::Trial::kSettling) {
-    if (window.settling_ > 1) {
-      --window.settling_;
-      return;
+  if (window.settling_ > 0) {
+    --window.settling_;
+    if (window.settling_ == 0) {
+      window.trial_ = window.trial_ == LimitWindow::Trial::kSettling
+                        ? LimitWindow::Trial::kMeasuring
+                        : LimitWindow::Trial::kNone;
+      ResetWindow(aState, aNow);
     }
-    window.trial_ = LimitWindow::Trial::kMeasuring;
-    ResetWindow(aState, aNow);
     return;
   }
   ++window.samples_;
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -71,9 +71,10 @@
   std::uint32_t samples_ = 0;
   double sumSeconds_ = 0;
   std::uint32_t peakRunning_ = 0;
-  std::uint32_t refusals_ = 0; ///< Refusals by the target.
+  std::uint32_t refusals_ = 0;    ///< Refusals by the target.
+  std::uint32_t slowWindows_ = 0; ///< Finished windows in a row far above the floor.
   Trial trial_ = Trial::kNone;
-  std::uint32_t settling_ = 0; ///< Calls still to end before the trial measures.
+  std::uint32_t settling_ = 0; ///< Calls to ignore: they started under an earlier limit.
   double limitBefore_ = 0;     ///< Limit when the trial began.
   double latencyBefore_ = 0;   ///< Mean seconds when the trial began.
   double refusedAt_ = 0;       ///< Limit at the latest refusal by the target; 0 if none.
