Compare a latency trial with as many calls as it measures

Cause: a trial compared the mean of 32 calls with one slow window of 32, which differ by more than 15 % by chance in about one of ten trials. Two such trials in a row lowered the limit of a slow target to a third of its slots.

Change: a trial compares the mean of the two slow windows that caused it with the mean of twice as many calls under the lower limit.

--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -346,10 +346,12 @@
   }
   // A single slow window is often chance, and the next one would seem to confirm the lower limit.
   window.slowWindows_ = ratio >= kTrialTolerance ? window.slowWindows_ + 1 : 0;
+  window.slowSeconds_ = window.slowWindows_ > 1 ? window.slowSeconds_ + mean : mean;
   const bool due = aNow - window.lastTrial_ >= kTrialPause;
   if (window.slowWindows_ >= kSlowWindows || due) {
+    const double before = window.slowSeconds_ / std::max(1U, window.slowWindows_);
     window.slowWindows_ = 0;
-    BeginTrial(aState, mean, aNow);
+    BeginTrial(aState, before, aNow);
   }
 }
 
@@ -386,8 +388,10 @@
   }
   ++window.samples_;
   window.sumSeconds_ += service;
-  const bool enough =
-    window.samples_ >= kLeastWindowSamples && window.samples_ >= aState.limit_ / 2;
+  // A trial compares with two windows, so it measures as many calls.
+  const bool measuring = window.trial_ == LimitWindow::Trial::kMeasuring;
+  const std::uint32_t least = kLeastWindowSamples * (measuring ? kSlowWindows : 1);
+  const bool enough = window.samples_ >= least && window.samples_ >= aState.limit_ / 2;
   if (enough && aNow - window.start_ >= kLeastWindow) {
     EndWindow(aState, aNow);
     ResetWindow(aState, aNow);
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -73,6 +73,7 @@
   std::uint32_t peakRunning_ = 0;
   std::uint32_t refusals_ = 0;    ///< Refusals by the target.
   std::uint32_t slowWindows_ = 0; ///< Finished windows in a row far above the floor.
+  double slowSeconds_ = 0;        ///< Sum of their means.
   Trial trial_ = Trial::kNone;
   std::uint32_t settling_ = 0; ///< Calls to ignore: they started under an earlier limit.
   double limitBefore_ = 0;     ///< Limit when the trial began.
