Believe announced slots until the target contradicts them

Cause: the limit started at 16 whatever the target announced, so a surge was refused for about a second although slots were free.

Change: newly announced slots become the limit unless the target has refused or queued below it. A refusal of a call that started before the last decrease is ignored; with many refusals in a window the limit falls without a pause. Growth stops just below the limit of the last refusal instead of at 0.9 of it. The test of the ramp to the slots now starts from a limit of 16, since the announcement alone would pass it.

--- a/bench/policy_trials.cpp
+++ b/bench/policy_trials.cpp
@@ -100,6 +100,7 @@
   bool upstream_ = true;
   double retryRatio_ = 0.1; ///< Negative: no retries.
   bool naive_ = false;
+  double queueFraction_ = 0.5; ///< AdmissionSettings::queueDeadlineFraction_.
 };
 
 const std::vector<Variant> kVariants{
@@ -114,6 +115,8 @@
   { "retry-none", Limit::kAdaptive, Order::kFair, true, true, -1 },
   { "retry-30", Limit::kAdaptive, Order::kFair, true, true, 0.3 },
   { "retry-30-upstream-off", Limit::kAdaptive, Order::kFair, true, false, 0.3 },
+  { "queue-25", Limit::kAdaptive, Order::kFair, true, true, 0.1, false, 0.25 },
+  { "queue-80", Limit::kAdaptive, Order::kFair, true, true, 0.1, false, 0.8 },
   { "naive", Limit::kNone, Order::kFifo, false, false, -1, true },
 };
 
@@ -223,6 +226,7 @@
     , variant_(aVariant)
     , random_(aSeed)
   {
+    guard_.settings_.queueDeadlineFraction_ = variant_.queueFraction_;
     for (UpstreamLevel& upstream : upstream_) {
       upstream.random_ = RandomBits(random_);
     }
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -52,7 +52,7 @@
 
 /// Growth in one second near the limit at which the target refused lately.
 constexpr double kSlowGrowth = 1.0;
-constexpr double kNearRefusal = 0.9;
+constexpr double kNearRefusal = 0.97;
 constexpr Duration kRefusalMemory = seconds(5);
 
 /// Least limit after a refusal by the target, as part of the limit before.
@@ -62,6 +62,10 @@
 /// together.
 constexpr Duration kLeastDecreaseInterval = milliseconds(20);
 
+/// Refusals for each answer of a window from which the limit is far too high and falls without a
+/// pause.
+constexpr double kManyRefusals = 0.25;
+
 /// Least length of the interval of the counts behind the early refusal, and least number of offered
 /// calls in it unless it lasted a second.
 constexpr Duration kLevelInterval = milliseconds(100);
@@ -289,6 +293,7 @@
   window.trial_ = LimitWindow::Trial::kNone;
   if (aMean <= window.latencyBefore_ * kTrialConfirmed) {
     aState.lastDecrease_ = aNow;
+    aState.contradicted_ = true;
     // Calls queue inside the target. Their latency is in proportion to the limit, so this is where
     // it would be back at the floor.
     const double part = std::max(kLeastTrialResult, aState.floorSeconds_ / window.latencyBefore_);
@@ -306,11 +311,11 @@
 void GrowLimit(AdmissionState& aState, TimePoint aNow)
 {
   const LimitWindow& window = aState.window_;
-  const bool nearRefusal = window.refusedAt_ > 0 && aNow - aState.lastDecrease_ < kRefusalMemory &&
-                           aState.limit_ >= kNearRefusal * window.refusedAt_;
-  const double growth = nearRefusal ? kSlowGrowth * ToSeconds(aNow - window.start_)
-                                    : std::max(1.0, kFastGrowth * aState.limit_);
-  SetLimit(aState, aState.limit_ + growth);
+  const bool lately = window.refusedAt_ > 0 && aNow - aState.lastDecrease_ < kRefusalMemory;
+  const double nearRefusal = lately ? kNearRefusal * window.refusedAt_ : UpperLimit(aState);
+  const double slow = aState.limit_ + kSlowGrowth * ToSeconds(aNow - window.start_);
+  const double fast = aState.limit_ + std::max(1.0, kFastGrowth * aState.limit_);
+  SetLimit(aState, std::max(slow, std::min(fast, nearRefusal)));
 }
 
 /// Adapts the limit to a finished window.
@@ -376,6 +381,9 @@
   aState.lastSample_ = aNow;
 
   LimitWindow& window = aState.window_;
+  if (window.start_ == TimePoint{}) {
+    window.start_ = aNow;
+  }
   if (window.settling_ > 0) {
     --window.settling_;
     if (window.settling_ == 0) {
@@ -398,19 +406,27 @@
   }
 }
 
-void NoteTargetRefusal(AdmissionState& aState, TimePoint aNow)
+void NoteTargetRefusal(AdmissionState& aState, Duration aServiceTime, TimePoint aNow)
 {
   LimitWindow& window = aState.window_;
   ++window.refusals_;
+  // A call that started before the last decrease says nothing about the limit since then.
+  if (aNow - aServiceTime <= aState.lastDecrease_) {
+    return;
+  }
+  const double answers = std::max(window.samples_, kLeastWindowSamples);
+  const bool many = window.refusals_ >= kManyRefusals * answers;
   const auto service = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(std::min(1.0, aState.serviceSeconds_)));
-  if (aNow - aState.lastDecrease_ < std::max(kLeastDecreaseInterval, service)) {
+  if (!many && aNow - aState.lastDecrease_ < std::max(kLeastDecreaseInterval, service)) {
     return;
   }
   aState.lastDecrease_ = aNow;
-  // What still runs is what the target could take. A larger step down would leave slots idle.
-  const double running = aState.running_;
-  window.refusedAt_ = std::min(aState.limit_, running + 1);
+  aState.contradicted_ = true;
+  // What still runs is what the target could take, unless many of those calls will be refused too.
+  // A larger step down would leave slots idle.
+  const double running = many ? 0 : aState.running_;
+  window.refusedAt_ = std::min(aState.limit_, static_cast<double>(aState.running_) + 1);
   SetLimit(aState,
            std::min(aState.limit_ - 1, std::max(running, kRefusalDecrease * aState.limit_)));
 }
@@ -501,7 +517,7 @@
       NoteServiceTime(aState, aServiceTime, aNow);
       break;
     case CallEnd::kTargetRefused:
-      NoteTargetRefusal(aState, aNow);
+      NoteTargetRefusal(aState, aServiceTime, aNow);
       break;
     case CallEnd::kCancelled:
       break;
@@ -552,8 +568,11 @@
 
 void AnnounceSlots(AdmissionState& aState, std::uint32_t aSlots)
 {
+  const bool isNew = aSlots > 0 && aSlots != aState.announcedSlots_;
   aState.announcedSlots_ = aSlots;
-  SetLimit(aState, aState.limit_);
+  // Growing from the initial limit takes seconds, in which a surge would be refused although slots
+  // are free. Announced slots are believed until the target's behaviour contradicts them.
+  SetLimit(aState, isNew && !aState.contradicted_ ? aSlots : aState.limit_);
 }
 
 AdmissionLevel CurrentLevel(AdmissionState& aState, TimePoint aNow)
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -88,6 +88,7 @@
   AdmissionSettings settings_;
   double limit_ = 16; ///< minLimit_ to the smaller of maxLimit_ and announced slots.
   std::uint32_t announcedSlots_ = 0;
+  bool contradicted_ = false; ///< The target refused or queued below the limit at least once.
   std::uint32_t running_ = 0;
   std::array<ClassQueue, kImportanceClasses> queues_;
   std::size_t queued_ = 0;    ///< Invariant: sum of queues_ sizes.
@@ -152,7 +153,8 @@
 /// calls wait.
 AdmissionStep DropLateCalls(AdmissionState& aState, TimePoint aNow);
 
-/// Takes the target's announced slots; 0 means not announced.
+/// Takes the target's announced slots; 0 means not announced. The limit goes to newly announced
+/// slots unless the target has contradicted them; waiting calls start with the next step.
 void AnnounceSlots(AdmissionState& aState, std::uint32_t aSlots);
 
 /// What the guard admits at present, for answers.
--- a/tests/request/AdmissionTest.cpp
+++ b/tests/request/AdmissionTest.cpp
@@ -415,11 +415,32 @@
   for (const std::uint32_t slots : { 20U, 50U, 250U }) {
     SaturatedTarget target;
     AnnounceSlots(target.state_, slots);
+    target.state_.limit_ = 16;
     target.Run(seconds(3), 50, [](std::uint32_t) { return 10.0; });
     CHECK(target.state_.limit_ == slots);
   }
 }
 
+// Guards against refusals in a surge while announced slots are free, and against belief in
+// announced slots after the target refused.
+TEST_CASE("announced slots are believed until the target refuses", "[admission]")
+{
+  AdmissionState state;
+  AnnounceSlots(state, 250);
+  for (std::uint64_t id = 1; id <= 250; ++id) {
+    CHECK(OfferCall(state, MakeCall(id, "a", kStart), kStart).start_.size() == 1);
+  }
+  CHECK(OfferCall(state, MakeCall(251, "a", kStart), kStart).start_.empty());
+  for (int i = 0; i < 250; ++i) {
+    FinishCall(state, CallEnd::kTargetRefused, milliseconds(1), kStart + milliseconds(i));
+  }
+  const double limit = state.limit_;
+  CHECK(limit < 200);
+  AnnounceSlots(state, 250);
+  AnnounceSlots(state, 260);
+  CHECK(state.limit_ == limit);
+}
+
 // Guards against a limit that collapses on a latency spike or when a deeper service is slow, and
 // against one that doesn't return.
 TEST_CASE("a latency spike doesn't collapse the limit", "[admission]")
