--- a/peridotquay/connection/PeerHub.cpp
+++ b/peridotquay/connection/PeerHub.cpp
@@ -252,6 +252,12 @@
   return entry == state_->calls_.end() ? nullptr : &entry->second.link_->Peer();
 }
 
+std::uint64_t PeerHub::LinkOf(std::uint64_t aCallId) const
+{
+  const auto entry = state_->calls_.find(aCallId);
+  return entry == state_->calls_.end() ? 0 : entry->second.link_->Number();
+}
+
 bool PeerHub::Reply(std::uint64_t aLink, const PeerMessage& aMessage)
 {
   const auto entry = state_->byNumber_.find(aLink);
--- a/peridotquay/connection/PeerHub.h
+++ b/peridotquay/connection/PeerHub.h
@@ -57,6 +57,8 @@
   bool EndCall(std::uint64_t aCallId);
   /// The peer that an outstanding call went to; null if it isn't outstanding.
   const Hello* PeerOf(std::uint64_t aCallId) const;
+  /// Number of the link that an outstanding call waits on; 0 if it isn't outstanding.
+  std::uint64_t LinkOf(std::uint64_t aCallId) const;
   /// Sends a frame on the link that a message came by. False if that link has ended.
   bool Reply(std::uint64_t aLink, const PeerMessage& aMessage);
   /// Sends a Cancel for an outstanding call and forgets it.
--- /dev/null
+++ b/peridotquay/process/Guard.cpp
@@ -0,0 +1,437 @@
+// Guard before the local target.
+#include "peridotquay/process/Guard.h"
+
+#include "peridotquay/process/Events.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace peridotquay {
+
+namespace {
+
+// Late calls in the queue are looked for this often while any wait.
+constexpr Duration kQueueCheck = milliseconds(10);
+
+// A target that refuses connections at this many polls in a row is announced as draining.
+constexpr std::uint32_t kFailedPollsToDrain = 3;
+
+// Longest wait for an answer of the target's health and load endpoints.
+constexpr Duration kPollTimeout = milliseconds(900);
+
+Answer RefusedAnswer(const Call& aCall, ErrorCode aCode, std::uint32_t aRetryAfterMs)
+{
+  Answer answer;
+  answer.callId_ = aCall.callId_;
+  answer.outcome_ = Outcome::kNotRun;
+  answer.error_ = static_cast<std::uint16_t>(aCode);
+  answer.retryAfterMs_ = aRetryAfterMs;
+  answer.retriesUnused_ = aCall.retries_;
+  return answer;
+}
+
+Answer UnknownAnswer(const Call& aCall, ErrorCode aCode)
+{
+  Answer answer;
+  answer.callId_ = aCall.callId_;
+  answer.outcome_ = Outcome::kUnknown;
+  answer.error_ = static_cast<std::uint16_t>(aCode);
+  return answer;
+}
+
+Answer WholeAnswer(const Call& aCall, HttpResponse aResponse)
+{
+  Answer answer;
+  answer.callId_ = aCall.callId_;
+  // 504 from a target means that it doesn't know whether its own work ran.
+  answer.outcome_ = aResponse.status_ == 504 ? Outcome::kUnknown : Outcome::kRan;
+  answer.status_ = aResponse.status_;
+  RemoveHeadersWithPrefix(aResponse.headers_, "Quay-");
+  answer.headers_ = std::move(aResponse.headers_);
+  answer.bodyBytes_ = aCall.method_ == "HEAD" ? aResponse.declaredLength_.value_or(0)
+                                              : static_cast<std::uint64_t>(aResponse.body_.size());
+  answer.body_ = std::move(aResponse.body_);
+  return answer;
+}
+
+} // namespace
+
+Guard::Guard(EventLoop& aLoop, const NodeSettings& aSettings, Metrics& aMetrics)
+  : loop_(aLoop)
+  , settings_(aSettings)
+  , metrics_(aMetrics)
+  , client_(aLoop,
+            { .target_ = aSettings.target_,
+              .maxConnections_ = aSettings.targetConnections_,
+              .maxBodyBytes_ = aSettings.maxBodyBytes_,
+              .maxHeaderBytes_ = aSettings.maxHeaderBytes_ })
+  , pollClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
+{
+  admission_.settings_.maxLimit_ =
+    std::min(admission_.settings_.maxLimit_, aSettings.targetConnections_);
+}
+
+Guard::~Guard() = default;
+
+void Guard::Run(const Call& aCall, const std::function<void(std::uint64_t)>& aStarted, Done aDone)
+{
+  const std::uint64_t number = next_++;
+  const TimePoint now = loop_.Now();
+  metrics_.Add(Counter::kGuardCalls);
+  Running& running = calls_[number];
+  running.call_ = aCall;
+  running.done_ = std::move(aDone);
+  running.arrived_ = now;
+  running.deadline_ = now + milliseconds(aCall.deadlineMs_);
+  aStarted(number);
+  if (draining_) {
+    Refuse(number, ErrorCode::kDraining, 0);
+    return;
+  }
+  if (aCall.service_ != settings_.service_) {
+    Refuse(number, ErrorCode::kNoTarget, 0);
+    return;
+  }
+  if (aCall.depth_ > kMaxDepth) {
+    Refuse(number, ErrorCode::kDepthExceeded, 0);
+    return;
+  }
+  running.timer_ = loop_.After(running.deadline_ - now, [this, number] { OnDeadline(number); });
+  if (settings_.naive_) {
+    Start(number);
+    return;
+  }
+  WaitingCall waiting;
+  waiting.id_ = number;
+  waiting.importance_ = aCall.importance_;
+  waiting.clientAccount_ = aCall.clientAccount_;
+  if (config_) {
+    const auto account = config_->clientAccounts_.find(aCall.clientAccount_);
+    waiting.weight_ =
+      account == config_->clientAccounts_.end() ? 1 : account->second.ratePerSecond_;
+  }
+  waiting.arrived_ = now;
+  waiting.deadline_ = running.deadline_;
+  Apply(OfferCall(admission_, waiting, now));
+  WatchQueue();
+}
+
+void Guard::Apply(const AdmissionStep& aStep)
+{
+  for (const auto& refused : aStep.refuse_) {
+    Refuse(refused.id_, refused.code_, refused.retryAfterMs_);
+  }
+  for (const std::uint64_t number : aStep.start_) {
+    Start(number);
+  }
+}
+
+void Guard::Start(std::uint64_t aCall)
+{
+  const auto entry = calls_.find(aCall);
+  if (entry == calls_.end()) {
+    return;
+  }
+  Running& running = entry->second;
+  running.started_ = loop_.Now();
+  metrics_.Note(Timing::kQueue, running.started_ - running.arrived_);
+  CallContext context;
+  context.budget_.left_ = running.call_.retries_;
+  context.deadline_ = running.deadline_;
+  context.clientAccount_ = running.call_.clientAccount_;
+  context.importance_ = running.call_.importance_;
+  context.depth_ = running.call_.depth_;
+  std::string token = NewToken();
+  if (!OpenContext(contexts_, token, context)) {
+    Finish(aCall, CallEnd::kCancelled, RefusedAnswer(running.call_, ErrorCode::kLimitReached, 0));
+    return;
+  }
+  running.token_ = std::move(token);
+  metrics_.Add(Counter::kTargetCalls);
+  running.request_ = client_.Send(TargetRequest(running), [this, aCall](TargetResult aResult) {
+    OnTarget(aCall, std::move(aResult));
+  });
+}
+
+HttpRequest Guard::TargetRequest(const Running& aRunning) const
+{
+  const Call& call = aRunning.call_;
+  HttpRequest request{ call.method_, call.path_, call.headers_, call.body_ };
+  const auto requestId = FindHeader(request.headers_, "Quay-Request-Id");
+  const std::string idText = requestId ? std::string(*requestId) : std::string();
+  // Also drops a caller's key should a host have sent one.
+  RemoveHeadersWithPrefix(request.headers_, "Quay-");
+  const auto left =
+    std::chrono::duration_cast<milliseconds>(aRunning.deadline_ - aRunning.started_).count();
+  request.headers_.emplace_back("Quay-Call", aRunning.token_);
+  request.headers_.emplace_back("Quay-Deadline-Ms",
+                                std::to_string(std::max<std::int64_t>(1, left)));
+  if (!call.clientAccount_.value_.empty()) {
+    request.headers_.emplace_back("Quay-Client-Account", call.clientAccount_.value_);
+  }
+  request.headers_.emplace_back("Quay-Importance", ImportanceName(call.importance_));
+  if (!idText.empty()) {
+    request.headers_.emplace_back("Quay-Request-Id", idText);
+  }
+  return request;
+}
+
+void Guard::OnTarget(std::uint64_t aCall, TargetResult aResult)
+{
+  const auto entry = calls_.find(aCall);
+  if (entry == calls_.end()) {
+    return;
+  }
+  Running& running = entry->second;
+  const Call& call = running.call_;
+  switch (aResult.end_) {
+    case TargetEnd::kNotSent:
+      Finish(aCall, CallEnd::kTargetRefused, RefusedAnswer(call, ErrorCode::kTargetUnreachable, 0));
+      return;
+    case TargetEnd::kLost:
+      metrics_.Add(Counter::kTargetLost);
+      Finish(aCall, CallEnd::kCancelled, UnknownAnswer(call, ErrorCode::kOutcomeUnknown));
+      return;
+    case TargetEnd::kTruncated:
+      metrics_.Add(Counter::kTargetTruncated);
+      Finish(aCall, CallEnd::kCancelled, UnknownAnswer(call, ErrorCode::kTruncatedAnswer));
+      return;
+    case TargetEnd::kAnswered:
+      break;
+  }
+  metrics_.Note(Timing::kTarget, loop_.Now() - running.started_);
+  const auto outcome = FindHeader(aResult.response_.headers_, "Quay-Outcome");
+  if (aResult.response_.status_ == 503 && outcome == OutcomeName(Outcome::kNotRun)) {
+    metrics_.Add(Counter::kTargetRefusals);
+    LogEvent(Event::kTargetRefusing, { { "route", call.route_.value_ } });
+    const auto hint = FindHeader(aResult.response_.headers_, "Quay-Retry-After-Ms");
+    const auto retryAfter = hint ? ParseNumber(*hint, 60'000).value_or(0) : 0;
+    Finish(aCall,
+           CallEnd::kTargetRefused,
+           RefusedAnswer(call, ErrorCode::kTargetRefused, static_cast<std::uint32_t>(retryAfter)));
+    return;
+  }
+  Finish(aCall, CallEnd::kAnswered, WholeAnswer(call, std::move(aResult.response_)));
+}
+
+void Guard::OnDeadline(std::uint64_t aCall)
+{
+  const auto entry = calls_.find(aCall);
+  if (entry == calls_.end()) {
+    return;
+  }
+  Running& running = entry->second;
+  running.timer_ = 0;
+  if (running.request_ == 0) {
+    CancelWaiting(admission_, aCall);
+    Refuse(aCall, ErrorCode::kDeadlineExceeded, 0);
+    return;
+  }
+  const bool sent = client_.Cancel(running.request_);
+  Finish(aCall,
+         sent ? CallEnd::kTimedOut : CallEnd::kTargetRefused,
+         sent ? UnknownAnswer(running.call_, ErrorCode::kDeadlineExceeded)
+              : RefusedAnswer(running.call_, ErrorCode::kDeadlineExceeded, 0));
+}
+
+void Guard::Refuse(std::uint64_t aCall, ErrorCode aCode, std::uint32_t aRetryAfterMs)
+{
+  const auto entry = calls_.find(aCall);
+  if (entry == calls_.end()) {
+    return;
+  }
+  metrics_.Add(Counter::kGuardRefused);
+  loop_.CancelTimer(entry->second.timer_);
+  Answer answer = RefusedAnswer(entry->second.call_, aCode, aRetryAfterMs);
+  FillLoad(answer);
+  const Done done = std::move(entry->second.done_);
+  calls_.erase(entry);
+  done(std::move(answer));
+}
+
+void Guard::Finish(std::uint64_t aCall, CallEnd aEnd, Answer aAnswer)
+{
+  const auto entry = calls_.find(aCall);
+  const Running running = std::move(entry->second);
+  calls_.erase(entry);
+  loop_.CancelTimer(running.timer_);
+  const TimePoint now = loop_.Now();
+  if (!running.token_.empty()) {
+    aAnswer.retriesUnused_ = CloseContext(contexts_, running.token_);
+    if (onContextClosed_) {
+      onContextClosed_(running.token_);
+    }
+  }
+  AdmissionStep step;
+  if (!settings_.naive_) {
+    step = FinishCall(admission_, aEnd, now - running.started_, now);
+  }
+  FillLoad(aAnswer);
+  if (running.done_) {
+    running.done_(std::move(aAnswer));
+  }
+  Apply(step);
+}
+
+void Guard::FillLoad(Answer& aAnswer)
+{
+  if (settings_.naive_) {
+    return;
+  }
+  aAnswer.inFlight_ = admission_.running_;
+  aAnswer.limit_ = static_cast<std::uint32_t>(admission_.limit_);
+  aAnswer.queued_ = static_cast<std::uint32_t>(admission_.queued_);
+  aAnswer.level_ = CurrentLevel(admission_, loop_.Now());
+}
+
+void Guard::WatchQueue()
+{
+  if (watchingQueue_ || admission_.queued_ == 0) {
+    return;
+  }
+  watchingQueue_ = true;
+  loop_.After(kQueueCheck, [this] {
+    watchingQueue_ = false;
+    Apply(DropLateCalls(admission_, loop_.Now()));
+    WatchQueue();
+  });
+}
+
+void Guard::Cancel(std::uint64_t aCall)
+{
+  const auto entry = calls_.find(aCall);
+  if (entry == calls_.end()) {
+    return;
+  }
+  Running& running = entry->second;
+  running.done_ = nullptr;
+  if (running.request_ == 0) {
+    CancelWaiting(admission_, aCall);
+    loop_.CancelTimer(running.timer_);
+    calls_.erase(entry);
+    return;
+  }
+  client_.Cancel(running.request_);
+  Finish(aCall, CallEnd::kCancelled, Answer{});
+}
+
+void Guard::Abort()
+{
+  while (!calls_.empty()) {
+    const auto entry = calls_.begin();
+    if (entry->second.request_ == 0) {
+      CancelWaiting(admission_, entry->first);
+      Refuse(entry->first, ErrorCode::kDraining, 0);
+      continue;
+    }
+    client_.Cancel(entry->second.request_);
+    Finish(entry->first,
+           CallEnd::kCancelled,
+           UnknownAnswer(entry->second.call_, ErrorCode::kOutcomeUnknown));
+  }
+}
+
+void Guard::SetConfig(std::shared_ptr<const Config> aConfig)
+{
+  config_ = std::move(aConfig);
+  admission_.settings_.queueCapacity_ = config_->policy_.queueCapacity_;
+  admission_.settings_.queueDeadlineFraction_ = config_->policy_.queueDeadlineFraction_;
+}
+
+void Guard::SetDraining()
+{
+  draining_ = true;
+}
+
+void Guard::Poll(std::function<void(const TargetHealth&)> aDone)
+{
+  auto done = std::make_shared<std::function<void(const TargetHealth&)>>(std::move(aDone));
+  auto timer = std::make_shared<std::uint64_t>(0);
+  const auto request = pollClient_.Send(
+    { "GET", "/health", {}, "" }, [this, done, timer](const TargetResult& aHealth) {
+      if (aHealth.end_ == TargetEnd::kNotSent) {
+        ++health_.failedPolls_;
+        if (health_.failedPolls_ >= kFailedPollsToDrain && health_.state_ != TargetState::kCold) {
+          health_.state_ = TargetState::kDraining;
+        }
+      } else if (aHealth.end_ == TargetEnd::kAnswered) {
+        health_.failedPolls_ = 0;
+        const auto json =
+          nlohmann::json::parse(aHealth.response_.body_, nullptr, /*allow_exceptions=*/false);
+        const std::string state =
+          json.is_object() && json.contains("state") && json["state"].is_string()
+            ? json["state"].get<std::string>()
+            : std::string();
+        // Any other answer leaves the state as it was: the endpoint may mislead.
+        if (state == "cold") {
+          health_.state_ = TargetState::kCold;
+        } else if (state == "ready") {
+          health_.state_ = TargetState::kReady;
+        } else if (state == "draining") {
+          health_.state_ = TargetState::kDraining;
+        }
+      }
+      loop_.CancelTimer(*timer);
+      const auto load = pollClient_.Send({ "GET", "/load", {}, "" },
+                                         [this, done, timer](const TargetResult& aLoad) {
+                                           loop_.CancelTimer(*timer);
+                                           ReadLoad(aLoad);
+                                           (*done)(health_);
+                                         });
+      *timer = loop_.After(kPollTimeout, [this, done, load] {
+        pollClient_.Cancel(load);
+        (*done)(health_);
+      });
+    });
+  *timer = loop_.After(kPollTimeout, [this, done, request] {
+    pollClient_.Cancel(request);
+    (*done)(health_);
+  });
+}
+
+void Guard::ReadLoad(const TargetResult& aResult)
+{
+  if (aResult.end_ != TargetEnd::kAnswered) {
+    return;
+  }
+  const auto json =
+    nlohmann::json::parse(aResult.response_.body_, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object() || !json.contains("slots") || !json["slots"].is_number_unsigned() ||
+      !json.contains("in_use") || !json["in_use"].is_number_unsigned()) {
+    return;
+  }
+  const auto slots = std::min<std::uint64_t>(json["slots"].get<std::uint64_t>(), 100'000);
+  const auto inUse = json["in_use"].get<std::uint64_t>();
+  health_.slots_ = static_cast<std::uint32_t>(slots);
+  health_.load_ =
+    slots == 0 ? 0 : std::min(1.0, static_cast<double>(inUse) / static_cast<double>(slots));
+  AnnounceSlots(admission_, health_.slots_);
+}
+
+CallContext* Guard::Context(std::string_view aToken)
+{
+  return FindContext(contexts_, aToken);
+}
+
+std::size_t Guard::Calls() const
+{
+  return calls_.size();
+}
+
+const AdmissionState& Guard::Admission() const
+{
+  return admission_;
+}
+
+const TargetHealth& Guard::Health() const
+{
+  return health_;
+}
+
+std::size_t Guard::TargetConnections() const
+{
+  return client_.Connections();
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/process/Metrics.h
@@ -0,0 +1,76 @@
+// Counters and latency statistics of one node, written as text for the admin front.
+#pragma once
+
+#include "peridotquay/process/Time.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace peridotquay {
+
+/// What is counted since the start of the process.
+enum class Counter : std::uint8_t
+{
+  kCallerRequests,
+  kOutboundRequests,
+  kOwnerCalls,
+  kAnswersRan,
+  kAnswersNotRun,
+  kAnswersUnknown,
+  kRefusedKey,
+  kRefusedRate,
+  kRefusedNotFresh,
+  kRefusedUpstream, ///< Refused near the caller because of a guard's admission level.
+  kRefusedDraining,
+  kAttempts,
+  kRetries,
+  kRetriesDenied, ///< Wanted, but the budget or the route's ratio was spent.
+  kGuardCalls,
+  kGuardRefused,
+  kTargetCalls,
+  kTargetRefusals,
+  kTargetTruncated,
+  kTargetLost,
+  kDroppedAnswers,
+  kFatesAsked,
+  kRequestIdsIssued,
+  kRepeatsAnswered
+};
+
+inline constexpr std::size_t kCounters = 24;
+
+/// What is timed.
+enum class Timing : std::uint8_t
+{
+  kCaller, ///< A caller's request from its last byte to its answer.
+  kTarget, ///< A request at the local target.
+  kQueue   ///< Waiting for admission.
+};
+
+inline constexpr std::size_t kTimings = 3;
+
+/// Used on the socket thread only.
+class Metrics
+{
+public:
+  Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+  ~Metrics();
+
+  void Add(Counter aCounter, std::uint64_t aCount = 1);
+  std::uint64_t Get(Counter aCounter) const;
+  void Note(Timing aTiming, Duration aDuration);
+  /// One "name value" line for each counter, timing statistic (milliseconds) and gauge.
+  std::string Text(const std::vector<std::pair<std::string_view, double>>& aGauges) const;
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+} // namespace peridotquay
--- a/tests/connection/RawSocket.h
+++ b/tests/connection/RawSocket.h
@@ -58,6 +58,8 @@
     }
   }
 
+  bool IsOpen() const { return descriptor_ >= 0; }
+
   void Write(std::string_view aBytes)
   {
     while (!aBytes.empty()) {
