--- /dev/null
+++ b/tests/version/MembershipTest.cpp
@@ -0,0 +1,249 @@
+// Tests of membership alone, with messages passed by hand.
+#include "peridotquay/version/Membership.h"
+
+#include "peridotquay/version/MembershipRank.h"
+
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+using namespace peridotquay;
+
+namespace {
+
+const TimePoint kStart{ seconds(1000) };
+
+MemberEntry Entry(const std::string& aHost, const std::string& aCentre = "a")
+{
+  MemberEntry entry;
+  entry.host_.value_ = aHost;
+  entry.incarnation_ = 100;
+  entry.peer_ = { "127.0.0.1", static_cast<std::uint16_t>(1000 + std::stoi(aHost.substr(1))) };
+  entry.dataCentre_.value_ = aCentre;
+  entry.service_.value_ = "s";
+  entry.targetState_ = TargetState::kReady;
+  return entry;
+}
+
+Membership Start(const std::string& aHost = "h0")
+{
+  return MakeMembership({}, Entry(aHost), {}, 7, kStart);
+}
+
+void Tell(Membership& aState, std::vector<MemberEntry> aEntries, TimePoint aNow = kStart)
+{
+  MembershipEffects effects;
+  HandleMembershipMessage(aState, {}, MemberTable{ false, std::move(aEntries) }, aNow, effects);
+}
+
+// Steps every 100 ms without any answer from others.
+MembershipEffects RunAlone(Membership& aState, TimePoint aFrom, Duration aLength)
+{
+  MembershipEffects effects;
+  for (auto now = aFrom; now <= aFrom + aLength; now += milliseconds(100)) {
+    StepMembership(aState, now, effects);
+  }
+  return effects;
+}
+
+} // namespace
+
+// Guards against a restarted member that stays dead because of its old tombstone.
+TEST_CASE("a higher incarnation overrides a tombstone and a lower one doesn't", "[membership]")
+{
+  auto state = Start();
+  auto entry = Entry("h1");
+  Tell(state, { entry });
+  entry.state_ = MemberState::kDead;
+  Tell(state, { entry });
+  CHECK(state.members_.at(entry.host_).entry_.state_ == MemberState::kDead);
+  entry.state_ = MemberState::kAlive;
+  Tell(state, { entry });
+  CHECK(state.members_.at(entry.host_).entry_.state_ == MemberState::kDead);
+  ++entry.incarnation_;
+  Tell(state, { entry });
+  CHECK(state.members_.at(entry.host_).entry_.state_ == MemberState::kAlive);
+}
+
+// Guards against a member that accepts being called dead.
+TEST_CASE("a node refutes what is said of it", "[membership]")
+{
+  auto state = Start();
+  auto entry = Entry("h0");
+  entry.state_ = MemberState::kSuspect;
+  entry.incarnation_ = 105;
+  Tell(state, { entry });
+  CHECK(state.self_.incarnation_ == 106);
+  CHECK(state.self_.state_ == MemberState::kAlive);
+  entry.incarnation_ = 105;
+  Tell(state, { entry });
+  CHECK(state.self_.incarnation_ == 106);
+}
+
+// Guards against wrong times of indirect probes, suspicion and death.
+TEST_CASE("a silent member is probed indirectly, suspected and declared dead", "[membership]")
+{
+  auto state = Start();
+  Tell(state, { Entry("h1"), Entry("h2"), Entry("h3") });
+  MembershipEffects effects;
+  StepMembership(state, kStart, effects);
+  REQUIRE(state.probe_);
+  const auto subject = state.probe_->host_;
+  effects = {};
+  StepMembership(state, kStart + milliseconds(299), effects);
+  CHECK(effects.messages_.empty());
+  StepMembership(state, kStart + milliseconds(300), effects);
+  CHECK(effects.messages_.size() == 2);
+  CHECK(std::holds_alternative<ProbeRequest>(effects.messages_.front().message_));
+  StepMembership(state, kStart + milliseconds(650), effects);
+  StepMembership(state, kStart + milliseconds(1000), effects);
+  CHECK(state.members_.at(subject).entry_.state_ == MemberState::kSuspect);
+  // Another member stays alive, so this is no cut.
+  for (auto now = kStart + milliseconds(1100); now < kStart + milliseconds(4100);
+       now += milliseconds(100)) {
+    CHECK(state.members_.at(subject).entry_.state_ == MemberState::kSuspect);
+    StepMembership(state, now, effects);
+    if (state.probe_) {
+      const auto& probed = state.members_.at(state.probe_->host_).entry_;
+      if (probed.host_ != subject) {
+        HandleMembershipMessage(
+          state, probed.peer_, ProbeAck{ state.probe_->sequence_, probed, {} }, now, effects);
+      }
+    }
+  }
+  StepMembership(state, kStart + milliseconds(4100), effects);
+  CHECK(state.members_.at(subject).entry_.state_ == MemberState::kDead);
+}
+
+// Guards against a relayed ack that doesn't save the member.
+TEST_CASE("an indirect ack counts", "[membership]")
+{
+  auto asker = Start();
+  Tell(asker, { Entry("h1"), Entry("h2") });
+  MembershipEffects effects;
+  StepMembership(asker, kStart, effects);
+  const auto subject = asker.members_.at(asker.probe_->host_).entry_;
+  effects = {};
+  StepMembership(asker, kStart + milliseconds(300), effects);
+  REQUIRE(effects.messages_.size() == 1);
+  const auto request = effects.messages_.front().message_;
+  const auto helperName = subject.host_.value_ == "h1" ? "h2" : "h1";
+  auto helper = Start(helperName);
+  MembershipEffects helped;
+  HandleMembershipMessage(helper, asker.self_.peer_, request, kStart, helped);
+  REQUIRE(helped.messages_.size() == 1);
+  CHECK(helped.messages_.front().to_ == subject.peer_);
+  const auto& probe = std::get<Probe>(helped.messages_.front().message_);
+  MembershipEffects relayed;
+  HandleMembershipMessage(
+    helper, subject.peer_, ProbeAck{ probe.sequence_, subject, {} }, kStart, relayed);
+  REQUIRE(relayed.messages_.size() == 1);
+  CHECK(relayed.messages_.front().to_ == asker.self_.peer_);
+  HandleMembershipMessage(asker,
+                          helper.self_.peer_,
+                          relayed.messages_.front().message_,
+                          kStart + milliseconds(400),
+                          effects);
+  CHECK(asker.probe_->acked_);
+}
+
+// Guards against a cut node that forgets everybody, and against a paused one that suspects
+// everybody.
+TEST_CASE("a cut node finds others unreachable and a paused node suspects nobody", "[membership]")
+{
+  auto cut = Start();
+  Tell(cut, { Entry("h1"), Entry("h2"), Entry("h3") });
+  RunAlone(cut, kStart, seconds(20));
+  for (const auto& [host, member] : cut.members_) {
+    CHECK(member.entry_.state_ != MemberState::kAlive);
+    CHECK(member.entry_.state_ != MemberState::kDead);
+  }
+  CHECK(MakeTargetView(cut).targets_.at(ServiceId{ "s" }).size() == 1);
+  auto paused = Start();
+  Tell(paused, { Entry("h1"), Entry("h2") });
+  MembershipEffects effects;
+  StepMembership(paused, kStart, effects);
+  StepMembership(paused, kStart + seconds(30), effects);
+  for (const auto& [host, member] : paused.members_) {
+    CHECK(member.entry_.state_ == MemberState::kAlive);
+  }
+}
+
+// Guards against traffic to targets that are dead or left, and against ids of a host that left
+// being lost although it named a successor.
+TEST_CASE("the target view holds usable targets and successors", "[membership]")
+{
+  auto state = Start();
+  auto left = Entry("h1");
+  left.state_ = MemberState::kLeft;
+  left.successor_.value_ = "h2";
+  auto dead = Entry("h3");
+  dead.state_ = MemberState::kDead;
+  auto draining = Entry("h4");
+  draining.targetState_ = TargetState::kDraining;
+  Tell(state, { left, Entry("h2"), dead, draining });
+  const auto view = MakeTargetView(state);
+  const auto& targets = view.targets_.at(ServiceId{ "s" });
+  REQUIRE(targets.size() == 3);
+  CHECK(targets[0].host_.value_ == "h0");
+  CHECK(targets[1].host_.value_ == "h2");
+  CHECK(targets[2].state_ == TargetState::kDraining);
+  CHECK(view.hosts_.at(HostId{ "h1" }) == Entry("h2").peer_);
+  CHECK(view.hosts_.count(HostId{ "h3" }) == 0);
+}
+
+// Guards against a datagram too large for one packet and a table beyond its bound.
+TEST_CASE("datagrams and the table are bounded", "[membership]")
+{
+  auto state = Start();
+  state.settings_.maxMembers_ = 50;
+  std::vector<MemberEntry> entries;
+  for (int i = 1; i < 40; ++i) {
+    entries.push_back(Entry("h" + std::to_string(i)));
+  }
+  for (int i = 40; i < 200; ++i) {
+    entries.push_back(Entry("h" + std::to_string(i), "b"));
+  }
+  Tell(state, entries);
+  CHECK(state.members_.size() == 50);
+  CHECK(state.members_.count(HostId{ "h39" }) == 1);
+  const auto effects = RunAlone(state, kStart, seconds(3));
+  for (const auto& message : effects.messages_) {
+    if (const auto* probe = std::get_if<Probe>(&message.message_)) {
+      CHECK(probe->updates_.size() <= state.settings_.updatesPerDatagram_ + 1);
+    }
+  }
+}
+
+// Guards against members that end up with different views after the same statements in another
+// order: the outcome for a member must not depend on the order of arrival.
+TEST_CASE("statements commute", "[membership]")
+{
+  rc::check([] {
+    const auto size = *rc::gen::inRange<std::size_t>(1, 12);
+    std::vector<MemberEntry> statements;
+    for (std::size_t i = 0; i < size; ++i) {
+      auto entry = Entry("h1");
+      entry.incarnation_ = 100 + *rc::gen::inRange<std::uint64_t>(0, 4);
+      entry.state_ = *rc::gen::element(
+        MemberState::kAlive, MemberState::kSuspect, MemberState::kDead, MemberState::kLeft);
+      // What a node says of itself depends on its incarnation alone.
+      entry.slots_ = static_cast<std::uint32_t>(entry.incarnation_);
+      statements.push_back(entry);
+    }
+    const auto apply = [](const std::vector<MemberEntry>& aStatements) {
+      auto state = Start();
+      Tell(state, { Entry("h1") });
+      for (const auto& statement : aStatements) {
+        Tell(state, { statement });
+      }
+      return state.members_.at(HostId{ "h1" }).entry_;
+    };
+    auto shuffled = statements;
+    std::uint64_t random = *rc::gen::arbitrary<std::uint64_t>();
+    for (std::size_t i = shuffled.size(); i > 1; --i) {
+      std::swap(shuffled[i - 1], shuffled[NextRandom(random) % i]);
+    }
+    RC_ASSERT(apply(statements) == apply(shuffled));
+  });
+}
