Add dissemination, share lease and the control plane's actors

Cause: a node needs a control side that follows the version stream, proves freshness and holds its data centre's shares.

--- /dev/null
+++ b/peridotquay/process/ControlActorShare.cpp
@@ -0,0 +1,144 @@
+// Actor around the share lease and its ledger.
+#include "peridotquay/process/ControlActor.h"
+#include "peridotquay/process/Events.h"
+
+#include <caf/all.hpp>
+
+#include <map>
+
+namespace peridotquay {
+
+namespace {
+
+using TickAtom = caf::atom_constant<caf::atom("tick")>;
+
+// A request without an answer is forgotten after this; its grant would have expired.
+constexpr Duration kAskLifetime = seconds(2);
+
+struct ShareActorState
+{
+  ControlContext context_;
+  ShareLease lease_;
+  ShareLedger ledger_;
+  caf::actor platform_;
+  std::map<std::uint64_t, TimePoint> asked_; ///< By nonce.
+};
+
+using ShareActor = caf::stateful_actor<ShareActorState>;
+
+void CarryOut(ShareActor* aSelf, ShareLeaseEffects& aEffects)
+{
+  const auto& lease = aSelf->state.lease_;
+  if (aEffects.taken_) {
+    LogEvent(Event::kShareLeaseTaken, { { "epoch", std::to_string(lease.row_.epoch_) } });
+  }
+  if (aEffects.lost_) {
+    LogEvent(Event::kShareLeaseLost, { { "epoch", std::to_string(lease.row_.epoch_) } });
+  }
+  if (!aEffects.call_) {
+    return;
+  }
+  aSelf->request(aSelf->state.platform_, caf::infinite, PlatformJob{ std::move(*aEffects.call_) })
+    .then([aSelf](const PlatformAnswer& aAnswer) {
+      ShareLeaseEffects effects;
+      HandleShareAnswer(
+        aSelf->state.lease_, aSelf->state.ledger_, aAnswer, aSelf->clock().now(), effects);
+      CarryOut(aSelf, effects);
+    });
+}
+
+void Deliver(ShareActor* aSelf, const ShareGrant& aGrant)
+{
+  const auto found = aSelf->state.asked_.find(aGrant.nonce_);
+  if (found == aSelf->state.asked_.end()) {
+    return;
+  }
+  const auto asked = found->second;
+  aSelf->state.asked_.erase(found);
+  aSelf->state.context_.port_.deliverGrant_(aGrant, asked);
+}
+
+void AskLeader(ShareActor* aSelf, const TokenAsk& aAsk)
+{
+  auto& state = aSelf->state;
+  state.asked_[aAsk.request_.nonce_] = aAsk.asked_;
+  const auto& ranking = state.lease_.ranking_;
+  if (ranking == nullptr) {
+    return;
+  }
+  if (ranking->shareLeader_.host_ == state.lease_.self_) {
+    Deliver(
+      aSelf,
+      HandleShareRequest(
+        state.lease_, state.ledger_, state.lease_.self_, aAsk.request_, aSelf->clock().now()));
+  } else {
+    state.context_.port_.sendPeer_(ranking->shareLeader_.address_, aAsk.request_);
+  }
+}
+
+void AnswerHost(ShareActor* aSelf, const PeerArrival& aArrival, const ShareRequest& aRequest)
+{
+  auto& state = aSelf->state;
+  const auto grant = HandleShareRequest(
+    state.lease_, state.ledger_, aArrival.from_.host_, aRequest, aSelf->clock().now());
+  Address to = aArrival.peer_;
+  if (state.lease_.ranking_ != nullptr) {
+    const auto found = state.lease_.ranking_->addresses_.find(aArrival.from_.host_);
+    if (found != state.lease_.ranking_->addresses_.end()) {
+      to = found->second;
+    }
+  }
+  state.context_.port_.sendPeer_(to, grant);
+}
+
+void Step(ShareActor* aSelf)
+{
+  auto& state = aSelf->state;
+  const auto now = aSelf->clock().now();
+  ShareLeaseEffects effects;
+  StepShareLease(state.lease_, state.ledger_, now, effects);
+  CarryOut(aSelf, effects);
+  std::erase_if(state.asked_,
+                [&](const auto& aAsked) { return now - aAsked.second > kAskLifetime; });
+  ControlStatus status;
+  status.shareLeader_ = state.lease_.held_;
+  state.context_.status_->shares_.store(std::make_shared<const ControlStatus>(status));
+}
+
+caf::behavior RunShares(ShareActor* aSelf)
+{
+  aSelf->send(aSelf, TickAtom::value);
+  return {
+    [=](TickAtom) {
+      aSelf->delayed_send(aSelf, kControlStep, TickAtom::value);
+      Step(aSelf);
+    },
+    [=](const PeerArrival& aArrival) {
+      if (const auto* request = std::get_if<ShareRequest>(&aArrival.message_)) {
+        AnswerHost(aSelf, aArrival, *request);
+      } else if (const auto* grant = std::get_if<ShareGrant>(&aArrival.message_)) {
+        Deliver(aSelf, *grant);
+      }
+    },
+    [=](const TokenAsk& aAsk) { AskLeader(aSelf, aAsk); },
+    [=](const RankingNews& aNews) { aSelf->state.lease_.ranking_ = aNews.ranking_; },
+    [=](const ConfigNews& aNews) { aSelf->state.lease_.config_ = aNews.config_; },
+  };
+}
+
+} // namespace
+
+caf::actor SpawnShareActor(caf::actor_system& aSystem,
+                           const ControlContext& aContext,
+                           ShareLease aState,
+                           const caf::actor& aPlatform)
+{
+  return aSystem.spawn([=](ShareActor* aSelf) {
+    aSelf->state.context_ = aContext;
+    aSelf->state.lease_ = aState;
+    aSelf->state.platform_ = aPlatform;
+    return RunShares(aSelf);
+  });
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/process/PlatformCall.cpp
@@ -0,0 +1,64 @@
+// Runs platform calls that are held as data.
+#include "peridotquay/process/PlatformCall.h"
+
+namespace peridotquay {
+
+namespace {
+
+template<typename T>
+bool TakeError(const Result<T>& aResult, PlatformAnswer& aAnswer)
+{
+  if (aResult.has_error()) {
+    aAnswer.error_ = aResult.assume_error();
+    return true;
+  }
+  return false;
+}
+
+void Run(Platform& aPlatform, const ReadRowCall& aCall, PlatformAnswer& aAnswer)
+{
+  auto row = aPlatform.ReadRow(aCall.key_);
+  if (!TakeError(row, aAnswer) && row.assume_value()) {
+    aAnswer.rows_.push_back(std::move(*row.assume_value()));
+  }
+}
+
+void Run(Platform& aPlatform, const ReadRangeCall& aCall, PlatformAnswer& aAnswer)
+{
+  auto rows = aPlatform.ReadRange(aCall.prefix_, aCall.after_, aCall.limit_);
+  if (!TakeError(rows, aAnswer)) {
+    aAnswer.rows_ = std::move(rows.assume_value());
+  }
+}
+
+void Run(Platform& aPlatform, const TransactCall& aCall, PlatformAnswer& aAnswer)
+{
+  const auto revision = aPlatform.Transact(aCall.transaction_);
+  if (!TakeError(revision, aAnswer)) {
+    aAnswer.revision_ = revision.assume_value();
+  }
+}
+
+void Run(Platform& aPlatform, const PutObjectCall& aCall, PlatformAnswer& aAnswer)
+{
+  TakeError(aPlatform.PutObject(aCall.name_, aCall.body_), aAnswer);
+}
+
+void Run(Platform& aPlatform, const GetObjectCall& aCall, PlatformAnswer& aAnswer)
+{
+  auto object = aPlatform.GetObject(aCall.name_);
+  if (!TakeError(object, aAnswer)) {
+    aAnswer.object_ = std::move(object.assume_value());
+  }
+}
+
+} // namespace
+
+PlatformAnswer RunPlatformCall(Platform& aPlatform, const PlatformCall& aCall)
+{
+  PlatformAnswer answer;
+  std::visit([&](const auto& aDetail) { Run(aPlatform, aDetail, answer); }, aCall);
+  return answer;
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/version/Dissemination.cpp
@@ -0,0 +1,968 @@
+// Push tree, sync, freshness by evidence, watermark and contact rows.
+#include "peridotquay/version/Dissemination.h"
+
+#include "peridotquay/version/ConfigCompiler.h"
+#include "peridotquay/version/MembershipRank.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace peridotquay {
+
+namespace {
+
+// Most rows of one read of changes; with the largest changes that is 4 MiB.
+constexpr std::uint32_t kChangeRows = 64;
+
+// Most addresses in a contact row: enough that some of them live after a rack failed.
+constexpr std::size_t kContacts = 4;
+
+// A node that knows no other member waits this long before it replaces a contact row, so that it
+// first tries the contacts in it.
+constexpr Duration kAloneBeforeContacts = seconds(3);
+
+constexpr std::string_view kContactPrefix = "contacts/";
+
+using Json = nlohmann::json;
+using EventKind = DisseminationEvent::Kind;
+
+std::size_t ChangeBytes(const Change& aChange)
+{
+  constexpr std::size_t kFixedBytes = 32;
+  std::size_t bytes = kFixedBytes + aChange.operatorName_.size() + aChange.operationId_.size() +
+                      aChange.summary_.size();
+  for (const auto& edit : aChange.edits_) {
+    bytes += 8 + edit.name_.size() + (edit.json_ ? edit.json_->size() : 0);
+  }
+  return bytes;
+}
+
+std::size_t OwnPosition(const Dissemination& aState)
+{
+  const auto& members = aState.ranking_->members_;
+  const auto found = std::find_if(members.begin(), members.end(), [&](const auto& aMember) {
+    return aMember.host_ == aState.ranking_->self_;
+  });
+  return static_cast<std::size_t>(found - members.begin());
+}
+
+bool IsRoot(const Dissemination& aState)
+{
+  return aState.ranking_ != nullptr && OwnPosition(aState) == 0;
+}
+
+void ReportFreshness(Dissemination& aState,
+                     std::optional<TimePoint> aBefore,
+                     DisseminationEffects& aEffects)
+{
+  const auto after = FreshUntil(aState);
+  assert(!aBefore || (after && *after >= *aBefore));
+  if (after != aBefore) {
+    aEffects.freshness_ = after;
+  }
+}
+
+// Takes a proof. One of a version that isn't in force here yet counts once that version is.
+void AddProof(Dissemination& aState, FreshnessProof aProof, DisseminationEffects& aEffects)
+{
+  aState.head_ = std::max(aState.head_, aProof.version_);
+  if (aState.inForce_ < aProof.version_) {
+    if (!aState.pendingProof_ || aState.pendingProof_->time_ < aProof.time_) {
+      aState.pendingProof_ = aProof;
+    }
+    return;
+  }
+  const auto before = FreshUntil(aState);
+  if (!aState.proof_ || *aState.proof_ < aProof.time_) {
+    aState.proof_ = aProof.time_;
+  }
+  ReportFreshness(aState, before, aEffects);
+}
+
+void UsePendingProof(Dissemination& aState, DisseminationEffects& aEffects)
+{
+  if (aState.pendingProof_ && aState.pendingProof_->version_ <= aState.inForce_) {
+    const auto proof = *aState.pendingProof_;
+    aState.pendingProof_.reset();
+    AddProof(aState, proof, aEffects);
+  }
+}
+
+void KeepRecent(Dissemination& aState, const Change& aChange)
+{
+  aState.recent_.push_back(aChange);
+  aState.recentBytes_ += ChangeBytes(aChange);
+  while (aState.recent_.size() > aState.settings_.recentVersions_ ||
+         (aState.recent_.size() > 1 && aState.recentBytes_ > aState.settings_.recentBytes_)) {
+    aState.recentBytes_ -= ChangeBytes(aState.recent_.front());
+    aState.recent_.pop_front();
+  }
+}
+
+// Compiles what was applied and puts it in force. A version that can't be compiled is skipped: the
+// one in force stays until a later version compiles.
+void PutInForce(Dissemination& aState, DisseminationEffects& aEffects)
+{
+  const auto version = aState.version_;
+  auto compiled = CompileConfig(aState.entities_, aState.dataCentre_, version);
+  if (compiled.has_error()) {
+    aEffects.events_.push_back({ EventKind::kVersionRejected, Describe(compiled.assume_error()) });
+    return;
+  }
+  const auto& config = compiled.assume_value();
+  assert(version > aState.inForce_);
+  aState.inForce_ = version;
+  aState.bound_ = config->policy_.keyFreshnessBound_;
+  aState.sites_.clear();
+  for (const auto& [id, site] : config->sites_) {
+    aState.sites_.insert(id);
+  }
+  aEffects.config_ = config;
+  aEffects.events_.push_back({ EventKind::kVersionInForce, std::to_string(version) });
+  UsePendingProof(aState, aEffects);
+}
+
+// Applies the changes that follow the present version; false if there is a gap before one of them.
+bool ApplyChanges(Dissemination& aState,
+                  const std::vector<Change>& aChanges,
+                  DisseminationEffects& aEffects)
+{
+  const auto before = aState.version_;
+  bool connected = true;
+  for (const auto& change : aChanges) {
+    aState.head_ = std::max(aState.head_, change.version_);
+    if (change.version_ <= aState.version_) {
+      continue;
+    }
+    if (change.version_ != aState.version_ + 1) {
+      connected = false;
+      break;
+    }
+    const auto applied = ApplyChange(aState.entities_, change);
+    if (applied.has_error()) {
+      // The change stays part of the stream as an empty one; every node treats it alike.
+      aEffects.events_.push_back({ EventKind::kVersionRejected, Describe(applied.assume_error()) });
+    }
+    aState.version_ = change.version_;
+    KeepRecent(aState, change);
+    if (IsRoot(aState) && aState.version_ % kSnapshotInterval == 0 &&
+        (aState.sites_.empty() || *aState.sites_.begin() == aState.dataCentre_)) {
+      aState.snapshotDue_ = aState.version_;
+    }
+  }
+  if (aState.version_ > before) {
+    PutInForce(aState, aEffects);
+  }
+  return connected;
+}
+
+void ApplySnapshot(Dissemination& aState,
+                   Version aVersion,
+                   Entities aEntities,
+                   DisseminationEffects& aEffects)
+{
+  aState.head_ = std::max(aState.head_, aVersion);
+  if (aVersion <= aState.version_) {
+    return;
+  }
+  aState.entities_ = std::move(aEntities);
+  aState.version_ = aVersion;
+  aState.recent_.clear();
+  aState.recentBytes_ = 0;
+  PutInForce(aState, aEffects);
+}
+
+void ApplySnapshotChange(Dissemination& aState,
+                         const Change& aChange,
+                         DisseminationEffects& aEffects)
+{
+  Entities entities;
+  for (const auto& edit : aChange.edits_) {
+    if (edit.json_) {
+      entities[edit.name_] = *edit.json_;
+    }
+  }
+  ApplySnapshot(aState, aChange.version_, std::move(entities), aEffects);
+}
+
+// Sends changes to the children of this node in the push tree of the last of them.
+void PushToChildren(Dissemination& aState,
+                    const std::vector<Change>& aChanges,
+                    DisseminationEffects& aEffects)
+{
+  if (aChanges.empty() || aState.ranking_ == nullptr ||
+      aChanges.back().version_ <= aState.pushed_) {
+    return;
+  }
+  aState.pushed_ = aChanges.back().version_;
+  const auto order = PushOrder(*aState.ranking_, aState.pushed_, aState.settings_.arity_);
+  const auto self = std::find_if(order.begin(), order.end(), [&](const auto& aMember) {
+    return aMember.host_ == aState.ranking_->self_;
+  });
+  if (self == order.end()) {
+    return;
+  }
+  const auto position = static_cast<std::size_t>(self - order.begin());
+  for (const auto child : TreeChildren(position, order.size(), aState.settings_.arity_)) {
+    aEffects.messages_.push_back(
+      { order[child].address_, VersionPush{ order.front().host_, aChanges }, false });
+  }
+}
+
+// Changes after a version that fit into one message; the last one alone if none else fits.
+std::vector<Change> RecentAfter(const Dissemination& aState, Version aVersion)
+{
+  std::vector<Change> changes;
+  std::size_t bytes = 0;
+  for (const auto& change : aState.recent_) {
+    if (change.version_ <= aVersion) {
+      continue;
+    }
+    bytes += ChangeBytes(change);
+    if (!changes.empty() && bytes > aState.settings_.replyBytes_) {
+      break;
+    }
+    changes.push_back(change);
+  }
+  return changes;
+}
+
+// Starts the push of what the root has and hasn't pushed, or hands it to the root.
+void StartPush(Dissemination& aState, bool aFromPlatform, DisseminationEffects& aEffects)
+{
+  if (aState.ranking_ == nullptr || aState.version_ <= aState.pushed_ || aState.recent_.empty()) {
+    return;
+  }
+  auto changes = RecentAfter(aState, aState.pushed_);
+  if (changes.empty() || changes.back().version_ != aState.version_) {
+    // Too much for one message: the last change tells the children to sync for the rest.
+    changes = { aState.recent_.back() };
+  }
+  if (IsRoot(aState)) {
+    PushToChildren(aState, changes, aEffects);
+  } else if (aFromPlatform) {
+    const auto& root = aState.ranking_->members_.front();
+    aEffects.messages_.push_back({ root.address_, VersionPush{ root.host_, changes }, false });
+  }
+}
+
+// Ceiling, so that rounding can only make the proof look older.
+std::uint64_t AgeMs(const std::optional<TimePoint>& aTime, TimePoint aNow)
+{
+  if (!aTime) {
+    return kNoProof;
+  }
+  return static_cast<std::uint64_t>(std::chrono::ceil<milliseconds>(aNow - *aTime).count());
+}
+
+// A whole configuration as one change, or none if it doesn't fit into a frame.
+std::vector<Change> SnapshotChange(const Dissemination& aState)
+{
+  Change change;
+  change.version_ = aState.version_;
+  change.edits_.reserve(aState.entities_.size());
+  for (const auto& [name, json] : aState.entities_) {
+    change.edits_.push_back({ name, json });
+  }
+  if (ChangeBytes(change) > aState.settings_.snapshotBytes_) {
+    return {};
+  }
+  return { std::move(change) };
+}
+
+void HandleSyncRequest(Dissemination& aState,
+                       const Hello& aSender,
+                       const Address& aFrom,
+                       const SyncRequest& aRequest,
+                       TimePoint aNow,
+                       DisseminationEffects& aEffects)
+{
+  const bool own = aSender.dataCentre_ == aState.dataCentre_;
+  if (own && aRequest.subtreeNodes_ > 0) {
+    aState.reports_[aSender.host_] = {
+      aRequest.subtreeLeast_, aRequest.subtreeNodes_, aRequest.lagging_, aNow
+    };
+  }
+  SyncReply reply;
+  reply.nonce_ = aRequest.nonce_;
+  reply.version_ = aState.inForce_;
+  // Another data centre gets only what the platform proved. Passing extensions on would hide from
+  // it that the platform isn't reached here.
+  reply.ageMs_ = AgeMs(own ? FreshUntil(aState) : aState.proof_, aNow);
+  if (aRequest.version_ < aState.version_) {
+    const bool covered =
+      !aState.recent_.empty() && aState.recent_.front().version_ <= aRequest.version_ + 1;
+    if (covered) {
+      reply.changes_ = RecentAfter(aState, aRequest.version_);
+    } else {
+      reply.changes_ = SnapshotChange(aState);
+      reply.snapshot_ = true;
+    }
+  }
+  aEffects.messages_.push_back({ aFrom, std::move(reply), false });
+}
+
+// Data centres whose evidence is needed for an extension: all but this one.
+std::set<DataCentreId> OtherCentres(const Dissemination& aState)
+{
+  auto centres = aState.sites_;
+  if (aState.ranking_ != nullptr) {
+    for (const auto& [id, delegates] : aState.ranking_->delegates_) {
+      centres.insert(id);
+    }
+  }
+  centres.erase(aState.dataCentre_);
+  return centres;
+}
+
+// Extends freshness if every other data centre showed lately that it doesn't reach the platform
+// either. Without another data centre there is no such evidence and no extension.
+void ExtendFreshness(Dissemination& aState, TimePoint aNow, DisseminationEffects& aEffects)
+{
+  const auto others = OtherCentres(aState);
+  if (aState.platformReachable_ || !aState.platformKnown_ || others.empty() ||
+      aState.inForce_ == 0 || !IsDelegate(aState)) {
+    return;
+  }
+  TimePoint oldest = aNow;
+  for (const auto& id : others) {
+    const auto found = aState.evidence_.find(id);
+    if (found == aState.evidence_.end() || aNow - found->second.time_ >= aState.bound_ ||
+        found->second.version_ > aState.inForce_) {
+      return;
+    }
+    oldest = std::min(oldest, found->second.time_);
+  }
+  const auto before = FreshUntil(aState);
+  if (!aState.extension_ || *aState.extension_ < oldest) {
+    aState.extension_ = oldest;
+  }
+  ReportFreshness(aState, before, aEffects);
+}
+
+void HandleSyncReply(Dissemination& aState,
+                     const SyncReply& aReply,
+                     TimePoint aNow,
+                     DisseminationEffects& aEffects)
+{
+  const auto found = aState.sentSyncs_.find(aReply.nonce_);
+  if (found == aState.sentSyncs_.end()) {
+    return;
+  }
+  const auto sent = found->second;
+  aState.sentSyncs_.erase(found);
+  const bool own = sent.dataCentre_ == aState.dataCentre_;
+  if (own) {
+    aState.parentHeard_ = aNow;
+  }
+  if (aReply.snapshot_ && !aReply.changes_.empty()) {
+    ApplySnapshotChange(aState, aReply.changes_.front(), aEffects);
+  } else if (aReply.snapshot_) {
+    aState.fetch_ = true;
+    aState.nextPoll_ = aNow;
+  } else {
+    ApplyChanges(aState, aReply.changes_, aEffects);
+    // More is to come: the rest didn't fit into the reply.
+    if (!aReply.changes_.empty() && aState.version_ < aReply.version_) {
+      aState.nextSync_ = aNow;
+    }
+  }
+  const auto oldestMs = std::chrono::duration_cast<milliseconds>(sent.sent_.time_since_epoch());
+  const bool proven =
+    aReply.ageMs_ != kNoProof && aReply.ageMs_ <= static_cast<std::uint64_t>(oldestMs.count());
+  const auto age = proven ? milliseconds(aReply.ageMs_) : milliseconds(0);
+  if (proven) {
+    AddProof(aState, { aReply.version_, sent.sent_ - age }, aEffects);
+  }
+  if (!own) {
+    if (!proven || age >= aState.settings_.outageAge_) {
+      aState.evidence_[sent.dataCentre_] = { aReply.version_, sent.sent_ };
+      ExtendFreshness(aState, aNow, aEffects);
+    } else {
+      aState.evidence_.erase(sent.dataCentre_);
+    }
+  }
+  StartPush(aState, false, aEffects);
+}
+
+void HandlePush(Dissemination& aState,
+                const VersionPush& aPush,
+                TimePoint aNow,
+                DisseminationEffects& aEffects)
+{
+  const bool connected = ApplyChanges(aState, aPush.changes_, aEffects);
+  PushToChildren(aState, aPush.changes_, aEffects);
+  if (!connected) {
+    aState.nextSync_ = aNow;
+  }
+}
+
+void SendSync(Dissemination& aState,
+              const Address& aTo,
+              const DataCentreId& aDataCentre,
+              const SubtreeReport& aReport,
+              TimePoint aNow,
+              DisseminationEffects& aEffects)
+{
+  const auto nonce = aState.nextNonce_++;
+  aState.sentSyncs_[nonce] = { aDataCentre, aNow };
+  aEffects.messages_.push_back(
+    { aTo,
+      SyncRequest{ nonce, aState.version_, aReport.least_, aReport.nodes_, aReport.lagging_ },
+      false });
+}
+
+// Parent in the unrotated tree. The root syncs with the second delegate.
+const RankedMember* FindParent(const Dissemination& aState, TimePoint aNow)
+{
+  const auto& members = aState.ranking_->members_;
+  const auto position = OwnPosition(aState);
+  if (members.size() < 2 || position >= members.size()) {
+    return nullptr;
+  }
+  if (position == 0) {
+    return &members[1];
+  }
+  const auto parent = (position - 1) / aState.settings_.arity_;
+  const bool silent = aNow - aState.parentHeard_ > aState.settings_.replyTimeout_;
+  if (silent && position > 1 && parent != 1) {
+    return &members[1];
+  }
+  return &members[parent];
+}
+
+// Sync with other data centres at delegates that have no proof of their own.
+void SyncAcross(Dissemination& aState, TimePoint aNow, DisseminationEffects& aEffects)
+{
+  const bool proven =
+    aState.proof_ && aNow - *aState.proof_ < aState.settings_.outageAge_ && !aState.pendingProof_;
+  if (proven || !IsDelegate(aState)) {
+    return;
+  }
+  for (const auto& [id, delegates] : aState.ranking_->delegates_) {
+    if (!delegates.empty()) {
+      const auto& peer = delegates[(aState.syncs_ + OwnPosition(aState)) % delegates.size()];
+      SendSync(aState, peer.address_, id, {}, aNow, aEffects);
+    }
+  }
+}
+
+void Sync(Dissemination& aState, TimePoint aNow, DisseminationEffects& aEffects)
+{
+  if (aNow < aState.nextSync_ || aState.ranking_ == nullptr) {
+    return;
+  }
+  aState.nextSync_ = aNow + aState.settings_.syncInterval_;
+  ++aState.syncs_;
+  std::erase_if(aState.sentSyncs_, [&](const auto& aSent) {
+    return aNow - aSent.second.sent_ > aState.settings_.replyTimeout_;
+  });
+  if (const auto* parent = FindParent(aState, aNow)) {
+    if (parent->host_ != aState.parent_) {
+      aState.parent_ = parent->host_;
+      aState.parentHeard_ = aNow;
+    }
+    // The root reports to no one; its sync with the second delegate must not be counted there.
+    const auto report = IsRoot(aState) ? SubtreeReport{} : AggregateReports(aState, aNow);
+    SendSync(aState, parent->address_, aState.dataCentre_, report, aNow, aEffects);
+  }
+  SyncAcross(aState, aNow, aEffects);
+}
+
+std::string OperationId(Dissemination& aState)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string id;
+  for (int half = 0; half < 2; ++half) {
+    auto value = NextRandom(aState.random_);
+    for (int i = 0; i < 16; ++i) {
+      id += kDigits[value & 0xfU];
+      value >>= 4U;
+    }
+  }
+  return id;
+}
+
+void StartCall(Dissemination& aState,
+               VersionCallKind aKind,
+               PlatformCall aCall,
+               DisseminationEffects& aEffects)
+{
+  assert(!aState.call_ && !aEffects.call_);
+  aState.call_ = aKind;
+  aEffects.call_ = std::move(aCall);
+}
+
+// An unconditional write: the row is a report of its only regular writer, nothing relies on it.
+TransactCall WriteRow(Dissemination& aState, std::string aKey, std::string aValue)
+{
+  TransactCall call;
+  call.transaction_.operationId_ = OperationId(aState);
+  call.transaction_.writes_.push_back({ std::move(aKey), std::move(aValue) });
+  return call;
+}
+
+void StartFetch(Dissemination& aState, DisseminationEffects& aEffects)
+{
+  const auto floor = aState.head_ - aState.head_ % kSnapshotInterval;
+  const bool far = aState.head_ - aState.version_ > kSnapshotInterval && floor > aState.version_;
+  if (far && !aState.snapshotTried_) {
+    aState.snapshotTried_ = true;
+    StartCall(aState, VersionCallKind::kSnapshot, GetObjectCall{ SnapshotName(floor) }, aEffects);
+  } else {
+    ReadRangeCall call{ "config/change/", ChangeRowKey(aState.version_), kChangeRows };
+    StartCall(aState, VersionCallKind::kChanges, std::move(call), aEffects);
+  }
+}
+
+void Poll(Dissemination& aState, TimePoint aNow, DisseminationEffects& aEffects)
+{
+  const bool due = aNow >= aState.nextPoll_ && (IsDelegate(aState) || aState.fetch_);
+  if (!due || aState.call_) {
+    return;
+  }
+  aState.nextPoll_ = aNow + aState.settings_.pollInterval_;
+  StartCall(aState, VersionCallKind::kHead, ReadRowCall{ std::string(kHeadRowKey) }, aEffects);
+}
+
+// The watermark with what it covers; empty while a living member hasn't reported.
+std::optional<Watermark> MakeWatermark(Dissemination& aState, TimePoint aNow)
+{
+  const auto report = AggregateReports(aState, aNow);
+  if (report.nodes_ < aState.ranking_->members_.size()) {
+    return std::nullopt;
+  }
+  aState.watermark_ = report.least_;
+  Watermark watermark;
+  watermark.dataCentre_ = aState.dataCentre_;
+  watermark.version_ = report.least_;
+  watermark.nodes_ = report.nodes_;
+  for (const auto& host : report.lagging_) {
+    watermark.lagging_.push_back(host.value_);
+  }
+  for (const auto& host : aState.ranking_->unreachable_) {
+    watermark.unreachable_.push_back(host.value_);
+  }
+  return watermark;
+}
+
+void WriteWatermark(Dissemination& aState,
+                    TimePoint aNow,
+                    std::uint64_t aWallMs,
+                    DisseminationEffects& aEffects)
+{
+  if (aNow < aState.nextWatermark_ || aState.call_ || !aState.platformReachable_ ||
+      !IsRoot(aState)) {
+    return;
+  }
+  aState.nextWatermark_ = aNow + aState.settings_.watermarkInterval_;
+  auto watermark = MakeWatermark(aState, aNow);
+  if (!watermark) {
+    return;
+  }
+  auto content = EncodeWatermark(*watermark);
+  if (content == aState.writtenWatermark_) {
+    return;
+  }
+  aState.writtenWatermark_ = std::move(content);
+  watermark->writtenMs_ = aWallMs;
+  auto call = WriteRow(aState, WatermarkRowKey(aState.dataCentre_), EncodeWatermark(*watermark));
+  StartCall(aState, VersionCallKind::kWatermark, std::move(call), aEffects);
+}
+
+std::string EncodeContacts(const Dissemination& aState, std::uint64_t aWallMs)
+{
+  Json addresses = Json::array();
+  for (const auto& member : aState.ranking_->members_) {
+    if (addresses.size() < kContacts) {
+      addresses.push_back(member.address_.ip_ + ":" + std::to_string(member.address_.port_));
+    }
+  }
+  return Json{
+    { "data_centre", aState.dataCentre_.value_ },
+    { "addresses", std::move(addresses) },
+    { "written_ms", aWallMs }
+  }.dump();
+}
+
+std::optional<Address> ParseAddress(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos || colon + 1 == aText.size() || aText.size() - colon > 6) {
+    return std::nullopt;
+  }
+  unsigned port = 0;
+  for (const char c : aText.substr(colon + 1)) {
+    if (c < '0' || c > '9') {
+      return std::nullopt;
+    }
+    port = port * 10 + static_cast<unsigned>(c - '0');
+  }
+  if (port == 0 || port > 65535) {
+    return std::nullopt;
+  }
+  return Address{ aText.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
+void DecodeContacts(const PlatformRow& aRow, std::vector<Address>& aContacts)
+{
+  const auto json = Json::parse(aRow.value_, nullptr, false);
+  if (!json.is_object() || !json.contains("addresses") || !json["addresses"].is_array()) {
+    return;
+  }
+  for (const auto& text : json["addresses"]) {
+    const auto address = text.is_string() ? ParseAddress(text.get<std::string>()) : std::nullopt;
+    if (address) {
+      aContacts.push_back(*address);
+    }
+  }
+}
+
+void ExchangeContacts(Dissemination& aState,
+                      TimePoint aNow,
+                      std::uint64_t aWallMs,
+                      DisseminationEffects& aEffects)
+{
+  if (aState.call_ || !aState.platformReachable_ || !IsDelegate(aState)) {
+    return;
+  }
+  const bool alone = aState.ranking_->members_.size() < 2;
+  if (aNow >= aState.nextContactRead_) {
+    aState.nextContactRead_ =
+      aNow + (alone ? aState.settings_.aloneInterval_ : aState.settings_.contactInterval_);
+    StartCall(aState,
+              VersionCallKind::kReadContacts,
+              ReadRangeCall{ std::string(kContactPrefix), {}, kChangeRows },
+              aEffects);
+    return;
+  }
+  const bool mayWrite = !alone || aNow - aState.aloneSince_ >= kAloneBeforeContacts;
+  if (!IsRoot(aState) || !mayWrite || aNow < aState.nextContactWrite_) {
+    return;
+  }
+  auto content = EncodeContacts(aState, 0);
+  if (content == aState.writtenContacts_) {
+    return;
+  }
+  aState.nextContactWrite_ = aNow + aState.settings_.contactInterval_;
+  aState.writtenContacts_ = std::move(content);
+  auto call = WriteRow(aState,
+                       std::string(kContactPrefix) + aState.dataCentre_.value_,
+                       EncodeContacts(aState, aWallMs));
+  StartCall(aState, VersionCallKind::kWriteContacts, std::move(call), aEffects);
+}
+
+void WriteSnapshot(Dissemination& aState, DisseminationEffects& aEffects)
+{
+  if (aState.snapshotDue_ == 0 || aState.call_ || !aState.platformReachable_) {
+    return;
+  }
+  // Later changes may have arrived meanwhile; then the next multiple is written.
+  if (aState.snapshotDue_ == aState.version_) {
+    PutObjectCall call{ SnapshotName(aState.version_),
+                        EncodeSnapshot({ aState.version_, aState.entities_ }) };
+    StartCall(aState, VersionCallKind::kPutSnapshot, std::move(call), aEffects);
+  }
+  aState.snapshotDue_ = 0;
+}
+
+void CheckFreshness(Dissemination& aState, TimePoint aNow, DisseminationEffects& aEffects)
+{
+  const auto until = FreshUntil(aState);
+  const bool fresh = until && aNow - *until < aState.bound_;
+  if (fresh != aState.fresh_) {
+    aState.fresh_ = fresh;
+    aEffects.events_.push_back(
+      { fresh ? EventKind::kFreshnessRegained : EventKind::kFreshnessLost, {} });
+  }
+}
+
+void NotePlatform(Dissemination& aState,
+                  const PlatformAnswer& aAnswer,
+                  DisseminationEffects& aEffects)
+{
+  const bool reachable =
+    !aAnswer.error_ || (aAnswer.error_->code_ != ErrorCode::kPlatformUnavailable &&
+                        aAnswer.error_->code_ != ErrorCode::kPlatformUnknown);
+  if (reachable != aState.platformReachable_ || !aState.platformKnown_) {
+    aEffects.events_.push_back(
+      { reachable ? EventKind::kPlatformReachable : EventKind::kPlatformUnreachable, {} });
+  }
+  aState.platformReachable_ = reachable;
+  aState.platformKnown_ = true;
+}
+
+void HandleHead(Dissemination& aState,
+                const PlatformAnswer& aAnswer,
+                DisseminationEffects& aEffects)
+{
+  if (aAnswer.error_) {
+    return;
+  }
+  Version head = 0;
+  if (!aAnswer.rows_.empty()) {
+    const auto decoded = DecodeHead(aAnswer.rows_.front().value_);
+    if (decoded.has_error()) {
+      aEffects.events_.push_back({ EventKind::kVersionRejected, Describe(decoded.assume_error()) });
+      return;
+    }
+    head = decoded.assume_value();
+  }
+  AddProof(aState, { head, aAnswer.started_ }, aEffects);
+  if (aState.version_ < head) {
+    StartFetch(aState, aEffects);
+  } else {
+    aState.fetch_ = false;
+    aState.snapshotTried_ = false;
+  }
+}
+
+void HandleChanges(Dissemination& aState,
+                   const PlatformAnswer& aAnswer,
+                   DisseminationEffects& aEffects)
+{
+  if (aAnswer.error_) {
+    return;
+  }
+  std::vector<Change> changes;
+  for (const auto& row : aAnswer.rows_) {
+    auto change = DecodeChange(row.value_);
+    if (change.has_error()) {
+      aEffects.events_.push_back({ EventKind::kVersionRejected, Describe(change.assume_error()) });
+      break;
+    }
+    changes.push_back(std::move(change.assume_value()));
+  }
+  const auto before = aState.version_;
+  ApplyChanges(aState, changes, aEffects);
+  StartPush(aState, true, aEffects);
+  if (aState.version_ >= aState.head_) {
+    aState.fetch_ = false;
+    aState.snapshotTried_ = false;
+  } else if (aState.version_ > before) {
+    StartFetch(aState, aEffects);
+  }
+}
+
+void HandleSnapshot(Dissemination& aState,
+                    const PlatformAnswer& aAnswer,
+                    DisseminationEffects& aEffects)
+{
+  if (aAnswer.error_) {
+    aState.snapshotTried_ = false;
+    return;
+  }
+  if (aAnswer.object_) {
+    auto snapshot = DecodeSnapshot(*aAnswer.object_);
+    if (snapshot.has_error()) {
+      aEffects.events_.push_back(
+        { EventKind::kVersionRejected, Describe(snapshot.assume_error()) });
+    } else {
+      ApplySnapshot(aState,
+                    snapshot.assume_value().version_,
+                    std::move(snapshot.assume_value().entities_),
+                    aEffects);
+    }
+  }
+  if (aState.version_ < aState.head_) {
+    StartFetch(aState, aEffects);
+  }
+}
+
+} // namespace
+
+Dissemination MakeDissemination(DisseminationSettings aSettings,
+                                DataCentreId aDataCentre,
+                                std::uint64_t aSeed,
+                                TimePoint aNow)
+{
+  Dissemination state;
+  state.settings_ = aSettings;
+  state.dataCentre_ = std::move(aDataCentre);
+  state.random_ = aSeed;
+  const auto jitter = [&](Duration aInterval) {
+    return Duration(static_cast<Duration::rep>(NextRandom(state.random_) %
+                                               static_cast<std::uint64_t>(aInterval.count())));
+  };
+  // Spread over the interval, which also staggers the polls of the two delegates.
+  state.nextPoll_ = aNow + jitter(aSettings.pollInterval_);
+  state.nextSync_ = aNow + jitter(aSettings.syncInterval_) / 2;
+  state.parentHeard_ = aNow;
+  state.aloneSince_ = aNow;
+  return state;
+}
+
+void SetRanking(Dissemination& aState,
+                std::shared_ptr<const MemberRanking> aRanking,
+                TimePoint aNow)
+{
+  const bool wasAlone = aState.ranking_ == nullptr || aState.ranking_->members_.size() < 2;
+  aState.ranking_ = std::move(aRanking);
+  if (wasAlone && aState.ranking_->members_.size() > 1) {
+    // The first members became known: learn the configuration now.
+    aState.nextSync_ = aNow;
+  }
+  if (!wasAlone && aState.ranking_->members_.size() < 2) {
+    aState.aloneSince_ = aNow;
+  }
+}
+
+void StepDissemination(Dissemination& aState,
+                       TimePoint aNow,
+                       std::uint64_t aWallMs,
+                       DisseminationEffects& aEffects)
+{
+  if (aState.ranking_ == nullptr) {
+    return;
+  }
+  std::erase_if(aState.reports_, [&](const auto& aReport) {
+    return aNow - aReport.second.received_ > aState.settings_.reportLifetime_;
+  });
+  Sync(aState, aNow, aEffects);
+  Poll(aState, aNow, aEffects);
+  WriteSnapshot(aState, aEffects);
+  WriteWatermark(aState, aNow, aWallMs, aEffects);
+  ExchangeContacts(aState, aNow, aWallMs, aEffects);
+  CheckFreshness(aState, aNow, aEffects);
+}
+
+void HandleVersionMessage(Dissemination& aState,
+                          const Hello& aSender,
+                          const Address& aFrom,
+                          const PeerMessage& aMessage,
+                          TimePoint aNow,
+                          DisseminationEffects& aEffects)
+{
+  if (const auto* request = std::get_if<SyncRequest>(&aMessage)) {
+    HandleSyncRequest(aState, aSender, aFrom, *request, aNow, aEffects);
+  } else if (const auto* reply = std::get_if<SyncReply>(&aMessage)) {
+    HandleSyncReply(aState, *reply, aNow, aEffects);
+  } else if (const auto* push = std::get_if<VersionPush>(&aMessage)) {
+    HandlePush(aState, *push, aNow, aEffects);
+  } else if (const auto* summary = std::get_if<Summary>(&aMessage)) {
+    if (summary->platformReachable_) {
+      aState.evidence_.erase(summary->dataCentre_);
+    }
+  }
+}
+
+void HandleVersionAnswer(Dissemination& aState,
+                         const PlatformAnswer& aAnswer,
+                         TimePoint aNow,
+                         DisseminationEffects& aEffects)
+{
+  if (!aState.call_) {
+    return;
+  }
+  const auto kind = *aState.call_;
+  aState.call_.reset();
+  NotePlatform(aState, aAnswer, aEffects);
+  switch (kind) {
+    case VersionCallKind::kHead:
+      HandleHead(aState, aAnswer, aEffects);
+      break;
+    case VersionCallKind::kChanges:
+      HandleChanges(aState, aAnswer, aEffects);
+      break;
+    case VersionCallKind::kSnapshot:
+      HandleSnapshot(aState, aAnswer, aEffects);
+      break;
+    case VersionCallKind::kReadContacts:
+      for (const auto& row : aAnswer.rows_) {
+        DecodeContacts(row, aEffects.contacts_);
+      }
+      break;
+    case VersionCallKind::kWatermark:
+      // After a failure or a lost answer the row is written again, whatever it holds.
+      if (aAnswer.error_) {
+        aState.writtenWatermark_.clear();
+      }
+      break;
+    case VersionCallKind::kWriteContacts:
+      if (aAnswer.error_) {
+        aState.writtenContacts_.clear();
+      }
+      break;
+    case VersionCallKind::kPutSnapshot:
+      break;
+  }
+  CheckFreshness(aState, aNow, aEffects);
+}
+
+void FillSummary(const Dissemination& aState, Summary& aSummary, TimePoint aNow)
+{
+  aSummary.version_ = aState.inForce_;
+  aSummary.ageMs_ = AgeMs(aState.proof_, aNow);
+  aSummary.platformReachable_ = aState.platformReachable_;
+}
+
+std::optional<TimePoint> FreshUntil(const Dissemination& aState)
+{
+  if (!aState.proof_ || !aState.extension_) {
+    return aState.proof_ ? aState.proof_ : aState.extension_;
+  }
+  return std::max(*aState.proof_, *aState.extension_);
+}
+
+bool IsDelegate(const Dissemination& aState)
+{
+  return aState.ranking_ != nullptr && OwnPosition(aState) < aState.settings_.delegates_;
+}
+
+std::vector<RankedMember> PushOrder(const MemberRanking& aRanking,
+                                    Version aVersion,
+                                    std::size_t aArity)
+{
+  auto order = aRanking.members_;
+  if (order.size() > 2) {
+    // One turn moves the inner nodes of one version to the leaves of the next.
+    const auto others = order.size() - 1;
+    const auto inner = (others + aArity - 1) / aArity;
+    const auto offset = static_cast<std::ptrdiff_t>(aVersion * inner % others);
+    std::rotate(order.begin() + 1, order.begin() + 1 + offset, order.end());
+  }
+  return order;
+}
+
+std::vector<std::size_t> TreeChildren(std::size_t aPosition, std::size_t aSize, std::size_t aArity)
+{
+  std::vector<std::size_t> children;
+  for (std::size_t i = 1; i <= aArity && aPosition * aArity + i < aSize; ++i) {
+    children.push_back(aPosition * aArity + i);
+  }
+  return children;
+}
+
+SubtreeReport AggregateReports(const Dissemination& aState, TimePoint aNow)
+{
+  SubtreeReport total;
+  total.received_ = aNow;
+  total.nodes_ = 1;
+  total.least_ = aState.inForce_;
+  for (const auto& [host, report] : aState.reports_) {
+    total.nodes_ += report.nodes_;
+    if (report.least_ != 0 && (total.least_ == 0 || report.least_ < total.least_)) {
+      total.least_ = report.least_;
+    }
+  }
+  // Hosts are named only where they hold back a subtree below a node that is further.
+  for (const auto& [host, report] : aState.reports_) {
+    if (report.least_ == 0 || report.least_ != total.least_ || report.least_ >= aState.inForce_) {
+      continue;
+    }
+    auto named = report.lagging_;
+    if (named.empty()) {
+      named.push_back(host);
+    }
+    for (const auto& lagging : named) {
+      if (total.lagging_.size() < aState.settings_.lagging_) {
+        total.lagging_.push_back(lagging);
+      }
+    }
+  }
+  return total;
+}
+
+} // namespace peridotquay
