--- a/peridotquay/process/ControlActorVersion.cpp
+++ b/peridotquay/process/ControlActorVersion.cpp
@@ -83,6 +83,9 @@
 {
   auto& state = aSelf->state;
   const auto& port = state.context_.port_;
+  if (aEffects.config_ != nullptr || aEffects.freshness_) {
+    PublishStatus(state, aSelf->clock().now());
+  }
   // The configuration goes first: freshness must never be published for a version not in force yet.
   if (aEffects.config_ != nullptr) {
     port.publishConfig_(aEffects.config_);
--- a/peridotquay/process/ShareLease.cpp
+++ b/peridotquay/process/ShareLease.cpp
@@ -320,8 +320,10 @@
     const auto held = own.floor_ + own.elastic_;
     const auto used = UnitsOfUse(ledger->second, account.ratePerSecond_);
     const bool isShort = IsShort(aLease, ledger->second, aNow);
+    // Units beyond the site's part would lie idle here.
+    const auto most = static_cast<std::uint32_t>(std::ceil(account.siteRatePart_ * kShareUnits));
     if (isShort && aLease.needs_.size() < aLease.settings_.needs_) {
-      const auto want = std::min(kShareUnits, std::max(used, 2 * held) + kLeastNeed);
+      const auto want = std::min(most, std::max(used, 2 * held) + kLeastNeed);
       if (want > held) {
         aLease.needs_[id] = want - held;
       }
@@ -338,6 +340,7 @@
                aNow - ledger->second.short_ < aLease.settings_.idleAfter_) {
       keep = std::max(keep, elasticTotal / (centres + 1));
     }
+    keep = std::min(keep, most > own.floor_ ? most - own.floor_ : 0);
     const auto spare = own.elastic_ > keep ? own.elastic_ - keep : 0;
     const auto give = std::min(spare, needed);
     if (give > Giving(aLease, id)) {
@@ -732,6 +735,10 @@
   if (elasticTotal > 0) {
     limit.burst_ += elasticBurst * aAllotment.elastic_ / elasticTotal;
   }
+  // The overlay of the site may hold the data centre below what its units stand for.
+  limit.ratePerSecond_ =
+    std::min(limit.ratePerSecond_, aAccount.ratePerSecond_ * aAccount.siteRatePart_);
+  limit.burst_ = std::min(limit.burst_, aAccount.burst_ * aAccount.siteRatePart_);
   return limit;
 }
 
