Add history checks and measures of load runs

Cause: experiments need verdicts that can fail. Change: checks of six promises over callers' records and execution logs, weighted max-min shares, percentiles and recovery time.

--- /dev/null
+++ b/standins/lib/HistoryCheck.cpp
@@ -0,0 +1,119 @@
+// History checks: one pass over the executions, one over the calls.
+#include "standins/lib/HistoryCheck.h"
+
+#include "standins/lib/TargetBody.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace peridotquay::standins {
+
+namespace {
+
+// What the targets' logs say of one tag.
+struct TagSummary
+{
+  std::uint64_t started_ = 0;
+  std::map<std::string, std::uint64_t> attempts_; ///< By origin and path.
+};
+
+void Note(HistoryResult& aResult, HistoryProperty aProperty, const std::string& aExample)
+{
+  constexpr std::size_t kMaxExamples = 10;
+  ++aResult.violations_[aProperty];
+  if (aResult.examples_.size() < kMaxExamples) {
+    aResult.examples_.push_back(std::string(HistoryPropertyName(aProperty)) + ": " + aExample);
+  }
+}
+
+std::uint64_t Retries(const TagSummary& aSummary)
+{
+  std::uint64_t retries = 0;
+  for (const auto& [origin, attempts] : aSummary.attempts_) {
+    retries += attempts - 1;
+  }
+  return retries;
+}
+
+} // namespace
+
+std::string_view HistoryPropertyName(HistoryProperty aProperty)
+{
+  switch (aProperty) {
+    case HistoryProperty::kRunsAtMostOnce:
+      return "runs-at-most-once";
+    case HistoryProperty::kNotRunIsTrue:
+      return "not-run-is-true";
+    case HistoryProperty::kUnknownIs504:
+      return "unknown-is-504";
+    case HistoryProperty::kNoKeySeen:
+      return "no-key-seen";
+    case HistoryProperty::kOwnAnswer:
+      return "own-answer";
+    case HistoryProperty::kWithinBudget:
+      return "within-budget";
+  }
+  return "unnamed-property";
+}
+
+bool HistoryResult::Holds() const
+{
+  return std::all_of(
+    violations_.begin(), violations_.end(), [](const auto& aEntry) { return aEntry.second == 0; });
+}
+
+HistoryResult CheckHistory(const std::vector<HistoryCall>& aCalls,
+                           const std::vector<TargetExecution>& aExecutions)
+{
+  HistoryResult result;
+  result.calls_ = aCalls.size();
+  result.executions_ = aExecutions.size();
+  for (int i = 0; i < kHistoryProperties; ++i) {
+    result.violations_[static_cast<HistoryProperty>(i)] = 0;
+  }
+  std::unordered_map<std::string, TagSummary> tags;
+  std::unordered_map<std::string, std::uint64_t> startedById;
+  for (const TargetExecution& execution : aExecutions) {
+    const std::string tag(QueryValue(execution.path_, "tag"));
+    if (!tag.empty()) {
+      TagSummary& summary = tags[tag];
+      summary.started_ += execution.Started() ? 1 : 0;
+      ++summary.attempts_[execution.path_];
+    }
+    if (!execution.requestId_.empty() && execution.Started()) {
+      if (++startedById[execution.requestId_] == 2) {
+        Note(result, HistoryProperty::kRunsAtMostOnce, execution.requestId_);
+      }
+    }
+    if (execution.keySeen_) {
+      Note(result, HistoryProperty::kNoKeySeen, execution.id_);
+    }
+    if (execution.wrongDeeperAnswers_ > 0) {
+      Note(result, HistoryProperty::kOwnAnswer, execution.id_);
+    }
+  }
+  const TagSummary none;
+  for (const HistoryCall& call : aCalls) {
+    const auto found = tags.find(call.tag_);
+    const TagSummary& summary = found == tags.end() ? none : found->second;
+    if (call.outcome_ == "not-run" && summary.started_ > 0) {
+      Note(result, HistoryProperty::kNotRunIsTrue, call.tag_);
+    }
+    if ((call.outcome_ == "unknown") != (call.status_ == 504)) {
+      Note(result, HistoryProperty::kUnknownIs504, call.tag_);
+    }
+    if (call.status_ == 200 && !call.rightBody_) {
+      Note(result, HistoryProperty::kOwnAnswer, call.tag_);
+    }
+    const std::uint64_t retries = Retries(summary);
+    result.mostRetries_ = std::max(result.mostRetries_, retries);
+    if (retries > call.budget_) {
+      Note(result,
+           HistoryProperty::kWithinBudget,
+           call.tag_ + " made " + std::to_string(retries) + " retries");
+    }
+  }
+  return result;
+}
+
+} // namespace peridotquay::standins
--- /dev/null
+++ b/standins/lib/LoadScore.cpp
@@ -0,0 +1,94 @@
+// Measures of a load run.
+#include "standins/lib/LoadScore.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotquay::standins {
+
+std::vector<double> FairShares(double aCapacity,
+                               const std::vector<double>& aDemands,
+                               const std::vector<double>& aWeights)
+{
+  std::vector<double> shares(aDemands.size(), 0);
+  std::vector<bool> satisfied(aDemands.size(), false);
+  double left = aCapacity;
+  // Each round satisfies at least one entry in full, or divides what is left by weight and ends.
+  for (std::size_t round = 0; round <= aDemands.size(); ++round) {
+    double weights = 0;
+    for (std::size_t i = 0; i < aDemands.size(); ++i) {
+      weights += satisfied[i] ? 0 : aWeights[i];
+    }
+    if (weights <= 0) {
+      break;
+    }
+    const double perWeight = left / weights;
+    bool any = false;
+    for (std::size_t i = 0; i < aDemands.size(); ++i) {
+      if (!satisfied[i] && aDemands[i] <= perWeight * aWeights[i]) {
+        shares[i] = aDemands[i];
+        left -= aDemands[i];
+        satisfied[i] = true;
+        any = true;
+      }
+    }
+    if (!any) {
+      for (std::size_t i = 0; i < aDemands.size(); ++i) {
+        if (!satisfied[i]) {
+          shares[i] = perWeight * aWeights[i];
+        }
+      }
+      break;
+    }
+  }
+  return shares;
+}
+
+double Percentile(std::vector<double> aValues, double aFraction)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  const double count = static_cast<double>(aValues.size());
+  const auto rank = static_cast<std::size_t>(std::ceil(aFraction * count));
+  const std::size_t index = std::min(aValues.size(), std::max<std::size_t>(rank, 1)) - 1;
+  std::nth_element(
+    aValues.begin(), aValues.begin() + static_cast<std::ptrdiff_t>(index), aValues.end());
+  return aValues[index];
+}
+
+double ServedPart(const std::vector<ServedAt>& aRequests, double aFrom, double aTo)
+{
+  std::size_t all = 0;
+  std::size_t served = 0;
+  for (const ServedAt& request : aRequests) {
+    if (request.seconds_ >= aFrom && request.seconds_ < aTo) {
+      ++all;
+      served += request.served_ ? 1 : 0;
+    }
+  }
+  return all == 0 ? 1 : static_cast<double>(served) / static_cast<double>(all);
+}
+
+std::optional<double> RecoverySeconds(const std::vector<ServedAt>& aRequests,
+                                      double aTriggerEnd,
+                                      double aEnd,
+                                      double aLevelBefore,
+                                      double aPart)
+{
+  constexpr double kStep = 0.1;
+  constexpr double kWindow = 1;
+  const auto steps = static_cast<int>(std::floor((aEnd - kWindow - aTriggerEnd) / kStep));
+  std::optional<double> recovered;
+  for (int step = 0; step <= steps; ++step) {
+    const double from = aTriggerEnd + step * kStep;
+    if (ServedPart(aRequests, from, from + kWindow) < aPart * aLevelBefore) {
+      recovered.reset();
+    } else if (!recovered) {
+      recovered = step * kStep;
+    }
+  }
+  return recovered;
+}
+
+} // namespace peridotquay::standins
