--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -734,7 +734,12 @@
   // The call must wait for its answer on this very connection.
   if (entry == attempts_.end() || hub_.LinkOf(aAnswer.callId_) != aLink) {
     metrics_.Add(Counter::kDroppedAnswers);
-    LogEvent(Event::kAnswerDropped, { { "call", std::to_string(aAnswer.callId_) } });
+    std::uint64_t skipped = 0;
+    if (droppedLog_.Allow(loop_.Now(), skipped)) {
+      LogEvent(
+        Event::kAnswerDropped,
+        { { "call", std::to_string(aAnswer.callId_) }, { "skipped", std::to_string(skipped) } });
+    }
     return;
   }
   const CallPointer call = entry->second;
@@ -1014,11 +1019,7 @@
       break;
     case Outcome::kUnknown:
       metrics_.Add(Counter::kAnswersUnknown);
-      if (aAnswer.error_ != static_cast<std::uint16_t>(ErrorCode::kCancelled)) {
-        LogEvent(Event::kOutcomeUnknown,
-                 { { "route", call.call_.route_.value_ },
-                   { "reason", std::string(ErrorName(static_cast<ErrorCode>(aAnswer.error_))) } });
-      }
+      LogUnknown(call, static_cast<ErrorCode>(aAnswer.error_));
       break;
   }
   if (call.contextToken_.empty()) {
@@ -1031,6 +1032,18 @@
   }
 }
 
+void Dispatcher::LogUnknown(const ActiveCall& aCall, ErrorCode aCode)
+{
+  std::uint64_t skipped = 0;
+  // A caller that closed its connection is told nothing.
+  if (aCode != ErrorCode::kCancelled && unknownLog_.Allow(loop_.Now(), skipped)) {
+    LogEvent(Event::kOutcomeUnknown,
+             { { "route", aCall.call_.route_.value_ },
+               { "reason", std::string(ErrorName(aCode)) },
+               { "skipped", std::to_string(skipped) } });
+  }
+}
+
 void Dispatcher::Refuse(const CallPointer& aCall, ErrorCode aCode, std::uint32_t aRetryAfterMs)
 {
   End(aCall, MakeAnswer(Outcome::kNotRun, aCode, aRetryAfterMs));
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -6,6 +6,7 @@
 #include "peridotquay/connection/PeerHub.h"
 #include "peridotquay/connection/PeerMessage.h"
 #include "peridotquay/process/Guard.h"
+#include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
 #include "peridotquay/process/RequestLedger.h"
 #include "peridotquay/process/Settings.h"
@@ -161,6 +162,7 @@
   void CancelCall(const CallPointer& aCall);
   void CancelAttempt(const CallPointer& aCall);
   void End(const CallPointer& aCall, Answer aAnswer);
+  void LogUnknown(const ActiveCall& aCall, ErrorCode aCode);
   void Refuse(const CallPointer& aCall, ErrorCode aCode, std::uint32_t aRetryAfterMs = 0);
   void EndUnknown(const CallPointer& aCall, ErrorCode aCode);
   void RefuseExchange(const std::shared_ptr<HttpExchange>& aExchange, const Refusal& aRefusal);
@@ -191,6 +193,8 @@
   std::unordered_map<std::string, std::vector<CallPointer>> deeper_; ///< By context token.
   std::unordered_map<std::uint64_t, CallPointer> attempts_;          ///< By call id.
   std::uint64_t nextCallId_ = 1;
+  LogThrottle unknownLog_;
+  LogThrottle droppedLog_;
   bool draining_ = false;
 };
 
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -204,7 +204,11 @@
   const auto outcome = FindHeader(aResult.response_.headers_, "Quay-Outcome");
   if (aResult.response_.status_ == 503 && outcome == OutcomeName(Outcome::kNotRun)) {
     metrics_.Add(Counter::kTargetRefusals);
-    LogEvent(Event::kTargetRefusing, { { "route", call.route_.value_ } });
+    std::uint64_t skipped = 0;
+    if (refusalLog_.Allow(loop_.Now(), skipped)) {
+      LogEvent(Event::kTargetRefusing,
+               { { "route", call.route_.value_ }, { "skipped", std::to_string(skipped) } });
+    }
     const auto hint = FindHeader(aResult.response_.headers_, "Quay-Retry-After-Ms");
     const auto retryAfter = hint ? ParseNumber(*hint, 60'000).value_or(0) : 0;
     Finish(aCall,
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -4,6 +4,7 @@
 #include "peridotquay/connection/EventLoop.h"
 #include "peridotquay/connection/PeerMessage.h"
 #include "peridotquay/connection/TargetClient.h"
+#include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
 #include "peridotquay/process/Settings.h"
 #include "peridotquay/request/Admission.h"
@@ -102,6 +103,7 @@
   std::map<std::uint64_t, Running> calls_;
   std::uint64_t next_ = 1;
   TargetHealth health_;
+  LogThrottle refusalLog_;
   bool draining_ = false;
   bool watchingQueue_ = false;
 };
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -18,6 +18,7 @@
 #include <cstdio>
 #include <fstream>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace peridotquay {
@@ -550,30 +551,44 @@
     });
   }
 
-  // Sends the request records to the successor and returns it; empty if there is no other host.
-  HostId HandOver()
+  // The living host that takes over the request records: of the own data centre if possible.
+  // Targets are asked for, because the view's host table also leads from hosts that left to their
+  // successors.
+  const Target* ChooseSuccessor() const
   {
     const TargetView* view = dispatcher_->View();
-    HostId successor;
-    Address address;
+    const Target* best = nullptr;
+    const auto rank = [this](const Target& aTarget) {
+      const bool near = aTarget.dataCentre_ == settings_.dataCentre_;
+      const bool stays =
+        aTarget.state_ == TargetState::kReady || aTarget.state_ == TargetState::kCold;
+      return std::make_tuple(stays, near, Rank(settings_.host_, aTarget.host_));
+    };
     if (view != nullptr) {
-      std::uint64_t best = 0;
-      for (const auto& [host, peer] : view->hosts_) {
-        const std::uint64_t rank = Rank(settings_.host_, host);
-        if (host != settings_.host_ && (successor.value_.empty() || rank > best)) {
-          successor = host;
-          address = peer;
-          best = rank;
+      for (const auto& [service, targets] : view->targets_) {
+        for (const Target& target : targets) {
+          const bool better = best == nullptr || rank(target) > rank(*best);
+          if (target.host_ != settings_.host_ && better) {
+            best = &target;
+          }
         }
       }
     }
+    return best;
+  }
+
+  // Sends the request records to the successor and returns it; empty if there is no other host.
+  HostId HandOver()
+  {
+    const Target* successor = ChooseSuccessor();
     const auto batches = dispatcher_->HandOver();
-    if (!successor.value_.empty()) {
-      for (const auto& batch : batches) {
-        hub_->Send(address, batch);
-      }
+    if (successor == nullptr) {
+      return {};
+    }
+    for (const auto& batch : batches) {
+      hub_->Send(successor->peer_, batch);
     }
-    return successor;
+    return successor->host_;
   }
 };
 
--- /dev/null
+++ b/tests/failure/Process.h
@@ -0,0 +1,118 @@
+// Child processes of tests.
+#pragma once
+
+#include <sys/wait.h>
+
+#include <chrono>
+#include <fcntl.h>
+#include <fstream>
+#include <signal.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+extern char** environ;
+
+namespace peridotquay::testing {
+
+/// One child process; it is killed by its id at the end of its scope if it still runs. Its standard
+/// output and error go to a file.
+class Process
+{
+public:
+  Process(const std::vector<std::string>& aCommand, const std::string& aOutput)
+  {
+    std::vector<std::string> command = aCommand;
+    std::vector<char*> arguments;
+    for (auto& argument : command) {
+      arguments.push_back(argument.data());
+    }
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(
+      &actions, 1, aOutput.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    const int result =
+      posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (result != 0) {
+      throw std::runtime_error("cannot start " + command[0]);
+    }
+  }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  ~Process()
+  {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+  }
+
+  void Signal(int aSignal) { ::kill(pid_, aSignal); }
+
+  /// Exit code, or -1 if the process doesn't end within 10 s or ends by a signal.
+  int Wait()
+  {
+    for (int i = 0; i < 1000; ++i) {
+      int status = 0;
+      if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+        pid_ = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return -1;
+  }
+
+private:
+  pid_t pid_ = -1;
+};
+
+/// A new directory, removed with its files at the end of the scope.
+class Directory
+{
+public:
+  Directory()
+  {
+    std::string pattern = "/tmp/pqtestXXXXXX";
+    path_ = ::mkdtemp(pattern.data());
+  }
+  Directory(const Directory&) = delete;
+  Directory& operator=(const Directory&) = delete;
+  ~Directory()
+  {
+    for (const auto& file : files_) {
+      ::unlink(file.c_str());
+    }
+    ::rmdir(path_.c_str());
+  }
+  /// Full name of a file, which is removed with the directory.
+  std::string File(const std::string& aName)
+  {
+    files_.push_back(path_ + "/" + aName);
+    return files_.back();
+  }
+  std::string Write(const std::string& aName, const std::string& aText)
+  {
+    const std::string file = File(aName);
+    std::ofstream(file) << aText;
+    return file;
+  }
+
+private:
+  std::string path_;
+  std::vector<std::string> files_;
+};
+
+inline std::string ReadFile(const std::string& aFile)
+{
+  std::ifstream stream(aFile);
+  return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+} // namespace peridotquay::testing
