--- a/peridotquay/process/InForce.cpp
+++ b/peridotquay/process/InForce.cpp
@@ -16,15 +16,21 @@
 /// The largest bound that a configuration can set, 3,600 s.
 constexpr Duration kLongestBound = seconds(3600);
 
-/// Replaced bounds older than this no longer matter. Twice the longest bound, because the times of
-/// changes come from operators' clocks.
-constexpr std::uint64_t kBoundMemoryMs = 7200000;
+/// A replaced bound counts for this long: twice the longest bound, because the times come from
+/// operators' clocks.
+constexpr std::uint64_t kReplacedLifetimeMs = 7200000;
 
-constexpr std::string_view kPolicyEntity = "policy/default";
+const std::string kPolicyEntity = "policy/default";
+const std::string kReplacedEntity = "policy/replaced";
 
-Duration BoundOf(const std::string& aPolicyJson)
+/// The freshness bound of a policy entity; the longest one if the entity is malformed.
+Duration BoundOf(const Entities& aEntities, const std::string& aEntity)
 {
-  const auto json = ConfigJson::parse(aPolicyJson, nullptr, false);
+  const auto entity = aEntities.find(aEntity);
+  if (entity == aEntities.end()) {
+    return Policy{}.keyFreshnessBound_;
+  }
+  const auto json = ConfigJson::parse(entity->second, nullptr, false);
   if (!json.is_object()) {
     return kLongestBound;
   }
@@ -35,13 +41,18 @@
   return milliseconds(found->get<std::int64_t>());
 }
 
-const EntityEdit* FindPolicyEdit(const Change& aChange)
+/// The bound that was replaced, or zero if there is none or no host can use it any more.
+Duration ReplacedBound(const Entities& aEntities, std::uint64_t aWallMs)
 {
-  const auto found =
-    std::find_if(aChange.edits_.begin(), aChange.edits_.end(), [](const EntityEdit& aEdit) {
-      return aEdit.name_ == kPolicyEntity;
-    });
-  return found == aChange.edits_.end() ? nullptr : &*found;
+  const auto entity = aEntities.find(kReplacedEntity);
+  if (entity == aEntities.end()) {
+    return Duration::zero();
+  }
+  const auto json = ConfigJson::parse(entity->second, nullptr, false);
+  const bool valid =
+    json.is_object() && json.contains("until_ms") && json["until_ms"].is_number_unsigned();
+  const bool over = valid && json["until_ms"].get<std::uint64_t>() <= aWallMs;
+  return over ? Duration::zero() : BoundOf(aEntities, kReplacedEntity);
 }
 
 SiteForce Judge(const DataCentreId& aSite, const std::optional<Watermark>& aMark, Version aVersion)
@@ -99,26 +110,27 @@
   return view;
 }
 
-Duration LargestFreshnessBound(const Entities& aEntities,
-                               const std::vector<Change>& aHistory,
-                               std::uint64_t aWallMs)
+Duration LargestFreshnessBound(const Entities& aEntities, std::uint64_t aWallMs)
 {
-  const auto policy = aEntities.find(std::string(kPolicyEntity));
-  auto bound = policy == aEntities.end() ? Policy{}.keyFreshnessBound_ : BoundOf(policy->second);
-  // The policy before the history began; unknown unless the history begins with version 1.
-  const bool whole = !aHistory.empty() && aHistory.front().version_ == 1;
-  auto replaced = whole ? Duration::zero() : kLongestBound;
-  for (const auto& change : aHistory) {
-    const auto* edit = FindPolicyEdit(change);
-    if (edit == nullptr) {
-      continue;
-    }
-    if (change.wallMs_ + kBoundMemoryMs > aWallMs) {
-      bound = std::max(bound, replaced);
-    }
-    replaced = edit->json_ ? BoundOf(*edit->json_) : Policy{}.keyFreshnessBound_;
+  return std::max(BoundOf(aEntities, kPolicyEntity), ReplacedBound(aEntities, aWallMs));
+}
+
+void KeepReplacedBound(const Entities& aPresent, Entities& aNext, std::uint64_t aWallMs)
+{
+  if (const auto kept = aPresent.find(kReplacedEntity); kept != aPresent.end()) {
+    aNext[kReplacedEntity] = kept->second;
+  }
+  // Before the first version no host serves a keyed route, so nothing is replaced.
+  const bool lowered =
+    !aPresent.empty() && BoundOf(aPresent, kPolicyEntity) > BoundOf(aNext, kPolicyEntity);
+  if (!lowered) {
+    return;
   }
-  return bound;
+  const auto bound = LargestFreshnessBound(aPresent, aWallMs);
+  const ConfigJson json = { { "key_freshness_bound_ms",
+                              std::chrono::duration_cast<milliseconds>(bound).count() },
+                            { "until_ms", aWallMs + kReplacedLifetimeMs } };
+  aNext[kReplacedEntity] = json.dump();
 }
 
 Result<WaitResult> WaitInForce(Platform& aPlatform, const WaitSettings& aSettings)
--- a/peridotquay/process/InForce.h
+++ b/peridotquay/process/InForce.h
@@ -39,12 +39,14 @@
                             const std::vector<DataCentreId>& aSites,
                             Version aVersion);
 
-/// Largest freshness bound that any host may still use: that of the configuration and those that
-/// changes within the last hours replaced, judged by the operators' clocks. A host that never heard
-/// of a withdrawal stops serving keyed routes this long after it at the latest.
-Duration LargestFreshnessBound(const Entities& aEntities,
-                               const std::vector<Change>& aHistory,
-                               std::uint64_t aWallMs);
+/// Largest freshness bound that any host may still use: that of the configuration, or one that was
+/// lowered so recently that a cut-off host can still use it. A host that never heard of a
+/// withdrawal stops serving keyed routes this long after it at the latest.
+Duration LargestFreshnessBound(const Entities& aEntities, std::uint64_t aWallMs);
+
+/// Carries entity policy/replaced over from the present configuration to the next one, and sets it
+/// if the next one lowers the freshness bound.
+void KeepReplacedBound(const Entities& aPresent, Entities& aNext, std::uint64_t aWallMs);
 
 /// Settings of a wait.
 struct WaitSettings
--- a/peridotquay/process/OperatorCommands.cpp
+++ b/peridotquay/process/OperatorCommands.cpp
@@ -160,15 +160,6 @@
   aReport.text_ += SitesText(result.view_);
 }
 
-/// The settings of a wait for a withdrawal; another change has no freshness bound.
-Result<std::optional<Duration>> WithdrawalBound(Platform& aPlatform, const StoredConfig& aStored)
-{
-  const auto first =
-    aStored.version_ > kSnapshotInterval ? aStored.version_ - kSnapshotInterval : 0;
-  BOOST_OUTCOME_TRY(history, LoadHistory(aPlatform, first, kSnapshotInterval));
-  return std::make_optional(LargestFreshnessBound(aStored.entities_, history, WallMs()));
-}
-
 /// A change that is ready to be written.
 struct PreparedChange
 {
@@ -189,12 +180,8 @@
   change.wallMs_ = WallMs();
   change.edits_ = aPrepared.edits_;
   std::optional<Duration> bound;
-  if (aPrepared.withdrawal_ && aOptions.wait_) {
-    const auto found = WithdrawalBound(aPlatform, aStored);
-    if (found.has_error()) {
-      return ReportError(found.assume_error());
-    }
-    bound = found.assume_value();
+  if (aPrepared.withdrawal_) {
+    bound = LargestFreshnessBound(aStored.entities_, WallMs());
   }
   const auto version = CommitChange(aPlatform, aStored, change, aOptions.commit_);
   if (version.has_error()) {
@@ -254,6 +241,7 @@
 {
   BOOST_OUTCOME_TRY(files, ReadConfigDirectory(aDirectory));
   BOOST_OUTCOME_TRY(merged, MergeFiles(aStored.entities_, files));
+  KeepReplacedBound(aStored.entities_, merged, WallMs());
   // Keys granted by command can refer to accounts that the files no longer have.
   BOOST_OUTCOME_TRYV(CheckEntities(merged));
   return DiffEntities(aStored.entities_, merged);
--- a/peridotquay/version/ConfigCompiler.cpp
+++ b/peridotquay/version/ConfigCompiler.cpp
@@ -255,6 +255,9 @@
     aParsed.sites_.push_back(std::move(site));
   } else if (aKind == "policy" && aId == "default") {
     return ReadPolicy(aTable, aParsed.base_.policy_);
+  } else if (aKind == "policy" && aId == "replaced") {
+    // Kept by the commands for waits on withdrawals; it doesn't concern nodes.
+    BOOST_OUTCOME_TRYV(CheckKeys(aTable, { "key_freshness_bound_ms", "until_ms" }));
   } else {
     return Fail(ErrorCode::kUnknownSetting,
                 aTable.entity_,
--- a/standins/lib/PlatformServer.cpp
+++ b/standins/lib/PlatformServer.cpp
@@ -47,9 +47,11 @@
                                                      PlatformRequest aRequest)
 {
   const bool admin = aRequest.target_ == "/faults" || aRequest.target_ == "/stats";
+  // Keeps the connection open without an answer until the outage ends; the request is lost.
   if (!admin && aService.Faults().outage_ == PlatformOutage::kSilent) {
-    // Keeps the connection open without an answer for longer than any client waits.
-    co_await Sleep(seconds(3600));
+    while (aService.Faults().outage_ == PlatformOutage::kSilent) {
+      co_await Sleep(milliseconds(50));
+    }
     co_return std::nullopt;
   }
   const Duration half = admin ? Duration::zero() : milliseconds(aService.Faults().delayMs_) / 2;
