Add quayload with its fleet, load generator, scenarios and demo

Cause: the product and its naive baseline must be compared under the same load. Change: open-loop generator with latency from the scheduled arrival, fleets of processes on kernel-chosen ports, ten scenarios, two profiles, latency by turns, report and demo.

--- /dev/null
+++ b/programs/quayload.cpp
@@ -0,0 +1,234 @@
+// Load and experiment tool: list, run, compare and demo.
+#include "standins/lib/LoadDemo.h"
+#include "standins/lib/LoadExperiment.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+
+ABSL_FLAG(std::string, scenario, "steady", "one of `quayload list`");
+ABSL_FLAG(std::string, profile, "foundry", "foundry or landesamt");
+ABSL_FLAG(uint64_t, seed, 1, "seed of arrivals, service times and all random choices");
+ABSL_FLAG(int, turns, 1, "runs with the seeds from --seed on");
+ABSL_FLAG(bool, naive, false, "run: use the naive baseline instead of the product");
+ABSL_FLAG(bool, json, false, "print one JSON object");
+ABSL_FLAG(std::string, binaries, "", "folder of the programs; that of quayload if empty");
+
+namespace {
+
+using namespace peridotquay;
+using namespace peridotquay::standins;
+
+// Exit statuses.
+constexpr int kFailed = 1;        // The experiment could not be run.
+constexpr int kUsage = 2;         // Wrong arguments.
+constexpr int kHistoryBroken = 3; // The product broke a promise.
+
+struct Spread
+{
+  double mean_ = 0;
+  double least_ = 0;
+  double most_ = 0;
+};
+
+Spread SpreadOf(const std::vector<double>& aValues)
+{
+  Spread spread;
+  if (aValues.empty()) {
+    return spread;
+  }
+  for (const double value : aValues) {
+    spread.mean_ += value / static_cast<double>(aValues.size());
+  }
+  spread.least_ = *std::min_element(aValues.begin(), aValues.end());
+  spread.most_ = *std::max_element(aValues.begin(), aValues.end());
+  return spread;
+}
+
+nlohmann::json SpreadJson(const std::vector<double>& aValues)
+{
+  const Spread spread = SpreadOf(aValues);
+  return { { "mean", spread.mean_ }, { "least", spread.least_ }, { "most", spread.most_ } };
+}
+
+std::string Binaries()
+{
+  const std::string given = absl::GetFlag(FLAGS_binaries);
+  return given.empty() ? std::filesystem::read_symlink("/proc/self/exe").parent_path().string()
+                       : given;
+}
+
+// Goodput of the phase that a scenario is about: "trigger", or the only one.
+double MainGoodput(const LoadReport& aReport)
+{
+  for (const PhaseReport& phase : aReport.phases_) {
+    if (phase.name_ == "trigger") {
+      return phase.goodput_;
+    }
+  }
+  return aReport.phases_.front().goodput_;
+}
+
+int List()
+{
+  const FleetProfile profile = FindProfile("foundry");
+  nlohmann::json json;
+  for (const std::string& name : ScenarioNames()) {
+    const std::string description = MakeScenario(name, profile)->description_;
+    json.push_back({ { "scenario", name }, { "description", description } });
+    if (!absl::GetFlag(FLAGS_json)) {
+      std::cout << name << std::string(20 - name.size(), ' ') << description << "\n";
+    }
+  }
+  const std::string latency = "added latency through two hosts, by turns with direct calls";
+  json.push_back({ { "scenario", "latency" }, { "description", latency } });
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << json.dump(2) << "\n";
+  } else {
+    std::cout << "latency" << std::string(13, ' ') << latency << "\n";
+  }
+  return 0;
+}
+
+nlohmann::json LatencyJson(const std::vector<LatencyTurn>& aTurns)
+{
+  nlohmann::json json;
+  for (const double rate : { 253.0, 2530.0 }) {
+    nlohmann::json entry{ { "rate", rate } };
+    std::vector<double> p50;
+    std::vector<double> p99;
+    std::vector<double> ratio;
+    std::uint64_t failed = 0;
+    for (const LatencyTurn& turn : aTurns) {
+      if (turn.rate_ == rate) {
+        p50.push_back(turn.throughP50Ms_ - turn.directP50Ms_);
+        p99.push_back(turn.throughP99Ms_ - turn.directP99Ms_);
+        ratio.push_back(turn.directP99Ms_ > 0 ? turn.throughP99Ms_ / turn.directP99Ms_ : 0);
+        failed += turn.failed_;
+        entry["turns"].push_back({ { "direct_p50_ms", turn.directP50Ms_ },
+                                   { "direct_p99_ms", turn.directP99Ms_ },
+                                   { "through_p50_ms", turn.throughP50Ms_ },
+                                   { "through_p99_ms", turn.throughP99Ms_ } });
+      }
+    }
+    entry["added_p50_ms"] = SpreadJson(p50);
+    entry["added_p99_ms"] = SpreadJson(p99);
+    entry["p99_ratio"] = SpreadJson(ratio);
+    entry["failed"] = failed;
+    json.push_back(entry);
+  }
+  return json;
+}
+
+int Latency(bool aCompare)
+{
+  nlohmann::json json{ { "scenario", "latency" }, { "seed", absl::GetFlag(FLAGS_seed) } };
+  const int turns = std::max(absl::GetFlag(FLAGS_turns), 3);
+  for (const bool naive : { false, true }) {
+    if (naive ? !aCompare && !absl::GetFlag(FLAGS_naive)
+              : !aCompare && absl::GetFlag(FLAGS_naive)) {
+      continue;
+    }
+    const auto measured = MeasureLatency(Binaries(), absl::GetFlag(FLAGS_seed), turns, naive);
+    if (!measured) {
+      std::cerr << "quayload: " << Describe(measured.assume_error()) << "\n";
+      return kFailed;
+    }
+    json[naive ? "naive" : "product"] = LatencyJson(measured.assume_value());
+  }
+  std::cout << json.dump(2) << "\n";
+  return 0;
+}
+
+// Runs the scenario for the product, the naive baseline or both by turns.
+int Run(bool aCompare)
+{
+  ExperimentSettings settings;
+  settings.binaries_ = Binaries();
+  settings.profile_ = FindProfile(absl::GetFlag(FLAGS_profile));
+  settings.scenario_ = absl::GetFlag(FLAGS_scenario);
+  if (settings.profile_.name_.empty()) {
+    std::cerr << "quayload: --profile: foundry or landesamt\n";
+    return kUsage;
+  }
+  if (settings.scenario_ == "latency") {
+    return Latency(aCompare);
+  }
+  const bool asJson = absl::GetFlag(FLAGS_json);
+  nlohmann::json json{ { "scenario", settings.scenario_ },
+                       { "profile", settings.profile_.name_ },
+                       { "scale", settings.profile_.scale_ },
+                       { "seed", absl::GetFlag(FLAGS_seed) },
+                       { "capacity_per_s", Capacity(settings.profile_) } };
+  if (!asJson) {
+    std::cout << settings.scenario_ << " on " << settings.profile_.name_ << ", capacity "
+              << Capacity(settings.profile_)
+              << " whole requests/s\nscale: " << settings.profile_.scale_ << std::endl;
+  }
+  std::vector<double> product;
+  std::vector<double> naive;
+  bool holds = true;
+  for (int turn = 0; turn < absl::GetFlag(FLAGS_turns); ++turn) {
+    settings.seed_ = absl::GetFlag(FLAGS_seed) + static_cast<std::uint64_t>(turn);
+    for (const bool isNaive : { false, true }) {
+      if (!aCompare && isNaive != absl::GetFlag(FLAGS_naive)) {
+        continue;
+      }
+      settings.naive_ = isNaive;
+      const auto report = RunExperiment(settings);
+      if (!report) {
+        std::cerr << "quayload: " << Describe(report.assume_error()) << "\n";
+        return report.assume_error().code_ == ErrorCode::kNotFound ? kUsage : kFailed;
+      }
+      const LoadReport& value = report.assume_value();
+      (isNaive ? naive : product).push_back(MainGoodput(value));
+      holds = holds && (isNaive || value.history_.Holds());
+      auto entry = nlohmann::json::parse(ReportJson(value));
+      entry["seed"] = settings.seed_;
+      json[isNaive ? "naive" : "product"].push_back(entry);
+      if (!asJson) {
+        std::cout << (isNaive ? "naive" : "product") << ", seed " << settings.seed_ << "\n"
+                  << ReportText(value, "  ") << std::flush;
+      }
+    }
+  }
+  json["goodput"]["product"] = SpreadJson(product);
+  json["goodput"]["naive"] = SpreadJson(naive);
+  if (aCompare) {
+    const double naiveMean = SpreadOf(naive).mean_;
+    json["goodput"]["ratio"] =
+      naiveMean > 0 ? nlohmann::json(SpreadOf(product).mean_ / naiveMean) : nlohmann::json();
+  }
+  if (asJson) {
+    std::cout << json.dump(2) << "\n";
+  } else if (aCompare) {
+    std::cout << "goodput of the ideal: " << json["goodput"].dump() << "\n";
+  }
+  return holds ? 0 : kHistoryBroken;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  absl::SetProgramUsageMessage("quayload list | run | compare | demo [flags]");
+  const std::vector<char*> words = absl::ParseCommandLine(aCount, aArguments);
+  const std::string command = words.size() == 2 ? words[1] : "";
+  if (command == "list") {
+    return List();
+  }
+  if (command == "run" || command == "compare") {
+    return Run(command == "compare");
+  }
+  if (command == "demo") {
+    return RunDemo(Binaries(), absl::GetFlag(FLAGS_seed));
+  }
+  std::cerr << "usage: quayload list | run | compare | demo [--scenario NAME] [--profile NAME] "
+               "[--seed N] [--turns N] [--naive] [--json]\n";
+  return kUsage;
+}
--- /dev/null
+++ b/standins/lib/FleetProfile.cpp
@@ -0,0 +1,168 @@
+// The deployments of the design page, with service times scaled to one machine.
+#include "standins/lib/FleetProfile.h"
+
+#include "peridotquay/version/Config.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace peridotquay::standins {
+
+namespace {
+
+std::vector<FleetSite> FourSites()
+{
+  return {
+    { "north-1", "north" }, { "north-2", "north" }, { "south-1", "south" }, { "south-2", "south" }
+  };
+}
+
+std::vector<FleetAccount> Accounts(const std::vector<std::string>& aNames)
+{
+  // A few large accounts and several small ones.
+  constexpr double kWeights[] = { 8, 6, 4, 1, 1, 1, 1, 1 };
+  std::vector<FleetAccount> accounts;
+  for (std::size_t i = 0; i < aNames.size(); ++i) {
+    accounts.push_back({ aNames[i], kWeights[i % 8], "stand-in-key-" + aNames[i], 0 });
+  }
+  return accounts;
+}
+
+FleetProfile Foundry()
+{
+  FleetProfile profile;
+  profile.name_ = "foundry";
+  profile.scale_ = "service times chosen (3 x 40 ms, archive 200 ms) so that 16 hosts fit on one "
+                   "machine; slots and connections as deployed";
+  profile.sites_ = FourSites();
+  profile.services_ = { { "profiles", 50, 400, 40 },
+                        { "alloy", 50, 400, 40 },
+                        { "casting", 50, 400, 40 },
+                        { "archive", 20, 200, 200 } };
+  profile.accounts_ =
+    Accounts({ "bursa", "izmir", "ankara", "konya", "adana", "sivas", "van", "rize" });
+  profile.classes_ = { { "bookings", Importance::kCritical, false, 0.15 },
+                       { "quotes", Importance::kHigh, true, 0.25 },
+                       { "stock", Importance::kNormal, true, 0.45 },
+                       { "reports", Importance::kLow, true, 0.15 } };
+  return profile;
+}
+
+FleetProfile Landesamt()
+{
+  FleetProfile profile;
+  profile.name_ = "landesamt";
+  profile.scale_ =
+    "service times chosen (3 x 40 ms, laboratory 400 ms) so that 16 hosts fit on one "
+    "machine; slots and connections as deployed";
+  profile.sites_ = FourSites();
+  profile.services_ = { { "trays", 250, 1700, 40 },
+                        { "lots", 250, 1700, 40 },
+                        { "results", 250, 1700, 40 },
+                        { "laboratory", 40, 350, 400 } };
+  profile.accounts_ =
+    Accounts({ "bamberg", "coburg", "kulmbach", "hof", "kronach", "hassfurt", "ansbach", "roth" });
+  profile.classes_ = { { "permits", Importance::kCritical, false, 0.10 },
+                       { "seizures", Importance::kCritical, false, 0.05 },
+                       { "inspections", Importance::kHigh, true, 0.25 },
+                       { "tray-lots", Importance::kNormal, true, 0.45 },
+                       { "statistics", Importance::kLow, true, 0.15 } };
+  return profile;
+}
+
+FleetProfile Pair()
+{
+  FleetProfile profile;
+  profile.name_ = "pair";
+  profile.scale_ = "no service time; one data centre with two hosts";
+  profile.sites_ = { { "north-1", "north" } };
+  profile.services_ = { { "profiles", 50, 400, 0 }, { "alloy", 50, 400, 0 } };
+  profile.accounts_ = Accounts({ "bursa" });
+  profile.classes_ = { { "stock", Importance::kNormal, true, 1 } };
+  return profile;
+}
+
+} // namespace
+
+FleetProfile FindProfile(const std::string& aName)
+{
+  if (aName == "foundry") {
+    return Foundry();
+  }
+  if (aName == "landesamt") {
+    return Landesamt();
+  }
+  if (aName == "pair") {
+    return Pair();
+  }
+  return {};
+}
+
+double Capacity(const FleetProfile& aProfile, double aSlow)
+{
+  // Without service times a slot isn't what limits the fleet; the bound only keeps rates finite.
+  constexpr double kNoServiceTime = 5000;
+  double holdingMs = 0;
+  double least = kNoServiceTime;
+  for (std::size_t i = aProfile.services_.size(); i-- > 0;) {
+    const FleetService& service = aProfile.services_[i];
+    const bool last = i + 1 == aProfile.services_.size();
+    holdingMs += service.serviceMs_ * (last ? aSlow : 1);
+    const auto slots = static_cast<double>(service.slots_ * aProfile.sites_.size());
+    if (holdingMs > 0) {
+      least = std::min(least, slots * 1000 / holdingMs);
+    }
+  }
+  return least;
+}
+
+double AccountRate(const FleetProfile& aProfile, std::size_t aAccount)
+{
+  if (aProfile.accounts_[aAccount].rate_ > 0) {
+    return aProfile.accounts_[aAccount].rate_;
+  }
+  double weights = 0;
+  for (const FleetAccount& account : aProfile.accounts_) {
+    weights += account.weight_;
+  }
+  const double part = aProfile.accounts_[aAccount].weight_ / weights;
+  return std::ceil(Capacity(aProfile) * aProfile.rateFactor_ * part);
+}
+
+std::string BaseConfiguration(const FleetProfile& aProfile)
+{
+  std::ostringstream text;
+  text << "# Written by quayload for profile " << aProfile.name_ << ".\n";
+  for (const FleetSite& site : aProfile.sites_) {
+    text << "[sites." << site.dataCentre_ << "]\nregion = \"" << site.region_ << "\"\n";
+  }
+  for (const FleetService& service : aProfile.services_) {
+    text << "[services." << service.name_ << "]\n";
+  }
+  for (std::size_t i = 0; i < aProfile.accounts_.size(); ++i) {
+    const FleetAccount& account = aProfile.accounts_[i];
+    const double rate = AccountRate(aProfile, i);
+    text << "[accounts." << account.name_ << "]\nrate = " << rate << "\nburst = " << rate << "\n";
+    text << "[keys." << KeyDigest(account.key_) << "]\naccount = \"" << account.name_ << "\"\n";
+  }
+  const std::string first = aProfile.services_.front().name_;
+  for (const FleetClass& kind : aProfile.classes_) {
+    text << "[routes." << kind.name_ << "]\nprefix = \"/" << first << "/" << kind.name_
+         << "\"\nservice = \"" << first << "\"\nimportance = \"" << ImportanceName(kind.importance_)
+         << "\"\nrepeatable = " << (kind.repeatable_ ? "true" : "false")
+         << "\nmax_retries = " << aProfile.maxRetries_ << "\ndeadline_ms = " << aProfile.deadlineMs_
+         << "\n";
+  }
+  // Deeper routes allow the highest class; the call context lowers it to that of the request.
+  for (std::size_t i = 1; i < aProfile.services_.size(); ++i) {
+    const std::string& name = aProfile.services_[i].name_;
+    text << "[routes.to-" << name << "]\nprefix = \"/" << name << "\"\nservice = \"" << name
+         << "\"\nimportance = \"critical\"\nmax_retries = " << aProfile.maxRetries_
+         << "\ndeadline_ms = " << aProfile.deadlineMs_ << "\n";
+  }
+  text << "[policy]\nkey_freshness_bound_ms = " << aProfile.keyFreshnessBoundMs_ << "\n";
+  return text.str();
+}
+
+} // namespace peridotquay::standins
--- /dev/null
+++ b/standins/lib/LoadPlan.cpp
@@ -0,0 +1,40 @@
+// Poisson arrivals from a seed.
+#include "standins/lib/LoadPlan.h"
+
+#include <random>
+
+namespace peridotquay::standins {
+
+std::vector<Arrival> PlanArrivals(const LoadPlan& aPlan)
+{
+  std::mt19937_64 random(aPlan.seed_);
+  std::vector<double> parts;
+  for (const LoadClass& kind : aPlan.classes_) {
+    parts.push_back(kind.part_);
+  }
+  std::discrete_distribution<std::uint32_t> kinds(parts.begin(), parts.end());
+  std::vector<Arrival> arrivals;
+  double start = 0;
+  for (std::uint32_t phase = 0; phase < aPlan.phases_.size(); ++phase) {
+    const LoadPhase& current = aPlan.phases_[phase];
+    std::vector<double> rates;
+    double rate = 0;
+    for (std::size_t i = 0; i < aPlan.accounts_.size(); ++i) {
+      const double factor = current.accountFactors_.empty() ? 1 : current.accountFactors_[i];
+      rates.push_back(aPlan.baseRate_ * current.factor_ * factor * aPlan.accounts_[i].part_);
+      rate += rates.back();
+    }
+    std::discrete_distribution<std::uint32_t> accounts(rates.begin(), rates.end());
+    const double end = start + current.seconds_;
+    if (rate > 0) {
+      std::exponential_distribution<double> gap(rate);
+      for (double at = start + gap(random); at < end; at += gap(random)) {
+        arrivals.push_back({ at, phase, accounts(random), kinds(random), random() });
+      }
+    }
+    start = end;
+  }
+  return arrivals;
+}
+
+} // namespace peridotquay::standins
--- /dev/null
+++ b/standins/lib/LoadReport.cpp
@@ -0,0 +1,260 @@
+// Figures of one load run.
+#include "standins/lib/LoadReport.h"
+
+#include "standins/lib/LoadScore.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace peridotquay::standins {
+
+namespace {
+
+bool Refused(const LoadRecord& aRecord)
+{
+  return aRecord.firstStatus_ == 401 || aRecord.firstStatus_ == 403 ||
+         aRecord.firstStatus_ == 429 || aRecord.firstStatus_ == 503;
+}
+
+// Requests of each account in a phase, offered and served.
+struct Division
+{
+  std::vector<double> offered_;
+  std::vector<double> served_;
+};
+
+Division Divide(const LoadPlan& aPlan, const LoadResult& aResult, std::size_t aPhase)
+{
+  Division division;
+  division.offered_.assign(aPlan.accounts_.size(), 0);
+  division.served_.assign(aPlan.accounts_.size(), 0);
+  for (const LoadRecord& record : aResult.records_) {
+    if (record.arrival_.phase_ == aPhase) {
+      division.offered_[record.arrival_.account_] += 1;
+      division.served_[record.arrival_.account_] += record.served_ ? 1 : 0;
+    }
+  }
+  return division;
+}
+
+// Fair shares of a phase; an account is entitled to no more than its rate.
+std::vector<double> PhaseShares(const Scenario& aScenario,
+                                const FleetProfile& aProfile,
+                                const LoadPlan& aPlan,
+                                const Division& aDivision,
+                                std::size_t aPhase)
+{
+  const LoadPhase& phase = aScenario.phases_[aPhase];
+  const bool slow = phase.name_ == "trigger";
+  const double capacity = Capacity(aProfile, slow ? aScenario.slowFactor_ : 1) * phase.seconds_;
+  std::vector<double> demands;
+  std::vector<double> weights;
+  for (std::size_t i = 0; i < aPlan.accounts_.size(); ++i) {
+    const bool withdrawn = aScenario.withdrawn_ == i && aPhase > 0;
+    const double allowed = withdrawn ? 0 : aPlan.accounts_[i].rate_ * phase.seconds_;
+    demands.push_back(std::min(aDivision.offered_[i], allowed));
+    weights.push_back(aPlan.accounts_[i].rate_);
+  }
+  return FairShares(capacity, demands, weights);
+}
+
+PhaseReport ReportPhase(const LoadPlan& aPlan, const LoadResult& aResult, std::size_t aPhase)
+{
+  PhaseReport report;
+  report.name_ = aPlan.phases_[aPhase].name_;
+  report.seconds_ = aPlan.phases_[aPhase].seconds_;
+  std::vector<double> latencies;
+  double critical = 0;
+  double criticalServed = 0;
+  for (const LoadRecord& record : aResult.records_) {
+    if (record.arrival_.phase_ != aPhase) {
+      continue;
+    }
+    ++report.offered_;
+    if (record.served_) {
+      ++report.served_;
+      latencies.push_back(record.seconds_ * 1000);
+    }
+    if (aPlan.classes_[record.arrival_.class_].critical_) {
+      critical += 1;
+      criticalServed += record.served_ ? 1 : 0;
+    }
+    if (!record.firstError_.empty()) {
+      ++report.errors_[record.firstError_];
+    }
+  }
+  report.p50Ms_ = Percentile(latencies, 0.5);
+  report.p99Ms_ = Percentile(latencies, 0.99);
+  report.criticalServed_ = critical > 0 ? criticalServed / critical : 1;
+  return report;
+}
+
+void CountRefusals(LoadReport& aReport,
+                   const Scenario& aScenario,
+                   const LoadPlan& aPlan,
+                   const LoadResult& aResult)
+{
+  for (const LoadRecord& record : aResult.records_) {
+    const LoadPhase& phase = aPlan.phases_[record.arrival_.phase_];
+    // After an overload the targets may still be busy with its rest.
+    const bool afterOverload =
+      record.arrival_.phase_ > 0 && aPlan.phases_[record.arrival_.phase_ - 1].overloaded_;
+    if (!phase.overloaded_ && !afterOverload && aScenario.culprit_ != record.arrival_.account_) {
+      ++aReport.wrongfulOf_;
+      aReport.wrongfulRefusals_ += Refused(record) ? 1 : 0;
+    }
+    if (aPlan.classes_[record.arrival_.class_].critical_) {
+      ++aReport.criticalOf_;
+      aReport.criticalShed_ += record.firstStatus_ == 503 && record.firstError_ == "shed" ? 1 : 0;
+    }
+  }
+}
+
+} // namespace
+
+LoadReport MakeReport(const Scenario& aScenario,
+                      const FleetProfile& aProfile,
+                      const LoadPlan& aPlan,
+                      const LoadResult& aResult,
+                      const std::vector<TargetExecution>& aExecutions,
+                      std::optional<double> aWithdrawnAt)
+{
+  LoadReport report;
+  std::size_t judged = 0;
+  for (std::size_t i = 0; i < aPlan.phases_.size(); ++i) {
+    PhaseReport phase = ReportPhase(aPlan, aResult, i);
+    const Division division = Divide(aPlan, aResult, i);
+    for (const double share : PhaseShares(aScenario, aProfile, aPlan, division, i)) {
+      phase.ideal_ += share;
+    }
+    phase.goodput_ = phase.ideal_ > 0 ? static_cast<double>(phase.served_) / phase.ideal_ : 1;
+    report.phases_.push_back(std::move(phase));
+    if (aPlan.phases_[i].name_ == "trigger") {
+      report.hasTrigger_ = true;
+      judged = i;
+    }
+  }
+  const Division division = Divide(aPlan, aResult, judged);
+  const auto shares = PhaseShares(aScenario, aProfile, aPlan, division, judged);
+  for (std::size_t i = 0; i < shares.size(); ++i) {
+    const double part = shares[i] > 0 ? division.served_[i] / shares[i] : 1;
+    if (part < report.worstShare_ || report.worstAccount_.empty()) {
+      report.worstShare_ = part;
+      report.worstAccount_ = aPlan.accounts_[i].name_;
+    }
+  }
+  CountRefusals(report, aScenario, aPlan, aResult);
+  if (report.hasTrigger_) {
+    std::vector<ServedAt> requests;
+    for (const LoadRecord& record : aResult.records_) {
+      // The misbehaving account's refusals are right and say nothing about recovery.
+      if (aScenario.culprit_ != record.arrival_.account_) {
+        requests.push_back({ record.arrival_.at_, record.served_ });
+      }
+    }
+    const double before = ServedPart(requests, 0, PhaseStart(aScenario, "trigger"));
+    report.recoverySeconds_ = RecoverySeconds(
+      requests, PhaseStart(aScenario, "after"), PhaseStart(aScenario, ""), before, 0.98);
+  }
+  if (aScenario.withdrawn_ && aWithdrawnAt) {
+    report.withdrawnServedSeconds_ = 0;
+    for (const LoadRecord& record : aResult.records_) {
+      if (record.arrival_.account_ == *aScenario.withdrawn_ && record.served_) {
+        report.withdrawnServedSeconds_ =
+          std::max(*report.withdrawnServedSeconds_, record.arrival_.at_ - *aWithdrawnAt);
+      }
+    }
+  }
+  report.worstLagMs_ = aResult.worstLagSeconds_ * 1000;
+  report.lostIds_ = aResult.lostIds_;
+  report.history_ = CheckHistory(aResult.calls_, aExecutions);
+  return report;
+}
+
+std::string ReportJson(const LoadReport& aReport)
+{
+  nlohmann::json json;
+  for (const PhaseReport& phase : aReport.phases_) {
+    json["phases"].push_back({ { "name", phase.name_ },
+                               { "seconds", phase.seconds_ },
+                               { "offered", phase.offered_ },
+                               { "served", phase.served_ },
+                               { "ideal", phase.ideal_ },
+                               { "goodput", phase.goodput_ },
+                               { "p50_ms", phase.p50Ms_ },
+                               { "p99_ms", phase.p99Ms_ },
+                               { "critical_served", phase.criticalServed_ },
+                               { "errors", phase.errors_ } });
+  }
+  json["recovery_s"] =
+    aReport.recoverySeconds_ ? nlohmann::json(*aReport.recoverySeconds_) : nlohmann::json();
+  json["worst_account"] = { { "account", aReport.worstAccount_ },
+                            { "share", aReport.worstShare_ } };
+  json["wrongful_refusals"] = { { "count", aReport.wrongfulRefusals_ },
+                                { "of", aReport.wrongfulOf_ } };
+  json["critical_shed"] = { { "count", aReport.criticalShed_ }, { "of", aReport.criticalOf_ } };
+  if (aReport.withdrawnServedSeconds_) {
+    json["withdrawn_served_s"] = *aReport.withdrawnServedSeconds_;
+  }
+  json["generator_lag_ms"] = aReport.worstLagMs_;
+  json["lost_id_requests"] = aReport.lostIds_;
+  json["history"]["calls"] = aReport.history_.calls_;
+  json["history"]["executions"] = aReport.history_.executions_;
+  json["history"]["most_retries"] = aReport.history_.mostRetries_;
+  json["history"]["holds"] = aReport.history_.Holds();
+  json["history"]["examples"] = aReport.history_.examples_;
+  for (const auto& [property, count] : aReport.history_.violations_) {
+    json["history"]["violations"][std::string(HistoryPropertyName(property))] = count;
+  }
+  return json.dump();
+}
+
+std::string ReportText(const LoadReport& aReport, const std::string& aPrefix)
+{
+  std::ostringstream text;
+  text << std::fixed;
+  for (const PhaseReport& phase : aReport.phases_) {
+    text << aPrefix << std::setw(8) << phase.name_ << std::setprecision(0) << ": offered "
+         << static_cast<double>(phase.offered_) / phase.seconds_ << "/s, served "
+         << static_cast<double>(phase.served_) / phase.seconds_ << "/s, ideal "
+         << phase.ideal_ / phase.seconds_ << "/s, goodput " << std::setprecision(3)
+         << phase.goodput_ << ", critical served " << phase.criticalServed_ << std::setprecision(0)
+         << ", p50 " << phase.p50Ms_ << " ms, p99 " << phase.p99Ms_ << " ms";
+    for (const auto& [type, count] : phase.errors_) {
+      text << ", " << type << " " << count;
+    }
+    text << "\n";
+  }
+  text << std::setprecision(3);
+  if (aReport.hasTrigger_) {
+    text << aPrefix << "recovery: ";
+    if (aReport.recoverySeconds_) {
+      text << *aReport.recoverySeconds_ << " s\n";
+    } else {
+      text << "none within the run\n";
+    }
+  }
+  text << aPrefix << "worst-served account: " << aReport.worstAccount_ << ", "
+       << aReport.worstShare_ << " of its fair share\n";
+  text << aPrefix << "wrongful refusals: " << aReport.wrongfulRefusals_ << " of "
+       << aReport.wrongfulOf_ << "; critical shed: " << aReport.criticalShed_ << " of "
+       << aReport.criticalOf_ << "\n";
+  if (aReport.withdrawnServedSeconds_) {
+    text << aPrefix << "withdrawn key last served " << *aReport.withdrawnServedSeconds_
+         << " s after the withdrawal was accepted\n";
+  }
+  text << aPrefix << "history: " << (aReport.history_.Holds() ? "holds" : "FAILS") << ", "
+       << aReport.history_.calls_ << " calls, " << aReport.history_.executions_
+       << " executions, most retries " << aReport.history_.mostRetries_ << "\n";
+  for (const std::string& example : aReport.history_.examples_) {
+    text << aPrefix << "  " << example << "\n";
+  }
+  text << aPrefix << "generator lag at most " << std::setprecision(1) << aReport.worstLagMs_
+       << " ms\n";
+  return text.str();
+}
+
+} // namespace peridotquay::standins
--- a/standins/lib/TargetServer.cpp
+++ b/standins/lib/TargetServer.cpp
@@ -232,7 +232,8 @@
         --unanswered_;
         break;
       }
-      worked = co_await Work(aSocket, request);
+      auto work = Work(aSocket, request);
+      worked = co_await std::move(work);
       if (worked.cancelled_) {
         --unanswered_;
         CloseIfDrained();
@@ -385,7 +386,9 @@
       target = WithQuery(target, "from", running->entry_->id_);
       ++running->pendingDeeper_;
       if (!settings_.parallel_) {
-        co_await DeeperCall(running, std::move(target), call);
+        // Named, because g++ 12 destroys temporaries in co_await arguments twice.
+        auto deeper = DeeperCall(running, target, call);
+        co_await std::move(deeper);
       } else {
         asio::co_spawn(
           context_,
@@ -543,6 +546,11 @@
   if (!applied) {
     return MakeResponse(aRequest, 400, nlohmann::json(Describe(applied.assume_error())).dump());
   }
+  if (faults_.outboundPort_) {
+    settings_.outbound_ = Address{ "127.0.0.1", *faults_.outboundPort_ };
+    faults_.outboundPort_.reset();
+    idle_.clear();
+  }
   Sample();
   thaw_.cancel();
   thaw_.expires_at(TimePoint::max());
--- a/standins/lib/TargetSettings.cpp
+++ b/standins/lib/TargetSettings.cpp
@@ -46,6 +46,11 @@
         return Fail(ErrorCode::kWrongType, name, "a count");
       }
       (name == "refuse" ? next.refuse_ : next.dropAnswers_) = value.get<std::uint32_t>();
+    } else if (name == "outbound_port") {
+      if (!count || value > 65535 || value == 0) {
+        return Fail(ErrorCode::kOutOfRange, name, "1 to 65535");
+      }
+      next.outboundPort_ = value.get<std::uint16_t>();
     } else if (name == "state") {
       if (!value.is_string()) {
         return Fail(ErrorCode::kWrongType, name, "a string");
--- a/standins/lib/TargetSettings.h
+++ b/standins/lib/TargetSettings.h
@@ -53,6 +53,9 @@
   std::string state_;             ///< Reported state if not empty; "draining" also refuses.
   std::optional<std::uint32_t> falseSlots_; ///< Reported by /load instead of the truth.
   std::optional<std::uint32_t> falseInUse_;
+  /// Sets the node's address for deeper calls. A node and its target each need the other's port, so
+  /// one of them learns it after the start.
+  std::optional<std::uint16_t> outboundPort_;
 };
 
 /// Applies a JSON object of faults to those in force; members that are absent stay. Errors:
