--- a/standins/lib/Fleet.cpp
+++ b/standins/lib/Fleet.cpp
@@ -335,8 +335,7 @@
 CommandResult Fleet::Quayctl(std::vector<std::string> aArguments, Duration aTimeout)
 {
   aArguments.insert(aArguments.begin(), Program("quayctl"));
-  aArguments.push_back("--platform");
-  aArguments.push_back(AddressText(platformAddress_));
+  aArguments.push_back("--platform=" + AddressText(platformAddress_));
   const std::string output = File("quayctl-" + std::to_string(++commands_) + ".log");
   CommandResult result;
   const TimePoint before = Clock::now();
@@ -356,21 +355,19 @@
 
 CommandResult Fleet::Apply(const std::string& aBase)
 {
-  std::ofstream(File("base.toml")) << aBase;
-  std::vector<std::string> arguments{ "apply", "--base", File("base.toml") };
+  const std::string folder = File("configuration");
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder + "/base.toml") << aBase;
   for (const FleetSite& site : settings_.profile_.sites_) {
-    const std::string name = File("overlay-" + site.dataCentre_ + ".toml");
-    std::ofstream(name) << "data_centre = \"" << site.dataCentre_ << "\"\n";
-    arguments.push_back("--overlay");
-    arguments.push_back(site.dataCentre_ + "=" + name);
+    std::ofstream(folder + "/" + site.dataCentre_ + ".toml")
+      << "data_centre = \"" << site.dataCentre_ << "\"\n";
   }
-  arguments.push_back("--wait");
-  return Quayctl(std::move(arguments));
+  return Quayctl({ "apply", folder, "--operator=quayload", "--against=latest", "--wait" });
 }
 
 CommandResult Fleet::WithdrawKey(const std::string& aKey)
 {
-  return Quayctl({ "keys", "withdraw", "--key", KeyDigest(aKey) });
+  return Quayctl({ "keys", "withdraw", KeyDigest(aKey), "--operator=quayload", "--wait" });
 }
 
 std::vector<TargetExecution> Fleet::Executions() const
--- a/standins/lib/LoadRunner.cpp
+++ b/standins/lib/LoadRunner.cpp
@@ -195,8 +195,8 @@
       auto sending = Send(host, message, aEnd);
       const Exchange exchange = co_await std::move(sending);
       const auto json = nlohmann::json::parse(exchange.body_, nullptr, false);
-      if (exchange.status_ == 200 && json.is_object() && json.contains("ids")) {
-        for (const auto& id : json["ids"]) {
+      if (exchange.status_ == 200 && json.is_object() && json.contains("request_ids")) {
+        for (const auto& id : json["request_ids"]) {
           pool.push_back(id.get<std::string>());
         }
       } else {
