--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -20,16 +20,19 @@
 
 /// Least length of a window in time and in calls; shorter ones are mostly noise.
 constexpr Duration kLeastWindow = milliseconds(20);
-constexpr std::uint32_t kLeastWindowSamples = 16;
+constexpr std::uint32_t kLeastWindowSamples = 32;
 
 /// A mean below this part of the floor is a real change; a smaller step down may be noise.
 constexpr double kFloorChanged = 0.7;
 
 /// Up to this ratio of window mean to floor the limit may grow.
-constexpr double kGrowTolerance = 1.5;
+constexpr double kGrowTolerance = 1.3;
 
 /// From this ratio on a trial finds out whether a lower limit helps.
-constexpr double kTrialTolerance = 2.0;
+constexpr double kTrialTolerance = 1.7;
+
+/// Windows in a row above it that start a trial.
+constexpr std::uint32_t kSlowWindows = 2;
 
 /// Limit during a trial, as part of the limit before. In a saturated target latency falls by the
 /// same factor.
@@ -38,6 +41,9 @@
 /// The trial confirms the lower limit if latency fell at least to this part.
 constexpr double kTrialConfirmed = 0.85;
 
+/// Least limit after a confirmed trial, as part of the limit before.
+constexpr double kLeastTrialResult = 0.5;
+
 /// Pause between trials without a new rise of latency.
 constexpr Duration kTrialPause = seconds(10);
 
@@ -46,7 +52,7 @@
 
 /// Growth in one second near the limit at which the target refused lately.
 constexpr double kSlowGrowth = 1.0;
-constexpr double kNearRefusal = 0.9;
+constexpr double kNearRefusal = 0.97;
 constexpr Duration kRefusalMemory = seconds(5);
 
 /// Least limit after a refusal by the target, as part of the limit before.
@@ -56,6 +62,10 @@
 /// together.
 constexpr Duration kLeastDecreaseInterval = milliseconds(20);
 
+/// Refusals for each answer of a window from which the limit is far too high and falls without a
+/// pause.
+constexpr double kManyRefusals = 0.25;
+
 /// Least length of the interval of the counts behind the early refusal, and least number of offered
 /// calls in it unless it lasted a second.
 constexpr Duration kLevelInterval = milliseconds(100);
@@ -65,6 +75,9 @@
 /// A class of which a smaller part is started is closed to callers' hosts.
 constexpr double kClosedPart = 0.02;
 
+/// Intervals in a row before a class is closed: a burst of more important calls starves it for one.
+constexpr std::uint32_t kStarvedIntervals = 5;
+
 /// Least fraction of a shed class that is sent as a probe.
 constexpr double kProbeFraction = 0.01;
 
@@ -255,7 +268,7 @@
   if (victim == queue.accounts_.end()) {
     return aCall;
   }
-  const WaitingCall call = victim->second.calls_.back();
+  WaitingCall call = victim->second.calls_.back();
   victim->second.calls_.pop_back();
   Shrink(aState, queue, 1);
   return call;
@@ -266,7 +279,7 @@
 {
   LimitWindow& window = aState.window_;
   window.trial_ = LimitWindow::Trial::kSettling;
-  window.settling_ = aState.running_;
+  window.settling_ = std::max(1U, aState.running_);
   window.limitBefore_ = aState.limit_;
   window.latencyBefore_ = aMean;
   window.lastTrial_ = aNow;
@@ -280,6 +293,13 @@
   window.trial_ = LimitWindow::Trial::kNone;
   if (aMean <= window.latencyBefore_ * kTrialConfirmed) {
     aState.lastDecrease_ = aNow;
+    aState.contradicted_ = true;
+    // Calls queue inside the target. Their latency is in proportion to the limit, so this is where
+    // it would be back at the floor.
+    const double part = std::max(kLeastTrialResult, aState.floorSeconds_ / window.latencyBefore_);
+    SetLimit(aState, std::min(aState.limit_, window.limitBefore_ * part));
+    // What runs started under the higher limit; its latency would cause the next decrease.
+    window.settling_ = aState.running_;
     return;
   }
   // Fewer calls at once don't make the target faster: it became slower for another reason.
@@ -291,11 +311,11 @@
 void GrowLimit(AdmissionState& aState, TimePoint aNow)
 {
   const LimitWindow& window = aState.window_;
-  const bool nearRefusal = window.refusedAt_ > 0 && aNow - aState.lastDecrease_ < kRefusalMemory &&
-                           aState.limit_ >= kNearRefusal * window.refusedAt_;
-  const double growth = nearRefusal ? kSlowGrowth * ToSeconds(aNow - window.start_)
-                                    : std::max(1.0, kFastGrowth * aState.limit_);
-  SetLimit(aState, aState.limit_ + growth);
+  const bool lately = window.refusedAt_ > 0 && aNow - aState.lastDecrease_ < kRefusalMemory;
+  const double nearRefusal = lately ? kNearRefusal * window.refusedAt_ : UpperLimit(aState);
+  const double slow = aState.limit_ + kSlowGrowth * ToSeconds(aNow - window.start_);
+  const double fast = aState.limit_ + std::max(1.0, kFastGrowth * aState.limit_);
+  SetLimit(aState, std::max(slow, std::min(fast, nearRefusal)));
 }
 
 /// Adapts the limit to a finished window.
@@ -311,8 +331,8 @@
     aState.floorSeconds_ = mean;
     aState.floorSince_ = aNow;
   } else if (mean < kFloorChanged * aState.floorSeconds_) {
-    // The target became faster. Until the floor has followed it says nothing about room to grow.
-    aState.floorSeconds_ += 0.5 * (mean - aState.floorSeconds_);
+    // The target became faster. A mean that still falls says nothing about room to grow.
+    aState.floorSeconds_ = mean;
     aState.floorSince_ = aNow;
     return;
   } else if (mean < aState.floorSeconds_) {
@@ -323,14 +343,20 @@
   // Without this condition the limit of an idle target would grow without bound.
   const bool used = window.peakRunning_ + 1 >= aState.limit_;
   if (ratio < kGrowTolerance) {
+    window.slowWindows_ = 0;
     if (used && window.refusals_ == 0) {
       GrowLimit(aState, aNow);
     }
     return;
   }
+  // A single slow window is often chance, and the next one would seem to confirm the lower limit.
+  window.slowWindows_ = ratio >= kTrialTolerance ? window.slowWindows_ + 1 : 0;
+  window.slowSeconds_ = window.slowWindows_ > 1 ? window.slowSeconds_ + mean : mean;
   const bool due = aNow - window.lastTrial_ >= kTrialPause;
-  if (ratio >= kTrialTolerance || due) {
-    BeginTrial(aState, mean, aNow);
+  if (window.slowWindows_ >= kSlowWindows || due) {
+    const double before = window.slowSeconds_ / std::max(1U, window.slowWindows_);
+    window.slowWindows_ = 0;
+    BeginTrial(aState, before, aNow);
   }
 }
 
@@ -355,38 +381,52 @@
   aState.lastSample_ = aNow;
 
   LimitWindow& window = aState.window_;
-  if (window.trial_ == LimitWindow::Trial::kSettling) {
-    if (window.settling_ > 1) {
-      --window.settling_;
-      return;
+  if (window.start_ == TimePoint{}) {
+    window.start_ = aNow;
+  }
+  if (window.settling_ > 0) {
+    --window.settling_;
+    if (window.settling_ == 0) {
+      window.trial_ = window.trial_ == LimitWindow::Trial::kSettling
+                        ? LimitWindow::Trial::kMeasuring
+                        : LimitWindow::Trial::kNone;
+      ResetWindow(aState, aNow);
     }
-    window.trial_ = LimitWindow::Trial::kMeasuring;
-    ResetWindow(aState, aNow);
     return;
   }
   ++window.samples_;
   window.sumSeconds_ += service;
-  const bool enough =
-    window.samples_ >= kLeastWindowSamples && window.samples_ >= aState.limit_ / 2;
+  // A trial compares with two windows, so it measures as many calls.
+  const bool measuring = window.trial_ == LimitWindow::Trial::kMeasuring;
+  const std::uint32_t least = kLeastWindowSamples * (measuring ? kSlowWindows : 1);
+  const bool enough = window.samples_ >= least && window.samples_ >= aState.limit_ / 2;
   if (enough && aNow - window.start_ >= kLeastWindow) {
     EndWindow(aState, aNow);
     ResetWindow(aState, aNow);
   }
 }
 
-void NoteTargetRefusal(AdmissionState& aState, TimePoint aNow)
+void NoteTargetRefusal(AdmissionState& aState, Duration aServiceTime, TimePoint aNow)
 {
   LimitWindow& window = aState.window_;
   ++window.refusals_;
+  // A call that started before the last decrease says nothing about the limit since then.
+  if (aNow - aServiceTime <= aState.lastDecrease_) {
+    return;
+  }
+  const double answers = std::max(window.samples_, kLeastWindowSamples);
+  const bool many = window.refusals_ >= kManyRefusals * answers;
   const auto service = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(std::min(1.0, aState.serviceSeconds_)));
-  if (aNow - aState.lastDecrease_ < std::max(kLeastDecreaseInterval, service)) {
+  if (!many && aNow - aState.lastDecrease_ < std::max(kLeastDecreaseInterval, service)) {
     return;
   }
   aState.lastDecrease_ = aNow;
-  // What still runs is what the target could take. A larger step down would leave slots idle.
-  const double running = aState.running_;
-  window.refusedAt_ = std::min(aState.limit_, running + 1);
+  aState.contradicted_ = true;
+  // What still runs is what the target could take, unless many of those calls will be refused too.
+  // A larger step down would leave slots idle.
+  const double running = many ? 0 : aState.running_;
+  window.refusedAt_ = std::min(aState.limit_, static_cast<double>(aState.running_) + 1);
   SetLimit(aState,
            std::min(aState.limit_ - 1, std::max(running, kRefusalDecrease * aState.limit_)));
 }
@@ -400,21 +440,27 @@
   std::size_t& open = aState.openClasses_;
   const std::size_t lowest = open - 1;
   const double offered = aState.offered_[lowest];
-  if (lowest > Index(Importance::kCritical) && offered >= kLevelSamples &&
-      aState.admitted_[lowest] < kClosedPart * offered && aState.shed_[lowest] > 0.5 * offered) {
+  const bool starved = offered >= kLevelSamples &&
+                       aState.admitted_[lowest] < kClosedPart * offered &&
+                       aState.shed_[lowest] > 0.5 * offered;
+  aState.starvedIntervals_ = starved ? aState.starvedIntervals_ + 1 : 0;
+  if (lowest > Index(Importance::kCritical) && aState.starvedIntervals_ >= kStarvedIntervals) {
     --open;
+    aState.starvedIntervals_ = 0;
     return;
   }
   if (open == aState.queues_.size()) {
     return;
   }
-  // Everything open was started at once, and so were the probes of the next class.
+  // Less work waits than the target takes at once, so that it would soon be idle.
+  std::size_t waiting = 0;
   for (std::size_t i = 0; i <= open; ++i) {
-    if (aState.shed_[i] > 0 || aState.queues_[i].size_ > 0) {
-      return;
-    }
+    waiting += aState.queues_[i].size_;
+  }
+  if (static_cast<double>(waiting) < aState.limit_) {
+    ++open;
+    aState.starvedIntervals_ = 0;
   }
-  ++open;
 }
 
 void UpdateUpstream(AdmissionState& aState, TimePoint aNow)
@@ -471,7 +517,7 @@
       NoteServiceTime(aState, aServiceTime, aNow);
       break;
     case CallEnd::kTargetRefused:
-      NoteTargetRefusal(aState, aNow);
+      NoteTargetRefusal(aState, aServiceTime, aNow);
       break;
     case CallEnd::kCancelled:
       break;
@@ -522,8 +568,11 @@
 
 void AnnounceSlots(AdmissionState& aState, std::uint32_t aSlots)
 {
+  const bool isNew = aSlots > 0 && aSlots != aState.announcedSlots_;
   aState.announcedSlots_ = aSlots;
-  SetLimit(aState, aState.limit_);
+  // Growing from the initial limit takes seconds, in which a surge would be refused although slots
+  // are free. Announced slots are believed until the target's behaviour contradicts them.
+  SetLimit(aState, isNew && !aState.contradicted_ ? aSlots : aState.limit_);
 }
 
 AdmissionLevel CurrentLevel(AdmissionState& aState, TimePoint aNow)
