Compile a version from the entities that it changed

Cause: CompileConfig parsed every entity and copied the base once for each site. At 4,096 client accounts, 4,096 keys, 1,500 routes and 13 sites it took 38 ms, which at 1.16 changes a second is 4.4 % of a core for each node; the objective for all control work is 1.2 %. Overlays are checked without copying the base. ApplyChange edits in place.

--- a/peridotquay/version/ConfigCompiler.cpp
+++ b/peridotquay/version/ConfigCompiler.cpp
@@ -17,22 +17,6 @@
 constexpr std::size_t kMaxClientAccounts = 4096;
 constexpr std::size_t kMaxSites = 64;
 
-/// An overlay that was parsed, before it is compared with the base.
-struct ParsedSite
-{
-  Site site_;
-  std::string entity_;
-  ConfigJson overlay_;
-};
-
-/// All entities of a version, parsed, with the overlays still apart.
-struct ParsedConfig
-{
-  Config base_;
-  std::set<ServiceId> services_;
-  std::vector<ParsedSite> sites_;
-};
-
 Result<ClientAccount> ReadAccount(const ConfigTable& aTable, const std::string& aId)
 {
   BOOST_OUTCOME_TRYV(CheckKeys(aTable, { "rate", "burst", "description" }));
@@ -213,7 +197,7 @@
   return Success();
 }
 
-Result<ParsedSite> ReadSite(const ConfigTable& aTable, const std::string& aId)
+Result<SiteEntity> ReadSite(const ConfigTable& aTable, const std::string& aId)
 {
   BOOST_OUTCOME_TRYV(CheckKeys(aTable, { "region", "overlay" }));
   BOOST_OUTCOME_TRY(region, ReadText(aTable, "region", 64));
@@ -224,15 +208,14 @@
     return Fail(ErrorCode::kOutOfRange, Subject(aTable, "region"), std::string(kConfigIdRule));
   }
   BOOST_OUTCOME_TRY(overlay, ReadTable(aTable, "overlay"));
-  return ParsedSite{ { DataCentreId{ aId }, RegionId{ *region } },
-                     aTable.entity_,
-                     overlay ? *overlay->json_ : ConfigJson::object() };
+  return SiteEntity{ { DataCentreId{ aId }, RegionId{ *region } },
+                     overlay ? overlay->json_->dump() : "{}" };
 }
 
 Result<void> ReadEntity(const std::string& aKind,
                         const std::string& aId,
                         const ConfigTable& aTable,
-                        ParsedConfig& aParsed)
+                        ConfigCache& aParsed)
 {
   if (!IsConfigId(aId)) {
     return Fail(ErrorCode::kOutOfRange, aTable.entity_, std::string(kConfigIdRule));
@@ -252,7 +235,7 @@
   } else if (aKind == "site") {
     BOOST_OUTCOME_TRY(site, ReadSite(aTable, aId));
     aParsed.base_.sites_[site.site_.dataCentre_] = site.site_;
-    aParsed.sites_.push_back(std::move(site));
+    aParsed.sites_[site.site_.dataCentre_] = std::move(site);
   } else if (aKind == "policy" && aId == "default") {
     return ReadPolicy(aTable, aParsed.base_.policy_);
   } else if (aKind == "policy" && aId == "replaced") {
@@ -266,27 +249,73 @@
   return Success();
 }
 
-Result<ParsedConfig> ParseEntities(const Entities& aEntities)
+/// An entity's name in its two parts.
+std::pair<std::string, std::string> SplitName(const std::string& aName)
+{
+  const auto slash = aName.find('/');
+  return { aName.substr(0, slash), slash == std::string::npos ? "" : aName.substr(slash + 1) };
+}
+
+Result<void> ParseEntity(const std::string& aName, const std::string& aText, ConfigCache& aParsed)
+{
+  const auto json = ConfigJson::parse(aText, nullptr, false);
+  if (!json.is_object()) {
+    return Fail(ErrorCode::kSyntax, aName, "a JSON object");
+  }
+  const auto [kind, id] = SplitName(aName);
+  return ReadEntity(kind, id, { &json, aName, "" }, aParsed);
+}
+
+/// Removes what was parsed from an entity.
+void RemoveParsed(const std::string& aName, ConfigCache& aParsed)
+{
+  const auto [kind, id] = SplitName(aName);
+  auto& base = aParsed.base_;
+  if (kind == "account") {
+    base.clientAccounts_.erase(ClientAccountId{ id });
+  } else if (kind == "key") {
+    base.keys_.erase(id);
+  } else if (kind == "route") {
+    const RouteId route{ id };
+    std::erase_if(base.routes_, [&route](const Route& aRoute) { return aRoute.id_ == route; });
+  } else if (kind == "service") {
+    aParsed.services_.erase(ServiceId{ id });
+  } else if (kind == "site") {
+    base.sites_.erase(DataCentreId{ id });
+    aParsed.sites_.erase(DataCentreId{ id });
+  } else if (aName == "policy/default") {
+    base.policy_ = Policy{};
+  }
+}
+
+void SortRoutes(std::vector<Route>& aRoutes)
+{
+  std::sort(aRoutes.begin(), aRoutes.end(), [](const Route& aLeft, const Route& aRight) {
+    if (aLeft.prefix_.size() != aRight.prefix_.size()) {
+      return aLeft.prefix_.size() > aRight.prefix_.size();
+    }
+    return aLeft.prefix_ < aRight.prefix_;
+  });
+}
+
+/// Brings the cache up to date with the entities.
+Result<void> ParseTouched(const Entities& aEntities, ConfigCache& aCache)
 {
-  ParsedConfig parsed;
-  for (const auto& [name, text] : aEntities) {
-    const auto slash = name.find('/');
-    const auto json = ConfigJson::parse(text, nullptr, false);
-    if (!json.is_object()) {
-      return Fail(ErrorCode::kSyntax, name, "a JSON object");
+  if (!aCache.parsed_) {
+    aCache = ConfigCache{};
+    for (const auto& [name, text] : aEntities) {
+      BOOST_OUTCOME_TRYV(ParseEntity(name, text, aCache));
+    }
+  }
+  for (const auto& name : aCache.touched_) {
+    RemoveParsed(name, aCache);
+    if (const auto entity = aEntities.find(name); entity != aEntities.end()) {
+      BOOST_OUTCOME_TRYV(ParseEntity(name, entity->second, aCache));
     }
-    const auto id = slash == std::string::npos ? std::string() : name.substr(slash + 1);
-    BOOST_OUTCOME_TRYV(ReadEntity(name.substr(0, slash), id, { &json, name, "" }, parsed));
   }
-  std::sort(parsed.base_.routes_.begin(),
-            parsed.base_.routes_.end(),
-            [](const Route& aLeft, const Route& aRight) {
-              if (aLeft.prefix_.size() != aRight.prefix_.size()) {
-                return aLeft.prefix_.size() > aRight.prefix_.size();
-              }
-              return aLeft.prefix_ < aRight.prefix_;
-            });
-  return parsed;
+  aCache.touched_.clear();
+  SortRoutes(aCache.base_.routes_);
+  return Success();
 }
 
 Result<void> CheckAccountsKnown(const Route& aRoute,
@@ -305,7 +334,7 @@
   return Success();
 }
 
-Result<void> CheckRoutes(const ParsedConfig& aParsed)
+Result<void> CheckRoutes(const ConfigCache& aParsed)
 {
   const auto& routes = aParsed.base_.routes_;
   for (std::size_t i = 0; i < routes.size(); ++i) {
@@ -326,7 +355,7 @@
   return Success();
 }
 
-Result<void> CheckReferences(const ParsedConfig& aParsed)
+Result<void> CheckReferences(const ConfigCache& aParsed)
 {
   const auto& base = aParsed.base_;
   if (base.clientAccounts_.size() > kMaxClientAccounts) {
@@ -402,19 +431,27 @@
   return Success();
 }
 
-Result<void> NarrowRoutes(const ConfigTable& aOverlay, Config& aConfig)
+/// What an overlay changes in the base, checked.
+struct Narrowing
+{
+  std::vector<std::pair<std::size_t, Route>> routes_; ///< By index in the base.
+  std::vector<std::pair<ClientAccountId, double>> rateParts_;
+  Policy policy_;
+};
+
+Result<void> NarrowRoutes(const ConfigTable& aOverlay, const Config& aBase, Narrowing& aOut)
 {
   BOOST_OUTCOME_TRY(routes, ReadTable(aOverlay, "routes"));
   if (!routes) {
     return Success();
   }
   for (const auto& [id, value] : routes->json_->items()) {
-    const auto name = id;
+    const RouteId wanted{ id };
     const auto found =
-      std::find_if(aConfig.routes_.begin(), aConfig.routes_.end(), [&name](const Route& aRoute) {
-        return aRoute.id_.value_ == name;
+      std::find_if(aBase.routes_.begin(), aBase.routes_.end(), [&wanted](const Route& aRoute) {
+        return aRoute.id_ == wanted;
       });
-    if (found == aConfig.routes_.end()) {
+    if (found == aBase.routes_.end()) {
       return Fail(ErrorCode::kUnknownReference, Subject(*routes, id), "no route/" + id);
     }
     BOOST_OUTCOME_TRY(table, ReadTable(*routes, id));
@@ -423,32 +460,32 @@
     auto narrowed = *found;
     BOOST_OUTCOME_TRYV(ReadRouteLimits(*table, narrowed));
     BOOST_OUTCOME_TRYV(CheckNarrowed(*table, *found, narrowed));
-    BOOST_OUTCOME_TRYV(CheckAccountsKnown(narrowed, aConfig, Subject(*table, "accounts")));
-    *found = std::move(narrowed);
+    BOOST_OUTCOME_TRYV(CheckAccountsKnown(narrowed, aBase, Subject(*table, "accounts")));
+    const auto index = static_cast<std::size_t>(found - aBase.routes_.begin());
+    aOut.routes_.emplace_back(index, std::move(narrowed));
   }
   return Success();
 }
 
-Result<void> NarrowAccounts(const ConfigTable& aOverlay, Config& aConfig)
+Result<void> NarrowAccounts(const ConfigTable& aOverlay, const Config& aBase, Narrowing& aOut)
 {
   BOOST_OUTCOME_TRY(accounts, ReadTable(aOverlay, "accounts"));
   if (!accounts) {
     return Success();
   }
   for (const auto& [id, value] : accounts->json_->items()) {
-    const auto found = aConfig.clientAccounts_.find(ClientAccountId{ id });
-    if (found == aConfig.clientAccounts_.end()) {
+    if (!aBase.clientAccounts_.contains(ClientAccountId{ id })) {
       return Fail(ErrorCode::kUnknownReference, Subject(*accounts, id), "no account/" + id);
     }
     BOOST_OUTCOME_TRY(table, ReadTable(*accounts, id));
     BOOST_OUTCOME_TRYV(CheckKeys(*table, { "rate_part" }));
     BOOST_OUTCOME_TRY(part, ReadNumber(*table, "rate_part", 0.001, 1));
-    found->second.siteRatePart_ = part.value_or(1.0);
+    aOut.rateParts_.emplace_back(ClientAccountId{ id }, part.value_or(1.0));
   }
   return Success();
 }
 
-Result<void> NarrowPolicy(const ConfigTable& aOverlay, Config& aConfig)
+Result<void> NarrowPolicy(const ConfigTable& aOverlay, const Policy& aBase, Policy& aPolicy)
 {
   BOOST_OUTCOME_TRY(table, ReadTable(aOverlay, "policy"));
   if (!table) {
@@ -458,72 +495,125 @@
   BOOST_OUTCOME_TRYV(CheckKeys(
     *table,
     { "key_freshness_bound_ms", "retry_ratio", "queue_capacity", "queue_deadline_fraction" }));
-  const auto base = aConfig.policy_;
-  BOOST_OUTCOME_TRYV(ReadPolicy(*table, aConfig.policy_));
-  const auto& policy = aConfig.policy_;
-  if (policy.keyFreshnessBound_ > base.keyFreshnessBound_) {
-    const auto bound = std::chrono::duration_cast<milliseconds>(base.keyFreshnessBound_).count();
+  BOOST_OUTCOME_TRYV(ReadPolicy(*table, aPolicy));
+  if (aPolicy.keyFreshnessBound_ > aBase.keyFreshnessBound_) {
+    const auto bound = std::chrono::duration_cast<milliseconds>(aBase.keyFreshnessBound_).count();
     return Widens(*table, "key_freshness_bound_ms", "at most " + std::to_string(bound));
   }
-  if (policy.retryRatio_ > base.retryRatio_) {
-    return Widens(*table, "retry_ratio", "at most " + std::to_string(base.retryRatio_));
+  if (aPolicy.retryRatio_ > aBase.retryRatio_) {
+    return Widens(*table, "retry_ratio", "at most " + std::to_string(aBase.retryRatio_));
   }
-  if (policy.queueCapacity_ > base.queueCapacity_) {
-    return Widens(*table, "queue_capacity", "at most " + std::to_string(base.queueCapacity_));
+  if (aPolicy.queueCapacity_ > aBase.queueCapacity_) {
+    return Widens(*table, "queue_capacity", "at most " + std::to_string(aBase.queueCapacity_));
   }
-  if (policy.queueDeadlineFraction_ > base.queueDeadlineFraction_) {
+  if (aPolicy.queueDeadlineFraction_ > aBase.queueDeadlineFraction_) {
     return Widens(
-      *table, "queue_deadline_fraction", "at most " + std::to_string(base.queueDeadlineFraction_));
+      *table, "queue_deadline_fraction", "at most " + std::to_string(aBase.queueDeadlineFraction_));
   }
   return Success();
 }
 
-/// Applies the overlay of a site to a copy of the base.
-Result<Config> Narrow(const Config& aBase, const ParsedSite& aSite)
+/// Checks the overlay of a site against the base.
+Result<Narrowing> CheckOverlay(const Config& aBase, const SiteEntity& aSite)
 {
-  const ConfigTable overlay{ &aSite.overlay_, aSite.entity_, "overlay." };
-  auto config = aBase;
+  const auto json = ConfigJson::parse(aSite.overlay_, nullptr, false);
+  const ConfigTable overlay{ &json, "site/" + aSite.site_.dataCentre_.value_, "overlay." };
+  Narrowing narrowing;
+  narrowing.policy_ = aBase.policy_;
   BOOST_OUTCOME_TRYV(CheckKeys(overlay, { "routes", "accounts", "policy" }));
-  BOOST_OUTCOME_TRYV(NarrowRoutes(overlay, config));
-  BOOST_OUTCOME_TRYV(NarrowAccounts(overlay, config));
-  BOOST_OUTCOME_TRYV(NarrowPolicy(overlay, config));
-  return config;
+  BOOST_OUTCOME_TRYV(NarrowRoutes(overlay, aBase, narrowing));
+  BOOST_OUTCOME_TRYV(NarrowAccounts(overlay, aBase, narrowing));
+  BOOST_OUTCOME_TRYV(NarrowPolicy(overlay, aBase.policy_, narrowing.policy_));
+  return narrowing;
 }
 
-Result<ParsedConfig> ParseAndCheck(const Entities& aEntities)
+/// Applies a checked overlay to a copy of the base that it was checked against.
+void ApplyNarrowing(Narrowing aNarrowing, Config& aConfig)
 {
-  BOOST_OUTCOME_TRY(parsed, ParseEntities(aEntities));
-  BOOST_OUTCOME_TRYV(CheckReferences(parsed));
-  return parsed;
+  for (auto& [index, route] : aNarrowing.routes_) {
+    aConfig.routes_[index] = std::move(route);
+  }
+  for (const auto& [id, part] : aNarrowing.rateParts_) {
+    aConfig.clientAccounts_.at(id).siteRatePart_ = part;
+  }
+  aConfig.policy_ = aNarrowing.policy_;
 }
 
-} // namespace
+/// Parses what was touched and checks the base; the cache is invalid after a failure.
+Result<void> ParseAndCheck(const Entities& aEntities, ConfigCache& aCache)
+{
+  BOOST_OUTCOME_TRYV(ParseTouched(aEntities, aCache));
+  BOOST_OUTCOME_TRYV(CheckReferences(aCache));
+  return Success();
+}
 
-Result<std::shared_ptr<const Config>> CompileConfig(const Entities& aEntities,
-                                                    const DataCentreId& aDataCentre,
-                                                    Version aVersion)
+Result<std::shared_ptr<const Config>> Compile(ConfigCache& aCache,
+                                              const Entities& aEntities,
+                                              const DataCentreId& aDataCentre,
+                                              Version aVersion)
 {
-  BOOST_OUTCOME_TRY(parsed, ParseAndCheck(aEntities));
-  const bool known = parsed.base_.sites_.empty() || parsed.base_.sites_.contains(aDataCentre);
-  if (!known) {
+  BOOST_OUTCOME_TRYV(ParseAndCheck(aEntities, aCache));
+  const auto& base = aCache.base_;
+  if (!base.sites_.empty() && !base.sites_.contains(aDataCentre)) {
     return Fail(ErrorCode::kUnknownSite, aDataCentre.value_, "a site of the configuration");
   }
-  auto compiled = parsed.base_;
-  for (const auto& site : parsed.sites_) {
-    BOOST_OUTCOME_TRY(narrowed, Narrow(parsed.base_, site));
-    if (site.site_.dataCentre_ == aDataCentre) {
-      compiled = std::move(narrowed);
+  std::optional<Narrowing> own;
+  for (const auto& [dataCentre, site] : aCache.sites_) {
+    BOOST_OUTCOME_TRY(narrowing, CheckOverlay(base, site));
+    if (dataCentre == aDataCentre) {
+      own = std::move(narrowing);
     }
   }
-  compiled.version_ = aVersion;
-  return std::make_shared<const Config>(std::move(compiled));
+  auto compiled = std::make_shared<Config>(base);
+  if (own) {
+    ApplyNarrowing(std::move(*own), *compiled);
+  }
+  compiled->version_ = aVersion;
+  return std::shared_ptr<const Config>(std::move(compiled));
+}
+
+} // namespace
+
+void TouchEntities(ConfigCache& aCache, const std::vector<EntityEdit>& aEdits)
+{
+  for (const auto& edit : aEdits) {
+    aCache.touched_.insert(edit.name_);
+  }
+}
+
+void ForgetParsed(ConfigCache& aCache)
+{
+  aCache = ConfigCache{};
+}
+
+Result<std::shared_ptr<const Config>> CompileConfig(ConfigCache& aCache,
+                                                    const Entities& aEntities,
+                                                    const DataCentreId& aDataCentre,
+                                                    Version aVersion)
+{
+  auto compiled = Compile(aCache, aEntities, aDataCentre, aVersion);
+  if (compiled.has_error()) {
+    ForgetParsed(aCache);
+  } else {
+    aCache.parsed_ = true;
+  }
+  return compiled;
+}
+
+Result<std::shared_ptr<const Config>> CompileConfig(const Entities& aEntities,
+                                                    const DataCentreId& aDataCentre,
+                                                    Version aVersion)
+{
+  ConfigCache cache;
+  return Compile(cache, aEntities, aDataCentre, aVersion);
 }
 
 Result<void> CheckEntities(const Entities& aEntities)
 {
-  BOOST_OUTCOME_TRY(parsed, ParseAndCheck(aEntities));
-  for (const auto& site : parsed.sites_) {
-    BOOST_OUTCOME_TRYV(Narrow(parsed.base_, site));
+  ConfigCache cache;
+  BOOST_OUTCOME_TRYV(ParseAndCheck(aEntities, cache));
+  for (const auto& [dataCentre, site] : cache.sites_) {
+    BOOST_OUTCOME_TRYV(CheckOverlay(cache.base_, site));
   }
   return Success();
 }
--- a/peridotquay/version/ConfigDelta.cpp
+++ b/peridotquay/version/ConfigDelta.cpp
@@ -100,6 +100,19 @@
   return bytes;
 }
 
+/// Size of the entities after a change whose edits have different names.
+std::size_t BytesAfter(const Entities& aEntities, const Change& aChange)
+{
+  auto bytes = EntitiesBytes(aEntities);
+  for (const auto& edit : aChange.edits_) {
+    if (const auto found = aEntities.find(edit.name_); found != aEntities.end()) {
+      bytes -= found->first.size() + found->second.size();
+    }
+    bytes += edit.json_ ? edit.name_.size() + edit.json_->size() : 0;
+  }
+  return bytes;
+}
+
 Result<void> CheckEdit(const Entities& aEntities, const EntityEdit& aEdit)
 {
   if (!aEdit.json_) {
@@ -162,20 +175,18 @@
     }
     BOOST_OUTCOME_TRYV(CheckEdit(aEntities, edit));
   }
-  auto next = aEntities;
+  if (BytesAfter(aEntities, aChange) > kMaxConfigBytes) {
+    return Fail(ErrorCode::kChangeTooLarge,
+                "configuration",
+                "at most " + std::to_string(kMaxConfigBytes) + " bytes");
+  }
   for (const auto& edit : aChange.edits_) {
     if (edit.json_) {
-      next[edit.name_] = *edit.json_;
+      aEntities[edit.name_] = *edit.json_;
     } else {
-      next.erase(edit.name_);
+      aEntities.erase(edit.name_);
     }
   }
-  if (EntitiesBytes(next) > kMaxConfigBytes) {
-    return Fail(ErrorCode::kChangeTooLarge,
-                "configuration",
-                "at most " + std::to_string(kMaxConfigBytes) + " bytes");
-  }
-  aEntities = std::move(next);
   return Success();
 }
 
--- a/tests/version/ConfigDeltaTest.cpp
+++ b/tests/version/ConfigDeltaTest.cpp
@@ -146,6 +146,40 @@
   CHECK(accepted > 0);
 }
 
+// Guards against a node that follows the versions and gets another configuration than one that
+// starts with the latest.
+TEST_CASE("compiling change by change equals compiling at once", "[config]")
+{
+  int accepted = 0;
+  int rejected = 0;
+  CHECK(rc::check([&] {
+    ConfigCache cache;
+    auto entities = EntitiesWith(ConfigJson::object());
+    for (Version version = 1; version <= 6; ++version) {
+      auto next = EntitiesWith(AnyOverlay());
+      // Some entities are absent, so that references break and mend again.
+      for (const auto& [name, json] : EntitiesWith(ConfigJson::object())) {
+        if (*rc::gen::inRange(0, 12) == 0) {
+          next.erase(name);
+        }
+      }
+      Change change;
+      change.edits_ = DiffEntities(entities, next);
+      RC_ASSERT(ApplyChange(entities, change).has_value());
+      TouchEntities(cache, change.edits_);
+      const auto stepwise = CompileConfig(cache, entities, { "south" }, version);
+      const auto whole = CompileConfig(entities, { "south" }, version);
+      RC_ASSERT(stepwise.has_value() == whole.has_value());
+      if (whole.has_value()) {
+        RC_ASSERT(*stepwise.assume_value() == *whole.assume_value());
+      }
+      ++(whole.has_value() ? accepted : rejected);
+    }
+  }));
+  CHECK(accepted > 0);
+  CHECK(rejected > 0);
+}
+
 // Guards against changes that are applied in part, twice, or beyond their size.
 TEST_CASE("a faulty change leaves the entities untouched", "[config]")
 {
