Refuse paths that a target may read as another route

Cause: a path with an escaped letter (/%62ookings) or with ';' missed the route that the target would serve it on and could match an open route, so it would have run without a key. Change: FindRoute matches no route for escapes of unreserved or structuring characters, broken escapes, ';', '#' and control characters.

--- a/peridotquay/process/ConfigStore.cpp
+++ b/peridotquay/process/ConfigStore.cpp
@@ -214,6 +214,11 @@
   return Fail(ErrorCode::kPlatformUnavailable, "change", "the head keeps moving; not written");
 }
 
+bool SnapshotDue(const StoredConfig& aBase, Version aWritten)
+{
+  return aWritten - aWritten % kSnapshotInterval > aBase.snapshotVersion_;
+}
+
 Result<Version> WriteDueSnapshot(Platform& aPlatform)
 {
   BOOST_OUTCOME_TRY(head, ReadHead(aPlatform));
--- a/peridotquay/process/OperatorCommands.cpp
+++ b/peridotquay/process/OperatorCommands.cpp
@@ -196,9 +196,11 @@
                    { "edits", EditsJson(change.edits_) } };
   report.text_ = "version " + std::to_string(version.assume_value()) + " written (operation " +
                  change.operationId_ + ")\n" + EditsText(change.edits_);
-  if (const auto snapshot = WriteDueSnapshot(aPlatform); snapshot.has_error()) {
-    // The next change writes it; until then loading reads more changes.
-    report.json_["snapshot_error"] = Describe(snapshot.assume_error());
+  if (SnapshotDue(aStored, version.assume_value())) {
+    // After a failure the next change writes it; until then loading reads more changes.
+    if (const auto snapshot = WriteDueSnapshot(aPlatform); snapshot.has_error()) {
+      report.json_["snapshot_error"] = Describe(snapshot.assume_error());
+    }
   }
   if (aOptions.wait_) {
     auto entities = aStored.entities_;
@@ -239,8 +241,15 @@
 Result<std::vector<EntityEdit>> DirectoryEdits(const StoredConfig& aStored,
                                                const std::string& aDirectory)
 {
-  BOOST_OUTCOME_TRY(files, ReadConfigDirectory(aDirectory));
-  BOOST_OUTCOME_TRY(merged, MergeFiles(aStored.entities_, files));
+  EntityPlaces places;
+  BOOST_OUTCOME_TRY(files, ReadConfigDirectory(aDirectory, &places));
+  auto merging = MergeFiles(aStored.entities_, files);
+  if (merging.has_error()) {
+    auto error = merging.assume_error();
+    error.place_ = places[error.subject_];
+    return BOOST_OUTCOME_V2_NAMESPACE::failure(std::move(error));
+  }
+  auto& merged = merging.assume_value();
   KeepReplacedBound(aStored.entities_, merged, WallMs());
   // Keys granted by command can refer to accounts that the files no longer have.
   BOOST_OUTCOME_TRYV(CheckEntities(merged));
@@ -258,7 +267,7 @@
 
 } // namespace
 
-Result<Entities> ReadConfigDirectory(const std::string& aDirectory)
+Result<Entities> ReadConfigDirectory(const std::string& aDirectory, EntityPlaces* aPlaces)
 {
   namespace fs = std::filesystem;
   std::error_code failed;
@@ -281,7 +290,7 @@
     BOOST_OUTCOME_TRY(text, ReadWholeFile(name));
     overlays.push_back({ name, std::move(text) });
   }
-  return ParseConfigFiles(base, overlays);
+  return ParseConfigFiles(base, overlays, aPlaces);
 }
 
 OperatorReport CheckCommand(const std::string& aDirectory)
--- a/peridotquay/process/OperatorCommands.h
+++ b/peridotquay/process/OperatorCommands.h
@@ -4,6 +4,7 @@
 #include "peridotquay/process/ConfigStore.h"
 #include "peridotquay/process/OperatorReport.h"
 #include "peridotquay/process/Platform.h"
+#include "peridotquay/version/ConfigParser.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,8 +24,10 @@
   CommitSettings commit_;
 };
 
-/// Reads base.toml and all other *.toml files of a directory, as overlays, and checks them.
-Result<Entities> ReadConfigDirectory(const std::string& aDirectory);
+/// Reads base.toml and all other *.toml files of a directory, as overlays, and checks them. Places
+/// are returned if aPlaces isn't null.
+Result<Entities> ReadConfigDirectory(const std::string& aDirectory,
+                                     EntityPlaces* aPlaces = nullptr);
 
 /// check: checks the files of a directory without a platform.
 OperatorReport CheckCommand(const std::string& aDirectory);
--- a/peridotquay/version/Config.cpp
+++ b/peridotquay/version/Config.cpp
@@ -18,23 +18,49 @@
 /// prefix doesn't help to guess the key, and 8 digits leave about one candidate.
 constexpr std::size_t kIndexDigits = 8;
 
-/// Whether a target could resolve the path to another one: dot segments, empty segments, encoded
-/// dots, slashes or backslashes. Such a path could pass as an open route and run as a keyed one.
+/// Value of a hex digit; 16 for any other character.
+unsigned HexValue(char aDigit)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const auto lower = static_cast<char>(std::tolower(static_cast<unsigned char>(aDigit)));
+  const auto place = kDigits.find(lower);
+  return place == std::string_view::npos ? 16 : static_cast<unsigned>(place);
+}
+
+/// Whether a '%' begins an escape of a character that means the same unescaped, that structures the
+/// path, or that is a control character; or no escape at all.
+bool IsAmbiguousEscape(std::string_view aEscape)
+{
+  if (aEscape.size() < 3) {
+    return true;
+  }
+  const auto high = HexValue(aEscape[1]);
+  const auto low = HexValue(aEscape[2]);
+  if (high > 15 || low > 15) {
+    return true;
+  }
+  const auto decoded = static_cast<unsigned char>(high * 16 + low);
+  constexpr std::string_view kStructure = "-._~/\\;%";
+  return decoded < 0x20 || decoded == 0x7f || std::isalnum(decoded) != 0 ||
+         kStructure.find(static_cast<char>(decoded)) != std::string_view::npos;
+}
+
+/// Whether a target could resolve the path to another one. Such a path could pass as an open route
+/// and run as a keyed one.
 bool IsAmbiguousPath(std::string_view aPath)
 {
-  std::string lower(aPath);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char aChar) {
-    return static_cast<char>(std::tolower(aChar));
-  });
-  for (const char* encoded : { "%2e", "%2f", "%5c", "%00", "\\", "//" }) {
-    if (lower.find(encoded) != std::string::npos) {
+  for (std::size_t i = 0; i < aPath.size(); ++i) {
+    const auto byte = static_cast<unsigned char>(aPath[i]);
+    const bool structure = aPath[i] == '\\' || aPath[i] == ';' || aPath[i] == '#';
+    if (structure || byte <= 0x20 || byte == 0x7f ||
+        (aPath[i] == '%' && IsAmbiguousEscape(aPath.substr(i, 3)))) {
       return true;
     }
   }
-  for (std::size_t start = 0; start < lower.size();) {
-    const auto end = std::min(lower.find('/', start), lower.size());
-    const auto segment = std::string_view(lower).substr(start, end - start);
-    if (segment == "." || segment == "..") {
+  for (std::size_t start = 1; start < aPath.size();) {
+    const auto end = std::min(aPath.find('/', start), aPath.size());
+    const auto segment = aPath.substr(start, end - start);
+    if (segment.empty() || segment == "." || segment == "..") {
       return true;
     }
     start = end + 1;
@@ -61,7 +87,7 @@
 
 const Route* FindRoute(const Config& aConfig, std::string_view aPath)
 {
-  aPath = aPath.substr(0, aPath.find_first_of("?#"));
+  aPath = aPath.substr(0, aPath.find('?'));
   if (aPath.empty() || aPath.front() != '/' || IsAmbiguousPath(aPath)) {
     return nullptr;
   }
--- a/peridotquay/version/ConfigParser.cpp
+++ b/peridotquay/version/ConfigParser.cpp
@@ -228,7 +228,9 @@
 
 } // namespace
 
-Result<Entities> ParseConfigFiles(const ConfigFile& aBase, const std::vector<ConfigFile>& aOverlays)
+Result<Entities> ParseConfigFiles(const ConfigFile& aBase,
+                                  const std::vector<ConfigFile>& aOverlays,
+                                  EntityPlaces* aPlaces)
 {
   Places places;
   auto entities = ReadFiles(aBase, aOverlays, places);
@@ -237,6 +239,11 @@
     error.place_ = FindPlace(places, error.subject_, aBase.name_);
     return BOOST_OUTCOME_V2_NAMESPACE::failure(std::move(error));
   }
+  if (aPlaces != nullptr && entities.has_value()) {
+    for (const auto& [name, json] : entities.assume_value()) {
+      (*aPlaces)[name] = FindPlace(places, name, aBase.name_);
+    }
+  }
   return entities;
 }
 
--- a/peridotquay/version/ConfigParser.h
+++ b/peridotquay/version/ConfigParser.h
@@ -4,6 +4,7 @@
 #include "peridotquay/process/Error.h"
 #include "peridotquay/version/ConfigDelta.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -16,10 +17,15 @@
   std::string text_;
 };
 
+/// Where the files define each entity.
+using EntityPlaces = std::map<std::string, SourcePlace>;
+
 /// Parses and checks the base file with all overlays. Errors name the file, line, column and key
-/// and the allowed values; their codes are those of CheckEntities and ParseToml.
+/// and the allowed values; their codes are those of CheckEntities and ParseToml. Places are
+/// returned if aPlaces isn't null.
 Result<Entities> ParseConfigFiles(const ConfigFile& aBase,
-                                  const std::vector<ConfigFile>& aOverlays);
+                                  const std::vector<ConfigFile>& aOverlays,
+                                  EntityPlaces* aPlaces = nullptr);
 
 /// The configuration that applying files to a present configuration gives: the entities of the
 /// files, and the keys that were granted by command. Errors: kContradiction if the files list a key
--- a/tests/failure/PlatformTest.cpp
+++ b/tests/failure/PlatformTest.cpp
@@ -293,6 +293,7 @@
     REQUIRE(ApplyChange(base.entities_, change).has_value());
     base.version_ = version;
     base.headRevision_ = Value(bench.client_->ReadRow(kHeadRowKey))->revision_;
+    CHECK(SnapshotDue(base, version + 1) == (version + 1 >= 256));
     // The writer of version 256 fails to write the snapshot; a later one makes up for it.
     if (i != 256) {
       CHECK(Value(WriteDueSnapshot(*bench.client_)) == (i < 256 ? 0 : 256));
@@ -327,8 +328,9 @@
   REQUIRE(keys.size() == 1);
   const auto digest = keys[0]["digest"].get<std::string>();
   CHECK(WithdrawCommand(*bench.client_, digest, Options(bench)).exit_ == 0);
-  CHECK(ApplyCommand(*bench.client_, foundry, Options(bench)).exit_ ==
-        ExitCode(ErrorCode::kContradiction));
+  const auto barred = ApplyCommand(*bench.client_, foundry, Options(bench));
+  CHECK(barred.exit_ == ExitCode(ErrorCode::kContradiction));
+  CHECK(barred.json_["error"]["line"].get<int>() > 0);
 }
 
 // Guards against a key in the platform: only its digest may be stored.
--- a/tests/version/ConfigTest.cpp
+++ b/tests/version/ConfigTest.cpp
@@ -52,12 +52,25 @@
 TEST_CASE("ambiguous paths match no route", "[config]")
 {
   const auto config = Value(CompileConfig(SampleEntities(), { "north" }, 7));
+  CHECK(FindRoute(*config, "/bells/gro%C3%9Fe%20glocke")->id_.value_ == "bells");
+  CHECK(FindRoute(*config, "/bells/")->id_.value_ == "bells");
   for (const char* path : { "/bells/x/../bookings",
                             "/bells/./bookings",
                             "/bells//bookings",
                             "/bells/%2E%2e/x",
                             "/bells%2fbookings",
                             "/bells\\bookings",
+                            "/bells/%62ookings",
+                            "/bells/bookings%3Bx",
+                            "/bells/bookings;x=1",
+                            "/bells/..;/bookings",
+                            "/bells/%",
+                            "/bells/%6",
+                            "/bells/%zz",
+                            "/bells/a%252e",
+                            "/bells/%0d%0ax",
+                            "/bells/a b",
+                            "/bells#/bookings",
                             "/bells/x/.." }) {
     INFO(path);
     CHECK(FindRoute(*config, path) == nullptr);
