Read all watermarks at once and check the audit trail's text

Change: ReadForce reads the prefix watermark/ once; operator and summary are checked; data_centre, region and service follow the rule of ids.

--- a/peridotquay/process/InForce.cpp
+++ b/peridotquay/process/InForce.cpp
@@ -7,6 +7,7 @@
 #include <boost/outcome/try.hpp>
 
 #include <algorithm>
+#include <map>
 #include <thread>
 
 namespace peridotquay {
@@ -20,6 +21,9 @@
 /// operators' clocks.
 constexpr std::uint64_t kReplacedLifetimeMs = 7200000;
 
+/// More rows than sites: those of sites that were removed stay.
+constexpr std::uint32_t kMostWatermarks = 1000;
+
 const std::string kPolicyEntity = "policy/default";
 const std::string kReplacedEntity = "policy/replaced";
 
@@ -55,11 +59,11 @@
   return over ? Duration::zero() : BoundOf(aEntities, kReplacedEntity);
 }
 
-SiteForce Judge(const DataCentreId& aSite, const std::optional<Watermark>& aMark, Version aVersion)
+SiteForce Judge(const DataCentreId& aSite, const Watermark* aMark, Version aVersion)
 {
   SiteForce force;
   force.dataCentre_ = aSite;
-  if (aMark) {
+  if (aMark != nullptr) {
     force.reported_ = true;
     force.version_ = aMark->version_;
     force.unreachable_ = aMark->unreachable_;
@@ -97,15 +101,17 @@
                             const std::vector<DataCentreId>& aSites,
                             Version aVersion)
 {
+  // One read for all sites, because many operators may wait at once.
+  BOOST_OUTCOME_TRY(rows, aPlatform.ReadRange(WatermarkRowKey({}), "", kMostWatermarks));
+  std::map<DataCentreId, Watermark> marks;
+  for (const auto& row : rows) {
+    BOOST_OUTCOME_TRY(mark, DecodeWatermark(row.value_));
+    marks[mark.dataCentre_] = std::move(mark);
+  }
   ForceView view;
   for (const auto& site : aSites) {
-    BOOST_OUTCOME_TRY(row, aPlatform.ReadRow(WatermarkRowKey(site)));
-    std::optional<Watermark> mark;
-    if (row) {
-      BOOST_OUTCOME_TRY(decoded, DecodeWatermark(row->value_));
-      mark = std::move(decoded);
-    }
-    view.sites_.push_back(Judge(site, mark, aVersion));
+    const auto mark = marks.find(site);
+    view.sites_.push_back(Judge(site, mark == marks.end() ? nullptr : &mark->second, aVersion));
   }
   return view;
 }
--- a/peridotquay/process/OperatorCommands.cpp
+++ b/peridotquay/process/OperatorCommands.cpp
@@ -167,12 +167,32 @@
   bool withdrawal_ = false;
 };
 
+/// Checks the parts of the audit trail that operators choose. Control characters could forge lines
+/// of a printed history.
+Result<void> CheckAudit(const WriteOptions& aOptions)
+{
+  const auto printable = [](char aChar) { return aChar >= 0x20 && aChar < 0x7f; };
+  const auto& name = aOptions.operator_;
+  if (name.empty() || name.size() > 64 || !std::all_of(name.begin(), name.end(), printable)) {
+    return Fail(ErrorCode::kOutOfRange, "operator", "1 to 64 printable ASCII characters");
+  }
+  const auto control = [](char aChar) { return static_cast<unsigned char>(aChar) < 0x20; };
+  const auto& summary = aOptions.summary_;
+  if (summary.size() > 512 || std::any_of(summary.begin(), summary.end(), control)) {
+    return Fail(ErrorCode::kOutOfRange, "summary", "at most 512 bytes without control characters");
+  }
+  return Success();
+}
+
 /// Writes a change and, if asked to, waits until it is in force.
 OperatorReport WriteAndWait(Platform& aPlatform,
                             const StoredConfig& aStored,
                             const PreparedChange& aPrepared,
                             const WriteOptions& aOptions)
 {
+  if (const auto audit = CheckAudit(aOptions); audit.has_error()) {
+    return ReportError(audit.assume_error());
+  }
   Change change;
   change.operatorName_ = aOptions.operator_;
   change.summary_ = aOptions.summary_;
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -2,6 +2,7 @@
 #include "peridotquay/process/Settings.h"
 
 #include "peridotquay/process/TomlPlaces.h"
+#include "peridotquay/version/ConfigReader.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/outcome/try.hpp>
@@ -81,7 +82,7 @@
   return Success();
 }
 
-/// Reads a required id. Ids appear in request ids and URLs, so their characters are restricted.
+/// Reads a required id that follows the rule of ids in the configuration.
 Result<void> ReadId(const Document& aDocument, std::string_view aKey, std::string& aOut)
 {
   const auto* node = aDocument.table_->get(aKey);
@@ -90,12 +91,20 @@
       ErrorCode::kMissingSetting, std::string(aKey), "required", { *aDocument.file_, 0, 0 } });
   }
   BOOST_OUTCOME_TRYV(ReadText(aDocument, aKey, aOut));
-  const bool valid = !aOut.empty() && aOut.size() <= 64 &&
-                     aOut.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-                                            "0123456789-_") == std::string::npos;
-  if (!valid) {
+  if (!IsConfigId(aOut)) {
+    return FailAt(aDocument, *node, ErrorCode::kOutOfRange, aKey, std::string(kConfigIdRule));
+  }
+  return Success();
+}
+
+/// Reads the host's name. It is a part of request ids, whose parts are separated by dots.
+Result<void> ReadHost(const Document& aDocument, std::string& aOut)
+{
+  BOOST_OUTCOME_TRYV(ReadId(aDocument, "host", aOut));
+  if (aOut.find('.') != std::string::npos) {
+    const auto* node = aDocument.table_->get("host");
     return FailAt(
-      aDocument, *node, ErrorCode::kOutOfRange, aKey, "1 to 64 letters, digits, '-' or '_'");
+      aDocument, *node, ErrorCode::kOutOfRange, "host", "1 to 64 letters, digits, '-' or '_'");
   }
   return Success();
 }
@@ -235,7 +244,7 @@
 {
   NodeSettings settings;
   BOOST_OUTCOME_TRYV(CheckKnownKeys(aDocument));
-  BOOST_OUTCOME_TRYV(ReadId(aDocument, "host", settings.host_.value_));
+  BOOST_OUTCOME_TRYV(ReadHost(aDocument, settings.host_.value_));
   BOOST_OUTCOME_TRYV(ReadId(aDocument, "data_centre", settings.dataCentre_.value_));
   BOOST_OUTCOME_TRYV(ReadId(aDocument, "region", settings.region_.value_));
   BOOST_OUTCOME_TRYV(ReadId(aDocument, "service", settings.service_.value_));
--- a/peridotquay/version/ConfigCompiler.cpp
+++ b/peridotquay/version/ConfigCompiler.cpp
@@ -528,7 +528,7 @@
 }
 
 /// Applies a checked overlay to a copy of the base that it was checked against.
-void ApplyNarrowing(Narrowing aNarrowing, Config& aConfig)
+void ApplyNarrowing(Narrowing&& aNarrowing, Config& aConfig)
 {
   for (auto& [index, route] : aNarrowing.routes_) {
     aConfig.routes_[index] = std::move(route);
--- a/tests/failure/PlatformTest.cpp
+++ b/tests/failure/PlatformTest.cpp
@@ -339,6 +339,10 @@
   Bench bench;
   REQUIRE(ApplyCommand(*bench.client_, ExampleDirectory("landesamt"), Options(bench, 0)).exit_ ==
           0);
+  auto forged = Options(bench);
+  forged.operator_ = "a\nversion 9 by b";
+  CHECK(GrantCommand(*bench.client_, "growers", "", forged).exit_ ==
+        ExitCode(ErrorCode::kOutOfRange));
   const auto granted = GrantCommand(*bench.client_, "growers", "", Options(bench));
   const auto key = granted.json_["key"].get<std::string>();
   for (const auto& row : Value(bench.client_->ReadRange("", "", 1000))) {
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -89,6 +89,7 @@
   CheckError(FailureWith("seed = 7", "seed = \"7\""), ErrorCode::kWrongType, "seed", 20);
   CheckError(FailureWith("= 1500", "= 9"), ErrorCode::kOutOfRange, "read_timeout_ms", 18);
   CheckError(FailureWith("\"north-1\"", "\"a b\""), ErrorCode::kOutOfRange, "host", 1);
+  CheckError(FailureWith("\"north-1\"", "\"a.b\""), ErrorCode::kOutOfRange, "host", 1);
   CheckError(
     FailureWith("\"127.0.0.1:8004\"", "\"localhost:80\""), ErrorCode::kOutOfRange, "target", 9);
   CheckError(FailureWith(":9002", ":0"), ErrorCode::kOutOfRange, "seeds", 10);
