Load past a stored change that can't be applied

Cause: nodes treat such a change as an empty one, but LoadConfig failed, so a single row of another writer would have barred every command. Change: LoadConfig counts it as empty as well.

--- a/peridotquay/process/ConfigStore.cpp
+++ b/peridotquay/process/ConfigStore.cpp
@@ -68,7 +68,9 @@
       if (change.version_ != version) {
         return Fail(ErrorCode::kPlatformMalformed, ChangeRowKey(version), "no gap");
       }
-      BOOST_OUTCOME_TRYV(ApplyChange(entities, change));
+      // A change that can't be applied counts as an empty one, as it does at every node; otherwise
+      // a row of another writer would bar all further changes.
+      static_cast<void>(ApplyChange(entities, change));
     }
     if (changes.empty()) {
       return Fail(ErrorCode::kPlatformMalformed, ChangeRowKey(version + 1), "no gap");
--- a/tests/failure/PlatformTest.cpp
+++ b/tests/failure/PlatformTest.cpp
@@ -307,6 +307,21 @@
   CHECK(snapshot.entities_.size() == 7);
 }
 
+// Guards against a row of another writer that bars all further changes.
+TEST_CASE("a stored change that can't be applied counts as empty", "[platform]")
+{
+  Bench bench;
+  Change broken;
+  broken.version_ = 1;
+  broken.edits_ = { { "account/absent", std::nullopt }, { "account/a", "{}" } };
+  Value(bench.client_->Transact(
+    { "x", {}, { { "config/head", EncodeHead(1) }, { ChangeRowKey(1), EncodeChange(broken) } } }));
+  const auto base = Value(LoadConfig(*bench.client_));
+  CHECK(base.version_ == 1);
+  CHECK(base.entities_.empty());
+  CHECK(Value(CommitChange(*bench.client_, base, PutAccount("a", "op"), bench.commit_)) == 2);
+}
+
 // Guards against an operator who overwrites a change that he hasn't seen.
 TEST_CASE("an apply for an old version shows the winner and its changes", "[platform]")
 {
