--- a/tests/failure/PlatformTest.cpp
+++ b/tests/failure/PlatformTest.cpp
@@ -293,6 +293,7 @@
     REQUIRE(ApplyChange(base.entities_, change).has_value());
     base.version_ = version;
     base.headRevision_ = Value(bench.client_->ReadRow(kHeadRowKey))->revision_;
+    CHECK(SnapshotDue(base, version + 1) == (version + 1 >= 256));
     // The writer of version 256 fails to write the snapshot; a later one makes up for it.
     if (i != 256) {
       CHECK(Value(WriteDueSnapshot(*bench.client_)) == (i < 256 ? 0 : 256));
@@ -306,6 +307,21 @@
   CHECK(snapshot.entities_.size() == 7);
 }
 
+// Guards against a row of another writer that bars all further changes.
+TEST_CASE("a stored change that can't be applied counts as empty", "[platform]")
+{
+  Bench bench;
+  Change broken;
+  broken.version_ = 1;
+  broken.edits_ = { { "account/absent", std::nullopt }, { "account/a", "{}" } };
+  Value(bench.client_->Transact(
+    { "x", {}, { { "config/head", EncodeHead(1) }, { ChangeRowKey(1), EncodeChange(broken) } } }));
+  const auto base = Value(LoadConfig(*bench.client_));
+  CHECK(base.version_ == 1);
+  CHECK(base.entities_.empty());
+  CHECK(Value(CommitChange(*bench.client_, base, PutAccount("a", "op"), bench.commit_)) == 2);
+}
+
 // Guards against an operator who overwrites a change that he hasn't seen.
 TEST_CASE("an apply for an old version shows the winner and its changes", "[platform]")
 {
@@ -327,8 +343,9 @@
   REQUIRE(keys.size() == 1);
   const auto digest = keys[0]["digest"].get<std::string>();
   CHECK(WithdrawCommand(*bench.client_, digest, Options(bench)).exit_ == 0);
-  CHECK(ApplyCommand(*bench.client_, foundry, Options(bench)).exit_ ==
-        ExitCode(ErrorCode::kContradiction));
+  const auto barred = ApplyCommand(*bench.client_, foundry, Options(bench));
+  CHECK(barred.exit_ == ExitCode(ErrorCode::kContradiction));
+  CHECK(barred.json_["error"]["line"].get<int>() > 0);
 }
 
 // Guards against a key in the platform: only its digest may be stored.
@@ -337,6 +354,10 @@
   Bench bench;
   REQUIRE(ApplyCommand(*bench.client_, ExampleDirectory("landesamt"), Options(bench, 0)).exit_ ==
           0);
+  auto forged = Options(bench);
+  forged.operator_ = "a\nversion 9 by b";
+  CHECK(GrantCommand(*bench.client_, "growers", "", forged).exit_ ==
+        ExitCode(ErrorCode::kOutOfRange));
   const auto granted = GrantCommand(*bench.client_, "growers", "", Options(bench));
   const auto key = granted.json_["key"].get<std::string>();
   for (const auto& row : Value(bench.client_->ReadRange("", "", 1000))) {
