--- a/peridotquay/process/ShareLedger.cpp
+++ b/peridotquay/process/ShareLedger.cpp
@@ -142,7 +142,10 @@
     return grant;
   }
   const auto lifetime = std::min(GrantLifetime(account), aLongest);
-  if (wanted > std::floor(account.level_ + kEpsilon)) {
+  // Also short if the halving keeps the level up while hosts get less than they want.
+  const bool low =
+    account.level_ < account.limit_.burst_ / 2 && wanted > std::floor(account.level_ / 2);
+  if (low || wanted > std::floor(account.level_ + kEpsilon)) {
     account.short_ = aNow;
     account.everShort_ = true;
   }
