Measure the cost of control by role and fleet size

Cause: nothing showed whether control fits its budgets at 16, 200 and 19,000 nodes. Change: bench/capacity.cpp drives the real modules with synthetic peers. Its first run found that a full member table searched for room in every summary (7.8 % of a core at a delegate of the full fleet) and that each grant walked all outstanding grants; newcomers of little weight are turned away at once and expiries are skipped until one is due.

--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,629 @@
+// Measures what control costs one node, by role and fleet size, with the real modules and synthetic
+// peers. Prints the slopes that docs/CAPACITY.md derives its tables from.
+#include "peridotquay/connection/PeerCodec.h"
+#include "peridotquay/process/MakeControlPlane.h"
+#include "peridotquay/process/ShareLease.h"
+#include "peridotquay/version/ConfigCompiler.h"
+#include "peridotquay/version/Dissemination.h"
+#include "peridotquay/version/Membership.h"
+#include "peridotquay/version/MembershipRank.h"
+
+#include "tests/version/ControlNetwork.h"
+
+#include <sys/resource.h>
+
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <malloc.h>
+#include <map>
+#include <new>
+#include <string>
+#include <thread>
+#include <time.h>
+#include <unistd.h>
+#include <vector>
+
+namespace {
+
+std::atomic<std::size_t> liveBytes{ 0 };
+
+} // namespace
+
+// Counts what the modules hold, as the allocator rounds it.
+void* operator new(std::size_t aSize)
+{
+  void* memory = std::malloc(aSize);
+  if (memory == nullptr) {
+    throw std::bad_alloc();
+  }
+  liveBytes += malloc_usable_size(memory);
+  return memory;
+}
+
+void operator delete(void* aMemory) noexcept
+{
+  if (aMemory != nullptr) {
+    liveBytes -= malloc_usable_size(aMemory);
+  }
+  std::free(aMemory);
+}
+
+void operator delete(void* aMemory, std::size_t) noexcept
+{
+  operator delete(aMemory);
+}
+
+namespace peridotquay {
+
+namespace {
+
+// Bytes below the message on the wire: IP and UDP, or IP, TCP with time stamps and the frame
+// length.
+constexpr std::size_t kDatagramOverhead = 28;
+constexpr std::size_t kFrameOverhead = 56;
+
+double CpuSeconds()
+{
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+// A fleet of equal data centres.
+struct Fleet
+{
+  const char* name_;
+  std::size_t centres_;
+  std::size_t members_; ///< In each data centre.
+};
+
+constexpr Fleet kFleets[] = { { "16", 4, 4 }, { "200", 4, 50 }, { "19,000", 13, 1460 } };
+
+MemberEntry MakeEntry(std::size_t aCentre, std::size_t aMember)
+{
+  MemberEntry entry;
+  entry.host_.value_ = "dc" + std::to_string(aCentre) + "-host-" + std::to_string(aMember);
+  entry.incarnation_ = 1764829000000 + aMember;
+  entry.peer_ = { "10." + std::to_string(aCentre) + "." + std::to_string(aMember / 250) + "." +
+                    std::to_string(aMember % 250),
+                  7000 };
+  entry.dataCentre_.value_ = "dc" + std::to_string(aCentre);
+  entry.region_.value_ = "region" + std::to_string(aCentre % 5);
+  entry.service_.value_ = "service-" + std::to_string(aMember % 1500);
+  entry.targetState_ = TargetState::kReady;
+  entry.slots_ = 50;
+  entry.load_ = 0.25;
+  return entry;
+}
+
+struct Traffic
+{
+  double messages_ = 0;
+  double bytes_ = 0;
+};
+
+using TrafficByKind = std::map<std::string, Traffic>;
+
+const char* KindName(const PeerMessage& aMessage)
+{
+  static constexpr const char* kNames[] = {
+    "Hello",       "Call",         "Answer",      "Cancel",      "CallFate",
+    "FateReply",   "OwnerCall",    "Ping",        "Ack",         "Probe",
+    "ProbeAck",    "ProbeRequest", "MemberTable", "SyncRequest", "SyncReply",
+    "VersionPush", "ShareRequest", "ShareGrant",  "Summary",     "RequestHandover"
+  };
+  return kNames[aMessage.index()];
+}
+
+void Count(TrafficByKind& aTraffic, const PeerMessage& aMessage, bool aDatagram)
+{
+  auto& traffic = aTraffic[KindName(aMessage)];
+  ++traffic.messages_;
+  traffic.bytes_ += static_cast<double>(EncodePeerMessage(aMessage).size() +
+                                        (aDatagram ? kDatagramOverhead : kFrameOverhead));
+}
+
+// One real node in the first data centre with synthetic peers that answer at once.
+class Bench
+{
+public:
+  Bench(const Fleet& aFleet, std::size_t aPosition)
+    : fleet_(aFleet)
+  {
+    // The host at the wanted position of the tree.
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    for (std::size_t i = 0; i < aFleet.members_; ++i) {
+      order.emplace_back(~RankWeight(kDelegateRole, { "dc0" }, MakeEntry(0, i).host_), i);
+    }
+    std::sort(order.begin(), order.end());
+    const auto self = order[std::min(aPosition, order.size() - 1)].second;
+    const auto before = liveBytes.load();
+    membership_ = MakeMembership({}, MakeEntry(0, self), {}, 1, now_);
+    std::vector<MemberEntry> entries;
+    for (std::size_t centre = 0; centre < aFleet.centres_; ++centre) {
+      for (std::size_t i = 0; i < aFleet.members_; ++i) {
+        entries.push_back(MakeEntry(centre, i));
+      }
+    }
+    MembershipEffects ignored;
+    HandleMembershipMessage(
+      membership_, {}, MemberTable{ false, std::move(entries) }, now_, ignored);
+    // A settled table: the news of the start has travelled.
+    membership_.updates_.clear();
+    membership_.sendsLeft_.clear();
+    entries = {};
+    ignored = {};
+    memberBytes_ = liveBytes - before;
+    const auto beforeRanking = liveBytes.load();
+    ranking_ = std::make_shared<const MemberRanking>(MakeMemberRanking(membership_));
+    rankingBytes_ = liveBytes - beforeRanking;
+    const auto beforeView = liveBytes.load();
+    auto view = std::make_shared<const TargetView>(MakeTargetView(membership_));
+    viewBytes_ = liveBytes - beforeView;
+    versions_ = MakeDissemination({}, { "dc0" }, 1, now_);
+    SetRanking(versions_, ranking_, now_);
+    position_ = aPosition;
+  }
+
+  // Simulated seconds of a quiet fleet.
+  void Run(std::size_t aSeconds)
+  {
+    seconds_ = static_cast<double>(aSeconds);
+    for (std::size_t step = 0; step < aSeconds * 10; ++step) {
+      now_ += milliseconds(100);
+      const auto started = CpuSeconds();
+      MembershipEffects effects;
+      StepMembership(membership_, now_, effects);
+      DisseminationEffects versions;
+      StepDissemination(versions_, now_, 0, versions);
+      cpu_ += CpuSeconds() - started;
+      Answer(effects);
+      Answer(versions);
+      if (step % 10 == 5) {
+        Receive();
+      }
+    }
+  }
+
+  double TableSeconds()
+  {
+    const auto started = CpuSeconds();
+    const auto view = MakeTargetView(membership_);
+    const auto ranking = MakeMemberRanking(membership_);
+    return CpuSeconds() - started;
+  }
+
+  Fleet fleet_;
+  TimePoint now_{ seconds(100000) };
+  Membership membership_;
+  Dissemination versions_;
+  std::shared_ptr<const MemberRanking> ranking_;
+  TrafficByKind sent_;
+  TrafficByKind received_;
+  std::size_t memberBytes_ = 0;
+  std::size_t rankingBytes_ = 0;
+  std::size_t viewBytes_ = 0;
+  std::size_t position_ = 0;
+  double seconds_ = 0;
+  double cpu_ = 0;
+  double platformReads_ = 0;
+  double platformWrites_ = 0;
+
+private:
+  // Sends a message of the node: encoding costs processor time.
+  void Sent(const ControlMessage& aMessage)
+  {
+    const auto started = CpuSeconds();
+    const auto body = EncodePeerMessage(aMessage.message_);
+    cpu_ += CpuSeconds() - started;
+    Count(sent_, aMessage.message_, aMessage.datagram_);
+  }
+
+  void Arrive(const MemberEntry& aFrom, const PeerMessage& aMessage, bool aDatagram)
+  {
+    Count(received_, aMessage, aDatagram);
+    const auto body = EncodePeerMessage(aMessage);
+    const Hello hello{ 1, aFrom.host_, aFrom.incarnation_, aFrom.dataCentre_ };
+    const auto started = CpuSeconds();
+    const auto decoded = DecodePeerMessage(body);
+    MembershipEffects effects;
+    HandleMembershipMessage(membership_, aFrom.peer_, decoded.assume_value(), now_, effects);
+    DisseminationEffects versions;
+    HandleVersionMessage(versions_, hello, aFrom.peer_, decoded.assume_value(), now_, versions);
+    cpu_ += CpuSeconds() - started;
+    Answer(effects);
+    Answer(versions);
+  }
+
+  void Answer(MembershipEffects& aEffects)
+  {
+    for (const auto& message : aEffects.messages_) {
+      Sent(message);
+      if (const auto* probe = std::get_if<Probe>(&message.message_)) {
+        for (const auto& [host, member] : membership_.members_) {
+          if (member.entry_.peer_ == message.to_) {
+            const auto entry = member.entry_;
+            Arrive(entry, ProbeAck{ probe->sequence_, entry, {} }, true);
+            break;
+          }
+        }
+      }
+    }
+    for (auto& message : aEffects.summaries_) {
+      FillSummary(versions_, std::get<Summary>(message.message_), now_);
+      Sent(message);
+    }
+  }
+
+  void Answer(DisseminationEffects& aEffects)
+  {
+    for (const auto& message : aEffects.messages_) {
+      Sent(message);
+      if (const auto* sync = std::get_if<SyncRequest>(&message.message_)) {
+        SyncReply reply;
+        reply.nonce_ = sync->nonce_;
+        reply.version_ = versions_.version_;
+        reply.ageMs_ = 300;
+        Arrive(membership_.self_, reply, false);
+      }
+    }
+    if (aEffects.call_) {
+      PlatformAnswer answer;
+      answer.started_ = now_;
+      answer.finished_ = now_;
+      std::holds_alternative<TransactCall>(*aEffects.call_) ? ++platformWrites_ : ++platformReads_;
+      const auto started = CpuSeconds();
+      DisseminationEffects effects;
+      HandleVersionAnswer(versions_, answer, now_, effects);
+      cpu_ += CpuSeconds() - started;
+      Answer(effects);
+    }
+  }
+
+  // What a node receives in one second: a probe, its children's syncs, summaries.
+  void Receive()
+  {
+    const auto& members = ranking_->members_;
+    if (members.size() > 1) {
+      const auto prober = membership_.members_.begin()->second.entry_;
+      Arrive(prober, Probe{ 1, prober, {} }, true);
+    }
+    for (const auto child : TreeChildren(position_, members.size(), 8)) {
+      auto entry = membership_.self_;
+      entry.host_ = members[child].host_;
+      Arrive(entry, SyncRequest{ 1, versions_.version_, versions_.version_, 8, {} }, false);
+    }
+    if (position_ < 2) {
+      for (std::size_t centre = 1; centre < fleet_.centres_; ++centre) {
+        Summary summary;
+        summary.dataCentre_.value_ = "dc" + std::to_string(centre);
+        summary.platformReachable_ = true;
+        summary.members_ = { MakeEntry(centre, 0), MakeEntry(centre, 1), MakeEntry(centre, 2) };
+        Arrive(MakeEntry(centre, 0), summary, false);
+      }
+    }
+  }
+};
+
+void PrintTraffic(const char* aWay, const TrafficByKind& aTraffic, double aSeconds)
+{
+  double messages = 0;
+  double bytes = 0;
+  for (const auto& [kind, traffic] : aTraffic) {
+    std::printf("    %-8s %-13s %8.3f messages/s %9.1f bytes/s\n",
+                aWay,
+                kind.c_str(),
+                traffic.messages_ / aSeconds,
+                traffic.bytes_ / aSeconds);
+    messages += traffic.messages_ / aSeconds;
+    bytes += traffic.bytes_ / aSeconds;
+  }
+  std::printf("    %-8s %-13s %8.3f messages/s %9.1f bytes/s\n", aWay, "all", messages, bytes);
+}
+
+void MeasureRoles()
+{
+  constexpr std::size_t kSeconds = 60;
+  struct Role
+  {
+    const char* name_;
+    std::size_t position_;
+  };
+  constexpr Role kRoles[] = { { "first delegate (root)", 0 },
+                              { "second delegate", 1 },
+                              { "inner node", 2 },
+                              { "leaf", 1'000'000 } };
+  std::printf("== quiet node by role, %zu simulated seconds\n", kSeconds);
+  for (const auto& fleet : kFleets) {
+    for (const auto& role : kRoles) {
+      Bench bench(fleet, std::min(role.position_, fleet.members_ - 1));
+      bench.Run(kSeconds);
+      std::printf("  fleet %s, %s: membership %zu B for %zu members, ranking %zu B, view %zu B; "
+                  "modules and codec %.4f %% of a core; view and ranking rebuilt in %.3f ms; "
+                  "platform reads %.2f/s writes %.2f/s\n",
+                  fleet.name_,
+                  role.name_,
+                  bench.memberBytes_,
+                  bench.membership_.members_.size(),
+                  bench.rankingBytes_,
+                  bench.viewBytes_,
+                  bench.cpu_ / bench.seconds_ * 100,
+                  bench.TableSeconds() * 1000,
+                  bench.platformReads_ / bench.seconds_,
+                  bench.platformWrites_ / bench.seconds_);
+      PrintTraffic("sent", bench.sent_, bench.seconds_);
+      PrintTraffic("received", bench.received_, bench.seconds_);
+    }
+  }
+}
+
+Entities MakeEntities(std::size_t aAccounts, std::size_t aRoutes)
+{
+  Entities entities;
+  for (std::size_t i = 0; i < aAccounts; ++i) {
+    const auto id = "account-" + std::to_string(i);
+    entities["account/" + id] = R"({"burst":20,"rate":10})";
+    char digest[65];
+    std::snprintf(digest, sizeof digest, "%064zx", i + 1);
+    entities[std::string("key/") + digest] = R"({"account":")" + id + "\"}";
+  }
+  for (std::size_t i = 0; i < aRoutes; ++i) {
+    const auto id = std::to_string(i);
+    entities["service/service-" + id] = "{}";
+    entities["route/route-" + id] =
+      R"({"prefix":"/s)" + id + R"(","service":"service-)" + id + "\"}";
+  }
+  return entities;
+}
+
+void MeasureChanges()
+{
+  std::printf("== configuration: one change applied and compiled\n");
+  constexpr std::size_t kSizes[][2] = { { 8, 4 }, { 200, 50 }, { 1000, 375 }, { 4096, 1500 } };
+  for (const auto& size : kSizes) {
+    const auto before = liveBytes.load();
+    auto entities = MakeEntities(size[0], size[1]);
+    const auto entityBytes = liveBytes - before;
+    std::size_t textBytes = 0;
+    for (const auto& [name, json] : entities) {
+      textBytes += name.size() + json.size();
+    }
+    const auto beforeConfig = liveBytes.load();
+    auto config = CompileConfig(entities, { "dc0" }, 1);
+    const auto configBytes = liveBytes - beforeConfig;
+    if (config.has_error()) {
+      std::printf("  compile failed: %s\n", Describe(config.assume_error()).c_str());
+      continue;
+    }
+    constexpr int kChanges = 20;
+    const auto started = CpuSeconds();
+    for (int i = 0; i < kChanges; ++i) {
+      Change change;
+      change.version_ = static_cast<Version>(i) + 2;
+      change.edits_ = { { "account/account-0",
+                          R"({"burst":20,"rate":)" + std::to_string(10 + i) + "}" } };
+      static_cast<void>(ApplyChange(entities, change));
+      config = CompileConfig(entities, { "dc0" }, change.version_);
+    }
+    const auto each = (CpuSeconds() - started) / kChanges;
+    std::printf("  %zu accounts, %zu routes: %zu entities, %zu B of text, %zu B as entities, %zu B "
+                "compiled; %.3f ms for each change, %.3f us for each entity; at 1.16 changes/s "
+                "%.3f %% of a core\n",
+                size[0],
+                size[1],
+                entities.size(),
+                textBytes,
+                entityBytes,
+                configBytes,
+                each * 1000,
+                each * 1e6 / static_cast<double>(entities.size()),
+                each * 1.16 * 100);
+  }
+}
+
+void MeasurePush()
+{
+  std::printf("== push tree\n");
+  VersionPush push{ { "dc0-host-1" }, { {} } };
+  push.changes_[0].edits_ = { { "account/account-0", R"({"burst":20,"rate":10})" } };
+  push.changes_[0].operationId_ = std::string(32, 'a');
+  push.changes_[0].operatorName_ = "operator";
+  const auto bytes = EncodePeerMessage(push).size() + kFrameOverhead;
+  for (const auto& fleet : kFleets) {
+    std::size_t depth = 0;
+    for (std::size_t position = fleet.members_ - 1; position > 0; position = (position - 1) / 8) {
+      ++depth;
+    }
+    MemberRanking ranking;
+    for (std::size_t i = 0; i < fleet.members_; ++i) {
+      ranking.members_.push_back({ MakeEntry(0, i).host_, {} });
+    }
+    const auto started = CpuSeconds();
+    constexpr int kOrders = 50;
+    std::size_t sum = 0;
+    for (int i = 0; i < kOrders; ++i) {
+      sum += PushOrder(ranking, static_cast<Version>(i), 8).size();
+    }
+    const auto order = (CpuSeconds() - started) / kOrders;
+    std::printf("  %zu members: depth %zu hops, %zu B for a push with one edit, order computed in "
+                "%.1f us (%zu)\n",
+                fleet.members_,
+                depth,
+                bytes,
+                order * 1e6,
+                sum / kOrders);
+  }
+}
+
+void MeasureShares()
+{
+  std::printf("== shares\n");
+  const auto now = TimePoint{ seconds(100000) };
+  for (const std::size_t accounts : { std::size_t{ 8 }, std::size_t{ 200 }, std::size_t{ 4096 } }) {
+    const auto before = liveBytes.load();
+    ShareLedger ledger;
+    std::vector<ClientAccountId> ids;
+    for (std::size_t i = 0; i < accounts; ++i) {
+      ids.push_back({ "account-" + std::to_string(i) });
+    }
+    const auto beforeLedger = liveBytes.load();
+    for (const auto& id : ids) {
+      SetShareLimit(ledger, id, { 1000, 1000 }, now);
+    }
+    const auto ledgerBytes = liveBytes - beforeLedger;
+    SharePool pool;
+    const auto beforePool = liveBytes.load();
+    for (const auto& id : ids) {
+      PoolEntry entry{ 13, 192, 7, {} };
+      for (std::size_t centre = 0; centre < 13; ++centre) {
+        entry.shares_[{ "dc" + std::to_string(centre) }] = { 192, 576 };
+      }
+      entry.free_ = kShareUnits - 13 * 768;
+      pool[id] = entry;
+    }
+    const auto poolBytes = liveBytes - beforePool;
+    const auto started = CpuSeconds();
+    const auto row = EncodeSharePool(pool);
+    const auto decoded = DecodeSharePool(row);
+    const auto rowSeconds = CpuSeconds() - started;
+    constexpr int kRequests = 200'000;
+    auto time = now + seconds(2);
+    const auto grantsStarted = CpuSeconds();
+    std::uint64_t last = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      time += microseconds(20);
+      const auto& id = ids[static_cast<std::size_t>(i) % accounts];
+      last = GrantTokens(ledger, { "h" }, { 1, id, 0, 0, 3 }, kGrantLifetime, time).grant_;
+    }
+    const auto grantSeconds = (CpuSeconds() - grantsStarted) / kRequests;
+    std::printf(
+      "  %zu accounts: ledger %zu B, pool %zu B in memory, row %zu B, row written and read "
+      "in %.2f ms, %.2f us for each request (last grant %llu, %zu B)\n",
+      accounts,
+      ledgerBytes,
+      poolBytes,
+      row.size(),
+      rowSeconds * 1000,
+      grantSeconds * 1e6,
+      static_cast<unsigned long long>(last),
+      liveBytes - before);
+  }
+  const ShareRequest request{ 1ULL << 60U, { "account-1000" }, 123456, 4, 5 };
+  const ShareGrant grant{ 1ULL << 60U, { "account-1000" }, 123457, 5, 1000, 0 };
+  constexpr int kCodec = 100'000;
+  const auto started = CpuSeconds();
+  std::size_t bytes = 0;
+  for (int i = 0; i < kCodec; ++i) {
+    bytes += EncodePeerMessage(request).size();
+    bytes += DecodePeerMessage(EncodePeerMessage(grant)).has_value() ? 1U : 0U;
+  }
+  std::printf(
+    "  request %zu B and grant %zu B on the wire, %.2f us to encode and decode both (%zu)\n",
+    EncodePeerMessage(request).size() + kFrameOverhead,
+    EncodePeerMessage(grant).size() + kFrameOverhead,
+    (CpuSeconds() - started) / kCodec * 1e6,
+    bytes);
+}
+
+double ProcessCpuSeconds()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto sum = [](const timeval& aTime) {
+    return static_cast<double>(aTime.tv_sec) + static_cast<double>(aTime.tv_usec) * 1e-6;
+  };
+  return sum(usage.ru_utime) + sum(usage.ru_stime);
+}
+
+std::size_t ResidentBytes()
+{
+  std::size_t pages = 0;
+  std::size_t resident = 0;
+  std::FILE* file = std::fopen("/proc/self/statm", "r");
+  if (file != nullptr) {
+    if (std::fscanf(file, "%zu %zu", &pages, &resident) != 2) {
+      resident = 0;
+    }
+    std::fclose(file);
+  }
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// One control plane with its actors and timers, alone and without a platform, on the real clock.
+void MeasureIdle()
+{
+  const auto residentBefore = ResidentBytes();
+  SocketPort port;
+  port.sendPeer_ = [](const Address&, PeerMessage) {};
+  port.sendDatagram_ = [](const Address&, PeerMessage) {};
+  port.publishConfig_ = [](std::shared_ptr<const Config>) {};
+  port.publishTargets_ = [](std::shared_ptr<const TargetView>) {};
+  port.publishFreshness_ = [](TimePoint) {};
+  port.deliverGrant_ = [](ShareGrant, TimePoint) {};
+  NodeSettings settings;
+  settings.host_.value_ = "host";
+  settings.dataCentre_.value_ = "dc0";
+  settings.peers_ = { "127.0.0.1", 7000 };
+  const auto plane = MakeControlPlane(settings, 1, port);
+  std::this_thread::sleep_for(seconds(1));
+  const auto started = ProcessCpuSeconds();
+  std::this_thread::sleep_for(seconds(10));
+  std::printf("== idle control plane: %.3f %% of a core, %zu B resident more than before\n",
+              (ProcessCpuSeconds() - started) / 10 * 100,
+              ResidentBytes() - residentBefore);
+}
+
+// Seconds until no living node counts any of the stopped ones as usable.
+void MeasureDetection()
+{
+  std::printf("== detection in a simulated data centre\n");
+  for (const auto& [nodes, stopped] :
+       { std::pair<std::size_t, std::size_t>{ 16, 1 }, { 200, 1 }, { 200, 40 } }) {
+    ControlNetwork network({ nodes, 1 });
+    network.AcceptAccount(5);
+    network.Run(seconds(60));
+    for (std::size_t i = 0; i < stopped; ++i) {
+      network.Stop(nodes - 1 - i);
+    }
+    double first = 0;
+    double all = 0;
+    for (int tick = 1; tick <= 1200 && all == 0; ++tick) {
+      network.Run(milliseconds(100));
+      std::size_t clean = 0;
+      for (const auto& node : network.nodes_) {
+        if (!node.stopped_ && MakeTargetView(node.membership_).hosts_.size() == nodes - stopped) {
+          ++clean;
+        }
+      }
+      if (first == 0 && network.CountSeeing(nodes - 1, MemberState::kDead) > 0) {
+        first = tick / 10.0;
+      }
+      if (clean == nodes - stopped) {
+        all = tick / 10.0;
+      }
+    }
+    std::printf(
+      "  %zu of %zu hosts stop: first death declared after %.1f s, all known at all after "
+      "%.1f s\n",
+      stopped,
+      nodes,
+      first,
+      all);
+  }
+}
+
+} // namespace
+
+} // namespace peridotquay
+
+int main()
+{
+  peridotquay::MeasureIdle();
+  peridotquay::MeasureRoles();
+  peridotquay::MeasureChanges();
+  peridotquay::MeasurePush();
+  peridotquay::MeasureShares();
+  peridotquay::MeasureDetection();
+  return 0;
+}
--- a/peridotquay/process/ShareLedger.cpp
+++ b/peridotquay/process/ShareLedger.cpp
@@ -25,12 +25,17 @@
 // the level was refilled would exceed the burst.
 void Expire(AccountLedger& aAccount, TimePoint aNow)
 {
+  if (aNow < aAccount.nextExpiry_) {
+    return;
+  }
+  aAccount.nextExpiry_ = TimePoint::max();
   for (auto it = aAccount.grants_.begin(); it != aAccount.grants_.end();) {
     if (it->second.expires_ <= aNow) {
       aAccount.outstanding_ -= it->second.tokens_;
       aAccount.usedInPeriod_ += it->second.tokens_;
       it = aAccount.grants_.erase(it);
     } else {
+      aAccount.nextExpiry_ = std::min(aAccount.nextExpiry_, it->second.expires_);
       ++it;
     }
   }
@@ -163,6 +168,7 @@
   account.level_ = std::max(0.0, account.level_ - tokens);
   account.outstanding_ += tokens;
   account.grants_[grant.grant_] = { aHost, tokens, aNow + lifetime };
+  account.nextExpiry_ = std::min(account.nextExpiry_, aNow + lifetime);
   assert(account.level_ + account.outstanding_ <= account.limit_.burst_ + 1e-6 ||
          account.level_ == 0);
   return grant;
--- a/peridotquay/process/ShareLedger.h
+++ b/peridotquay/process/ShareLedger.h
@@ -42,6 +42,7 @@
   double outstanding_ = 0; ///< Sum of grants_.
   TimePoint refilled_{};
   std::map<std::uint64_t, OutstandingGrant> grants_;
+  TimePoint nextExpiry_{}; ///< No grant expires before this.
   double usedInPeriod_ = 0;
   double usePerSecond_ = 0; ///< Moving average of use.
   TimePoint short_{};       ///< When a request last found too few tokens.
--- a/peridotquay/version/Membership.cpp
+++ b/peridotquay/version/Membership.cpp
@@ -244,13 +244,20 @@
   SetReachable(aState, aEntry.dataCentre_, reachable, aNow, aEffects);
 }
 
-// Makes room in a full table: another data centre's member with the least weight for this node
-// goes, but never a delegate of its data centre. Nodes thus keep different samples.
-bool MakeRoom(Membership& aState)
+// Weight of another data centre's member for this node, so that nodes keep different samples.
+std::uint64_t SampleWeight(const Membership& aState, const MemberEntry& aEntry)
 {
-  const std::string role = "sample/" + aState.self_.host_.value_;
-  auto victim = aState.members_.end();
-  std::uint64_t least = ~std::uint64_t{ 0 };
+  return RankWeight("sample/" + aState.self_.host_.value_, aEntry.dataCentre_, aEntry.host_);
+}
+
+// Makes room in a full table: another data centre's member with the least weight goes, but never a
+// delegate of its data centre. A newcomer of less weight than all of the sample is turned away
+// without a search, because a full table hears of members outside its sample in every summary.
+bool MakeRoom(Membership& aState, const MemberEntry& aNewcomer)
+{
+  if (!IsOwn(aState, aNewcomer) && SampleWeight(aState, aNewcomer) <= aState.sampleLeast_) {
+    return false;
+  }
   std::set<HostId> kept;
   for (const auto& [id, centre] : aState.centres_) {
     const auto ranked = RankMembers(aState, kDelegateRole, id);
@@ -258,12 +265,14 @@
       kept.insert(ranked[i].host_);
     }
   }
+  auto victim = aState.members_.end();
+  std::uint64_t least = ~std::uint64_t{ 0 };
   for (auto it = aState.members_.begin(); it != aState.members_.end(); ++it) {
     const auto& entry = it->second.entry_;
     if (IsOwn(aState, entry) || kept.count(it->first) != 0) {
       continue;
     }
-    const auto weight = RankWeight(role, entry.dataCentre_, it->first);
+    const auto weight = SampleWeight(aState, entry);
     if (weight < least) {
       least = weight;
       victim = it;
@@ -272,6 +281,10 @@
   if (victim == aState.members_.end()) {
     return false;
   }
+  aState.sampleLeast_ = least;
+  if (!IsOwn(aState, aNewcomer) && SampleWeight(aState, aNewcomer) <= least) {
+    return false;
+  }
   aState.members_.erase(victim);
   return true;
 }
@@ -291,7 +304,7 @@
   if (!IsLiving(aEntry.state_) && !IsAlone(aState)) {
     return;
   }
-  if (aState.members_.size() >= aState.settings_.maxMembers_ && !MakeRoom(aState)) {
+  if (aState.members_.size() >= aState.settings_.maxMembers_ && !MakeRoom(aState, aEntry)) {
     return;
   }
   Member member;
--- a/peridotquay/version/Membership.h
+++ b/peridotquay/version/Membership.h
@@ -146,8 +146,9 @@
   TimePoint delegateSince_{};
   bool delegate_ = false;
   TimePoint selfReadySince_{};
-  bool loadChanged_ = false;   ///< A load changed since the owner last cleared this.
-  std::uint64_t revision_ = 0; ///< Grows with each change that members or views can show.
+  std::uint64_t sampleLeast_ = 0; ///< Least weight in a full table's sample of other data centres.
+  bool loadChanged_ = false;      ///< A load changed since the owner last cleared this.
+  std::uint64_t revision_ = 0;    ///< Grows with each change that members or views can show.
 };
 
 /// What the owner has to do after a step.
