Let stand-in targets queue requests and report the warm-up by itself

Change: settable bounded queue before the slots, used by the fleet; each scenario starts with a warm-up phase that has figures of its own.

--- a/programs/quayload.cpp
+++ b/programs/quayload.cpp
@@ -63,15 +63,17 @@
                        : given;
 }
 
-// Goodput of the phase that a scenario is about: "trigger", or the only one.
+// Goodput of the phase that a scenario is about: "trigger", or "before" if nothing happens.
 double MainGoodput(const LoadReport& aReport)
 {
+  const std::string wanted = aReport.hasTrigger_ ? "trigger" : "before";
+  double goodput = 0;
   for (const PhaseReport& phase : aReport.phases_) {
-    if (phase.name_ == "trigger") {
-      return phase.goodput_;
+    if (phase.name_ == wanted) {
+      goodput = phase.goodput_;
     }
   }
-  return aReport.phases_.front().goodput_;
+  return goodput;
 }
 
 int List()
--- a/standins/lib/FleetProfile.h
+++ b/standins/lib/FleetProfile.h
@@ -16,6 +16,8 @@
 };
 
 /// A service with one endpoint in each data centre. Each service calls the next one of the list.
+/// Its targets let as many requests wait for a slot as they have connections beyond the slots: this
+/// is what makes them slow under overload.
 struct FleetService
 {
   std::string name_;         ///< Also its path prefix, after '/'.
--- a/standins/lib/LoadScenario.cpp
+++ b/standins/lib/LoadScenario.cpp
@@ -5,6 +5,8 @@
 
 namespace {
 
+// Times in the definitions below count from the end of the warm-up.
+
 // Load of an ordinary day, as part of the capacity.
 constexpr double kOrdinary = 0.7;
 
@@ -152,6 +154,12 @@
   if (scenario.phases_.empty()) {
     return std::nullopt;
   }
+  // A fleet that has just started still adapts its limits; that phase is reported by itself.
+  constexpr double kWarmUp = 5;
+  scenario.phases_.insert(scenario.phases_.begin(), { "warm-up", kWarmUp, kOrdinary, {}, false });
+  for (ScenarioEvent& event : scenario.events_) {
+    event.at_ += kWarmUp;
+  }
   return scenario;
 }
 
--- a/standins/lib/LoadScenario.h
+++ b/standins/lib/LoadScenario.h
@@ -23,7 +23,8 @@
 {
   std::string name_;
   std::string description_;
-  std::vector<LoadPhase> phases_; ///< The phase before the trigger is called "before".
+  /// "warm-up", "before" and, if something happens, "trigger" and "after".
+  std::vector<LoadPhase> phases_;
   std::vector<ScenarioEvent> events_;
   std::uint32_t callerRetries_ = 1;
   bool hardRetries_ = false;
--- a/standins/lib/TargetServer.h
+++ b/standins/lib/TargetServer.h
@@ -61,6 +61,7 @@
     bool cancelled_ = false;
     bool expired_ = false;
     bool finished_ = false;
+    bool hasSlot_ = false; ///< False while it waits in the queue.
     TimePoint deadline_ = TimePoint::max();
     boost::asio::steady_timer work_;
     boost::asio::steady_timer deadlineTimer_;
@@ -89,6 +90,11 @@
   boost::asio::awaitable<void> Serve(std::shared_ptr<Socket> aSocket);
   boost::asio::awaitable<void> WhileFrozen();
   boost::asio::awaitable<Worked> Work(std::shared_ptr<Socket> aSocket, const Request& aRequest);
+  boost::asio::awaitable<void> AwaitSlot(std::shared_ptr<Running> aRunning);
+  void FreeSlot();
+  static Worked LeaveQueue(const std::shared_ptr<Socket>& aSocket,
+                           const Request& aRequest,
+                           Running& aRunning);
   boost::asio::awaitable<void> DeeperCall(std::shared_ptr<Running> aRunning,
                                           std::string aTarget,
                                           std::string aCallToken);
@@ -117,7 +123,8 @@
   std::uint32_t inUse_ = 0;
   std::uint64_t nextExecution_ = 1;
   std::uint64_t droppedExecutions_ = 0;
-  std::list<TargetExecution> executions_; ///< A list, so that entries keep their address.
+  std::deque<std::shared_ptr<Running>> waiting_; ///< First come, first served.
+  std::list<TargetExecution> executions_;        ///< A list, so that entries keep their address.
   std::list<std::shared_ptr<Socket>> connections_;
   std::vector<std::shared_ptr<Socket>> idle_; ///< Open connections to outbound_.
   std::deque<LoadSample> samples_; ///< Newest last; only those needed for the report lag.
--- a/standins/lib/TargetSettings.h
+++ b/standins/lib/TargetSettings.h
@@ -29,7 +29,8 @@
   Address listen_{ "127.0.0.1", 0 }; ///< Port 0: chosen by the kernel.
   std::string name_ = "target";      ///< Prefix of execution ids; unique in the fleet.
   std::uint32_t slots_ = 50;
-  std::uint32_t connections_ = 400;         ///< Further connections are closed at once.
+  std::uint32_t queue_ = 0;         ///< Requests that may wait for a slot; more are refused.
+  std::uint32_t connections_ = 400; ///< Further connections are closed at once.
   Duration serviceTime_ = milliseconds(10); ///< Mean.
   ServiceTimes serviceTimes_ = ServiceTimes::kFixed;
   std::uint64_t seed_ = 1;
--- a/standins/standin_target.cpp
+++ b/standins/standin_target.cpp
@@ -14,6 +14,7 @@
 ABSL_FLAG(std::string, port_file, "", "JSON file that gets the bound port");
 ABSL_FLAG(std::string, name, "target", "prefix of execution ids, unique in the fleet");
 ABSL_FLAG(int, slots, 50, "requests at a time; more are refused without starting");
+ABSL_FLAG(int, queue, 0, "requests that may wait for a slot; more are refused");
 ABSL_FLAG(int, connections, 400, "most open connections");
 ABSL_FLAG(double, service_ms, 10, "mean service time in milliseconds");
 ABSL_FLAG(std::string, distribution, "fixed", "fixed, exponential or lognormal");
@@ -50,6 +51,7 @@
   settings.listen_.port_ = static_cast<std::uint16_t>(absl::GetFlag(FLAGS_port));
   settings.name_ = absl::GetFlag(FLAGS_name);
   settings.slots_ = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_slots));
+  settings.queue_ = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_queue));
   settings.connections_ = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_connections));
   settings.serviceTime_ = FromSeconds(absl::GetFlag(FLAGS_service_ms) / 1000);
   const auto times = ParseServiceTimes(absl::GetFlag(FLAGS_distribution));
--- a/tests/standins/TargetTest.cpp
+++ b/tests/standins/TargetTest.cpp
@@ -148,6 +148,46 @@
   CHECK_FALSE(log[1].Started());
 }
 
+// Guards against a queue that runs requests out of turn, after their deadline or without a limit.
+TEST_CASE("requests wait for a slot in a bounded queue", "[target]")
+{
+  TargetSettings settings = Quick();
+  settings.slots_ = 1;
+  settings.queue_ = 2;
+  settings.serviceTime_ = milliseconds(150);
+  RunningTarget target(settings);
+  const auto fetch = [&target](const std::string& aTarget) {
+    return std::async(std::launch::async, [&target, aTarget] {
+      return target.Fetch({ "GET", aTarget, {}, "" }).status_;
+    });
+  };
+  auto first = fetch("/first");
+  target.AwaitInUse(1);
+  auto second = fetch("/second");
+  while (target.Executions().size() < 2) {
+    std::this_thread::yield();
+  }
+  const auto late = target.Fetch({ "GET", "/late", { { "Quay-Deadline-Ms", "30" } }, "" });
+  CHECK(late.status_ == 503);
+  CHECK(late.headers_.at("quay-outcome") == "not-run");
+  auto third = fetch("/third");
+  while (target.Executions().size() < 4) {
+    std::this_thread::yield();
+  }
+  CHECK(target.Get("/beyond").status_ == 503);
+  CHECK(first.get() == 200);
+  CHECK(second.get() == 200);
+  CHECK(third.get() == 200);
+  const auto log = target.Executions();
+  REQUIRE(log.size() == 5);
+  for (const auto& entry : log) {
+    const bool refused = entry.path_ == "/late" || entry.path_ == "/beyond";
+    CHECK(entry.Started() == !refused);
+  }
+  CHECK(log[1].startUs_ >= log[0].endUs_);
+  CHECK(target.InUse() == 0);
+}
+
 // Guards against work that goes on after its deadline.
 TEST_CASE("deadlines end the work", "[target]")
 {
