--- a/programs/quayload.cpp
+++ b/programs/quayload.cpp
@@ -1,6 +1,7 @@
 // Load and experiment tool: list, run, compare and demo.
 #include "standins/lib/LoadDemo.h"
 #include "standins/lib/LoadExperiment.h"
+#include "standins/lib/LoadScore.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -87,12 +88,19 @@
       std::cout << name << std::string(20 - name.size(), ' ') << description << "\n";
     }
   }
-  const std::string latency = "added latency through two hosts, by turns with direct calls";
-  json.push_back({ { "scenario", "latency" }, { "description", latency } });
+  const std::vector<std::pair<std::string, std::string>> measures = {
+    { "latency", "added latency through two hosts, by turns with direct calls" },
+    { "changes", "time until configuration changes are in force on every host" },
+    { "quiet", "processor and memory cost of nodes without traffic" },
+  };
+  for (const auto& [name, description] : measures) {
+    json.push_back({ { "scenario", name }, { "description", description } });
+    if (!absl::GetFlag(FLAGS_json)) {
+      std::cout << name << std::string(20 - name.size(), ' ') << description << "\n";
+    }
+  }
   if (absl::GetFlag(FLAGS_json)) {
     std::cout << json.dump(2) << "\n";
-  } else {
-    std::cout << "latency" << std::string(13, ' ') << latency << "\n";
   }
   return 0;
 }
@@ -147,6 +155,43 @@
   return 0;
 }
 
+int Changes(const ExperimentSettings& aSettings)
+{
+  constexpr int kCount = 30;
+  const auto measured = MeasureChanges(aSettings, kCount);
+  if (!measured) {
+    std::cerr << "quayload: " << Describe(measured.assume_error()) << "\n";
+    return kFailed;
+  }
+  const auto& times = measured.assume_value();
+  const auto quick =
+    std::count_if(times.begin(), times.end(), [](double aTime) { return aTime <= 1; });
+  const nlohmann::json json{ { "scenario", "changes" },
+                             { "changes", times.size() },
+                             { "within_1_s", quick },
+                             { "p50_s", Percentile(times, 0.5) },
+                             { "longest_s", Percentile(times, 1) } };
+  std::cout << json.dump(2) << "\n";
+  return 0;
+}
+
+int Quiet(const ExperimentSettings& aSettings)
+{
+  constexpr int kSeconds = 10;
+  const auto measured = MeasureQuiet(aSettings, kSeconds);
+  if (!measured) {
+    std::cerr << "quayload: " << Describe(measured.assume_error()) << "\n";
+    return kFailed;
+  }
+  const QuietCost& cost = measured.assume_value();
+  const nlohmann::json json{ { "scenario", "quiet" },
+                             { "mean_core", cost.meanCore_ },
+                             { "most_core", cost.mostCore_ },
+                             { "most_megabytes", cost.mostMegabytes_ } };
+  std::cout << json.dump(2) << "\n";
+  return 0;
+}
+
 // Runs the scenario for the product, the naive baseline or both by turns.
 int Run(bool aCompare)
 {
@@ -161,6 +206,13 @@
   if (settings.scenario_ == "latency") {
     return Latency(aCompare);
   }
+  settings.seed_ = absl::GetFlag(FLAGS_seed);
+  if (settings.scenario_ == "changes") {
+    return Changes(settings);
+  }
+  if (settings.scenario_ == "quiet") {
+    return Quiet(settings);
+  }
   const bool asJson = absl::GetFlag(FLAGS_json);
   nlohmann::json json{ { "scenario", settings.scenario_ },
                        { "profile", settings.profile_.name_ },
--- a/standins/lib/Fleet.cpp
+++ b/standins/lib/Fleet.cpp
@@ -355,7 +355,7 @@
   return result;
 }
 
-CommandResult Fleet::Apply(const std::string& aBase)
+CommandResult Fleet::Apply(const std::string& aBase, bool aWait)
 {
   const std::string folder = File("configuration");
   std::filesystem::create_directories(folder);
@@ -364,7 +364,11 @@
     std::ofstream(folder + "/" + site.dataCentre_ + ".toml")
       << "data_centre = \"" << site.dataCentre_ << "\"\n";
   }
-  return Quayctl({ "apply", folder, "--operator=quayload", "--against=latest", "--wait" });
+  std::vector<std::string> arguments{ "apply", folder, "--operator=quayload", "--against=latest" };
+  if (aWait) {
+    arguments.push_back("--wait");
+  }
+  return Quayctl(std::move(arguments));
 }
 
 CommandResult Fleet::WithdrawKey(const std::string& aKey)
--- a/standins/lib/Fleet.h
+++ b/standins/lib/Fleet.h
@@ -82,8 +82,8 @@
   /// Runs quayctl with the platform's address added, and measures its time.
   CommandResult Quayctl(std::vector<std::string> aArguments, Duration aTimeout = seconds(30));
 
-  /// Applies a base configuration with all overlays and waits until it is in force.
-  CommandResult Apply(const std::string& aBase);
+  /// Applies a base configuration with all overlays and, if asked, waits until it is in force.
+  CommandResult Apply(const std::string& aBase, bool aWait = true);
 
   /// Withdraws a caller's key by its digest.
   CommandResult WithdrawKey(const std::string& aKey);
--- a/standins/lib/FleetProcess.cpp
+++ b/standins/lib/FleetProcess.cpp
@@ -37,6 +37,7 @@
                                          const std::string& aOutputFile)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (const std::string& argument : aCommand) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
--- a/standins/lib/LoadDemo.cpp
+++ b/standins/lib/LoadDemo.cpp
@@ -91,6 +91,20 @@
   return last;
 }
 
+// Latest arrival that failed at first, of accounts that neither change nor withdrawal concerns.
+double LastFailure(const LoadResult& aResult, double aFrom)
+{
+  double last = aFrom;
+  for (const LoadRecord& record : aResult.records_) {
+    const bool concerned =
+      record.arrival_.account_ == kWithdrawn || record.arrival_.account_ == kLowered;
+    if (!concerned && !record.firstError_.empty()) {
+      last = std::max(last, record.arrival_.at_);
+    }
+  }
+  return last;
+}
+
 // Part of the requests that were served, over accounts that neither change nor withdrawal concerns.
 double ServedOfOthers(const LoadResult& aResult, double aFrom, double aTo)
 {
@@ -138,7 +152,7 @@
   const std::string withdrawn = aProfile.accounts_[kWithdrawn].name_;
   std::vector<Row> rows;
   rows.push_back(AtLeast("served before the changes", ServedOfOthers(aResult, 0, kChangeAt), 0.98));
-  rows.push_back({ "rate change accepted (quayctl status)",
+  rows.push_back({ "rate change (exit status of quayctl)",
                    std::to_string(aChanges.applied_.status_),
                    "0",
                    aChanges.applied_.status_ == 0 });
@@ -150,10 +164,14 @@
     "served while the host dies", ServedOfOthers(aResult, kKillAt, kKillAt + kKillSettles), 0.95));
   rows.push_back(AtLeast(
     "served after the host died", ServedOfOthers(aResult, kKillAt + kKillSettles, kEnd), 0.98));
-  rows.push_back({ "key withdrawal (quayctl status)",
+  rows.push_back(AtMost("last first attempt hit by the host's death, s after it",
+                        LastFailure(aResult, kKillAt) - kKillAt,
+                        kKillSettles));
+  rows.push_back({ "key withdrawal (exit status of quayctl)",
                    std::to_string(aChanges.withdrawn_.status_),
                    "0",
                    aChanges.withdrawn_.status_ == 0 });
+  rows.push_back(AtMost("withdrawal in force everywhere, s", aChanges.withdrawn_.seconds_, 5));
   rows.push_back(AtMost("key of " + withdrawn + " last served after the command began, s",
                         std::max(0.0, LastServed(aResult, kWithdrawn) - kWithdrawAt),
                         3));
--- a/standins/lib/LoadExperiment.cpp
+++ b/standins/lib/LoadExperiment.cpp
@@ -4,8 +4,14 @@
 #include "standins/lib/LoadScore.h"
 
 #include <boost/outcome/try.hpp>
+#include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <sstream>
 #include <thread>
+#include <unistd.h>
 
 namespace peridotquay::standins {
 
@@ -66,20 +72,110 @@
   std::thread thread_;
 };
 
+FleetSettings SettingsOf(const ExperimentSettings& aSettings)
+{
+  FleetSettings settings;
+  settings.binaries_ = aSettings.binaries_;
+  settings.profile_ = aSettings.profile_;
+  settings.naive_ = aSettings.naive_;
+  settings.seed_ = aSettings.seed_;
+  return settings;
+}
+
+// Configuration version in force at a host; 0 if it doesn't answer.
+std::uint64_t VersionAt(const Fleet& aFleet, std::size_t aHost)
+{
+  const auto json = nlohmann::json::parse(aFleet.Status(aHost), nullptr, false);
+  return json.is_object() ? json.value("version", std::uint64_t{ 0 }) : 0;
+}
+
+// Processor time that a process has used, in seconds.
+double ProcessorSeconds(pid_t aProcess)
+{
+  std::ifstream file("/proc/" + std::to_string(aProcess) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  // The name in parentheses may contain spaces; the fields after it are counted from the state.
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) {
+    fields >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+double ResidentMegabytes(pid_t aProcess)
+{
+  std::ifstream file("/proc/" + std::to_string(aProcess) + "/statm");
+  double all = 0;
+  double resident = 0;
+  file >> all >> resident;
+  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
 } // namespace
 
+Result<std::vector<double>> MeasureChanges(const ExperimentSettings& aSettings, int aCount)
+{
+  constexpr Duration kLimit = seconds(10);
+  Fleet fleet(SettingsOf(aSettings));
+  BOOST_OUTCOME_TRYV(fleet.Start());
+  FleetProfile profile = aSettings.profile_;
+  std::uint64_t version = VersionAt(fleet, 0);
+  std::vector<double> times;
+  for (int i = 0; i < aCount; ++i) {
+    profile.accounts_[0].rate_ = 100 + i;
+    const TimePoint before = Clock::now();
+    const CommandResult applied = fleet.Apply(BaseConfiguration(profile), false);
+    if (applied.status_ != 0) {
+      return Fail(ErrorCode::kPlatformUnavailable, "quayctl apply", applied.output_);
+    }
+    ++version;
+    for (std::size_t host = 0; host < fleet.Hosts().size(); ++host) {
+      while (VersionAt(fleet, host) < version) {
+        if (Clock::now() - before > kLimit) {
+          return Fail(ErrorCode::kDeadlineExceeded, fleet.Hosts()[host].name_, "within 10 s");
+        }
+        std::this_thread::sleep_for(milliseconds(2));
+      }
+    }
+    times.push_back(ToSeconds(Clock::now() - before));
+  }
+  return times;
+}
+
+Result<QuietCost> MeasureQuiet(const ExperimentSettings& aSettings, int aSeconds)
+{
+  Fleet fleet(SettingsOf(aSettings));
+  BOOST_OUTCOME_TRYV(fleet.Start());
+  std::vector<double> before;
+  const TimePoint begun = Clock::now();
+  for (const FleetHost& host : fleet.Hosts()) {
+    before.push_back(ProcessorSeconds(host.node_.Id()));
+  }
+  std::this_thread::sleep_for(seconds(aSeconds));
+  const double elapsed = ToSeconds(Clock::now() - begun);
+  QuietCost cost;
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    const pid_t process = fleet.Hosts()[i].node_.Id();
+    const double part = (ProcessorSeconds(process) - before[i]) / elapsed;
+    cost.meanCore_ += part / static_cast<double>(before.size());
+    cost.mostCore_ = std::max(cost.mostCore_, part);
+    cost.mostMegabytes_ = std::max(cost.mostMegabytes_, ResidentMegabytes(process));
+  }
+  return cost;
+}
+
 Result<LoadReport> RunExperiment(const ExperimentSettings& aSettings)
 {
   const auto scenario = MakeScenario(aSettings.scenario_, aSettings.profile_);
   if (!scenario) {
     return Fail(ErrorCode::kNotFound, aSettings.scenario_, "see `quayload list`");
   }
-  FleetSettings settings;
-  settings.binaries_ = aSettings.binaries_;
-  settings.profile_ = aSettings.profile_;
-  settings.naive_ = aSettings.naive_;
+  FleetSettings settings = SettingsOf(aSettings);
   settings.links_ = scenario->links_;
-  settings.seed_ = aSettings.seed_;
   Fleet fleet(settings);
   BOOST_OUTCOME_TRYV(fleet.Start());
   const LoadPlan plan = MakePlan(*scenario, aSettings.profile_, aSettings.seed_);
--- a/standins/lib/LoadExperiment.h
+++ b/standins/lib/LoadExperiment.h
@@ -38,4 +38,19 @@
                                                 int aTurns,
                                                 bool aNaive);
 
+/// Seconds from the start of `quayctl apply` until every host has the version in force, for each of
+/// aCount changes on a quiet fleet.
+Result<std::vector<double>> MeasureChanges(const ExperimentSettings& aSettings, int aCount);
+
+/// Cost of a node without traffic.
+struct QuietCost
+{
+  double meanCore_ = 0; ///< Part of a core, mean over the nodes.
+  double mostCore_ = 0;
+  double mostMegabytes_ = 0; ///< Resident memory of the largest node.
+};
+
+/// Measures over aSeconds on a fleet without calls.
+Result<QuietCost> MeasureQuiet(const ExperimentSettings& aSettings, int aSeconds);
+
 } // namespace peridotquay::standins
--- a/standins/lib/LoadScenario.h
+++ b/standins/lib/LoadScenario.h
@@ -34,7 +34,7 @@
   std::optional<std::size_t> withdrawn_; ///< Account whose key is withdrawn when "trigger" starts.
 };
 
-/// Names in the order of `quayload list`; "latency" isn't among them, as it is no load scenario.
+/// Names of the load scenarios, in the order of `quayload list`.
 std::vector<std::string> ScenarioNames();
 
 /// The scenario for a profile; empty for an unknown name.
