--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -71,9 +71,11 @@
   std::uint32_t samples_ = 0;
   double sumSeconds_ = 0;
   std::uint32_t peakRunning_ = 0;
-  std::uint32_t refusals_ = 0; ///< Refusals by the target.
+  std::uint32_t refusals_ = 0;    ///< Refusals by the target.
+  std::uint32_t slowWindows_ = 0; ///< Finished windows in a row far above the floor.
+  double slowSeconds_ = 0;        ///< Sum of their means.
   Trial trial_ = Trial::kNone;
-  std::uint32_t settling_ = 0; ///< Calls still to end before the trial measures.
+  std::uint32_t settling_ = 0; ///< Calls to ignore: they started under an earlier limit.
   double limitBefore_ = 0;     ///< Limit when the trial began.
   double latencyBefore_ = 0;   ///< Mean seconds when the trial began.
   double refusedAt_ = 0;       ///< Limit at the latest refusal by the target; 0 if none.
@@ -86,6 +88,7 @@
   AdmissionSettings settings_;
   double limit_ = 16; ///< minLimit_ to the smaller of maxLimit_ and announced slots.
   std::uint32_t announcedSlots_ = 0;
+  bool contradicted_ = false; ///< The target refused or queued below the limit at least once.
   std::uint32_t running_ = 0;
   std::array<ClassQueue, kImportanceClasses> queues_;
   std::size_t queued_ = 0;    ///< Invariant: sum of queues_ sizes.
@@ -102,6 +105,8 @@
   std::array<double, kImportanceClasses>
     shed_{}; ///< Refused or dropped calls of each class since countsSince_.
   TimePoint countsSince_{};
+  std::uint32_t starvedIntervals_ =
+    0; ///< Intervals in a row in which the lowest open class starved.
   std::size_t openClasses_ =
     kImportanceClasses; ///< Classes that callers' hosts should send, 1 to 4.
 };
@@ -148,7 +153,8 @@
 /// calls wait.
 AdmissionStep DropLateCalls(AdmissionState& aState, TimePoint aNow);
 
-/// Takes the target's announced slots; 0 means not announced.
+/// Takes the target's announced slots; 0 means not announced. The limit goes to newly announced
+/// slots unless the target has contradicted them; waiting calls start with the next step.
 void AnnounceSlots(AdmissionState& aState, std::uint32_t aSlots);
 
 /// What the guard admits at present, for answers.
