--- a/standins/lib/LoadScenario.h
+++ b/standins/lib/LoadScenario.h
@@ -23,7 +23,8 @@
 {
   std::string name_;
   std::string description_;
-  std::vector<LoadPhase> phases_; ///< The phase before the trigger is called "before".
+  /// "warm-up", "before" and, if something happens, "trigger" and "after".
+  std::vector<LoadPhase> phases_;
   std::vector<ScenarioEvent> events_;
   std::uint32_t callerRetries_ = 1;
   bool hardRetries_ = false;
@@ -33,7 +34,7 @@
   std::optional<std::size_t> withdrawn_; ///< Account whose key is withdrawn when "trigger" starts.
 };
 
-/// Names in the order of `quayload list`; "latency" isn't among them, as it is no load scenario.
+/// Names of the load scenarios, in the order of `quayload list`.
 std::vector<std::string> ScenarioNames();
 
 /// The scenario for a profile; empty for an unknown name.
