--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -920,7 +920,8 @@
     Answer answer = MakeAnswer(Outcome::kNotRun, ErrorCode::kTargetUnreachable);
     answer.retriesUnused_ = call->lent_;
     EndAttempt(call, CallResult::kFailed, &answer);
-    RetryOrEnd(call, std::move(answer));
+    // The host has just answered, so it may be chosen again.
+    RetryOrEnd(call, std::move(answer), false);
     return;
   }
   EndAttempt(call, CallResult::kFailed, nullptr);
--- a/tests/connection/RawSocket.h
+++ b/tests/connection/RawSocket.h
@@ -59,6 +59,7 @@
   }
 
   bool IsOpen() const { return descriptor_ >= 0; }
+  int Descriptor() const { return descriptor_; }
 
   void Write(std::string_view aBytes)
   {
--- a/tests/failure/PathFleet.h
+++ b/tests/failure/PathFleet.h
@@ -187,10 +187,15 @@
   }
   RunningNode(const RunningNode&) = delete;
   RunningNode& operator=(const RunningNode&) = delete;
-  ~RunningNode()
+  ~RunningNode() { End(); }
+  /// Ends the node without a drain.
+  void End()
   {
-    node_->Stop();
-    thread_.join();
+    if (node_) {
+      node_->Stop();
+      thread_.join();
+      node_.reset();
+    }
   }
   Target AsTarget() const
   {
