--- a/bench/path_latency.cpp
+++ b/bench/path_latency.cpp
@@ -181,6 +181,7 @@
   const TimePoint start = Clock::now() + milliseconds(5);
   std::vector<Samples> parts(kConnections);
   std::vector<std::thread> threads;
+  threads.reserve(kConnections);
   for (int i = 0; i < kConnections; ++i) {
     threads.emplace_back([&, i] {
       RunConnection(aPort,
