Harden the fronts, links and request ids of deeper calls

Cause: trailers of a chunked body counted as headers; dead accepted links were kept for ever; a target that was never up was announced as cold and got calls; deeper calls couldn't use request ids.

--- a/peridotquay/connection/HttpFront.cpp
+++ b/peridotquay/connection/HttpFront.cpp
@@ -358,6 +358,11 @@
         SendContinue();
       }
     }
+    // Only the head counts: the parser adds trailers of a chunked body to the same list later.
+    headers_.clear();
+    for (const auto& field : message) {
+      headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
     parser_->eager(true);
     return true;
   }
@@ -413,9 +418,7 @@
     HttpRequest& request = exchange_->request_;
     request.method_ = std::string(message.method_string());
     request.path_ = std::string(message.target());
-    for (const auto& field : message) {
-      request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    request.headers_ = std::move(headers_);
     RemoveHopByHopHeaders(request.headers_);
     RemoveHeader(request.headers_, "Content-Length");
     request.body_ = std::move(message.body());
@@ -455,6 +458,7 @@
   std::string input_;
   std::string output_;
   std::optional<Parser> parser_; ///< Set while the body of a request arrives.
+  HeaderList headers_;           ///< Of the request whose body arrives.
   std::uint64_t timer_ = 0;
   bool arriving_ = false; ///< The first byte of a request is here.
   bool reading_ = false;
--- a/peridotquay/connection/PeerLink.cpp
+++ b/peridotquay/connection/PeerLink.cpp
@@ -8,6 +8,7 @@
 // Asio 1.74 needs both before its own headers.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
 
 #include <array>
 #include <atomic>
@@ -21,7 +22,10 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
+
+template<int Name>
+using KeepAliveOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
 // A check that comes this much late means that this process was paused; the peer's bytes may wait
 // unread, so silence is counted anew.
@@ -145,6 +149,12 @@
   {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    // An accepted connection has no outstanding calls to judge silence by. Probes of the system
+    // close it about a minute after its peer vanished.
+    socket_.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket_.set_option(KeepAliveOption<TCP_KEEPIDLE>(30), ignored);
+    socket_.set_option(KeepAliveOption<TCP_KEEPINTVL>(10), ignored);
+    socket_.set_option(KeepAliveOption<TCP_KEEPCNT>(3), ignored);
     connected_ = true;
     queued_ = FramePeerMessage(settings_.own_) + queued_;
     Write();
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -240,7 +240,13 @@
     return;
   }
   if (WithoutQuery(request.path_) == "/quay/request-ids") {
-    IssueIds(aExchange);
+    ActiveCall caller;
+    if (const auto refusal = Authenticate(request, caller)) {
+      metrics_.Add(Counter::kRefusedKey);
+      RefuseExchange(aExchange, *refusal);
+    } else {
+      IssueIds(aExchange);
+    }
     return;
   }
   auto call = std::make_shared<ActiveCall>();
@@ -282,6 +288,16 @@
     RefuseExchange(aExchange, { ErrorCode::kConfigurationNotFresh, kShedRetryMs });
     return;
   }
+  const auto token = FindHeader(request.headers_, "Quay-Call");
+  CallContext* context = token ? guard_.Context(*token) : nullptr;
+  if (WithoutQuery(request.path_) == "/quay/request-ids") {
+    if (context == nullptr) {
+      RefuseExchange(aExchange, { ErrorCode::kMissingContext });
+    } else {
+      IssueIds(aExchange);
+    }
+    return;
+  }
   auto call = std::make_shared<ActiveCall>();
   if (!FindCallRoute(request, *call)) {
     RefuseExchange(aExchange, { ErrorCode::kNoRoute });
@@ -291,8 +307,6 @@
     RefuseExchange(aExchange, *refusal);
     return;
   }
-  const auto token = FindHeader(request.headers_, "Quay-Call");
-  CallContext* context = token ? guard_.Context(*token) : nullptr;
   if (context == nullptr) {
     if (!call->route_->open_) {
       RefuseExchange(aExchange, { ErrorCode::kMissingContext });
@@ -323,9 +337,17 @@
       lowered ? std::max(context->importance_, *ParseImportance(*lowered)) : context->importance_;
     call->call_.depth_ = static_cast<std::uint8_t>(context->depth_ + 1);
   }
+  const auto id = FindHeader(request.headers_, "Quay-Request-Id");
+  if (id && !call->route_->repeatable_) {
+    call->requestId_ = *id;
+  }
   Accept(call, aExchange);
   // A deeper call was limited when its caller's request entered.
-  Begin(call);
+  if (call->requestId_.empty()) {
+    Begin(call);
+  } else {
+    BeginWithId(call);
+  }
 }
 
 void Dispatcher::Accept(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange)
@@ -367,12 +389,6 @@
     RefuseExchange(aExchange, { ErrorCode::kMalformedRequest });
     return;
   }
-  ActiveCall caller;
-  if (const auto refusal = Authenticate(request, caller)) {
-    metrics_.Add(Counter::kRefusedKey);
-    RefuseExchange(aExchange, *refusal);
-    return;
-  }
   std::uint64_t count = 1;
   const std::size_t query = request.path_.find('?');
   if (query != std::string::npos) {
@@ -548,7 +564,11 @@
         Refuse(aCall, ErrorCode::kDraining, kShedRetryMs);
         return;
       }
-      Limit(aCall);
+      if (aCall->call_.depth_ == 0) {
+        Limit(aCall);
+      } else {
+        Begin(aCall);
+      }
       return;
     case BeginResult::kWait:
       repeats_[{ aCall->ledger_.first, aCall->ledger_.second, aSequence }].push_back(aCall);
@@ -768,7 +788,12 @@
             aAnswer == nullptr ? -1 : ReportedLoad(*aAnswer),
             now);
   if (aAnswer != nullptr && aAnswer->limit_ != 0) {
-    NoteLevel(levels_[call.target_.host_], aAnswer->level_, now);
+    const auto [level, isNew] = levels_.try_emplace(call.target_.host_);
+    if (isNew) {
+      // Each level has its own sequence, so that probes of several guards don't come together.
+      level->second.random_ ^= routing_.random_ * nextCallId_;
+    }
+    NoteLevel(level->second, aAnswer->level_, now);
   }
 }
 
@@ -900,10 +925,11 @@
     aCall->target_.peer_, aCall->attempt_, CallFate{ ledger_.incarnation_, aCall->attempt_ });
 }
 
-void Dispatcher::OnFateReply(const CallFateReply& aReply)
+void Dispatcher::OnFateReply(const CallFateReply& aReply, std::uint64_t aLink)
 {
   const auto entry = attempts_.find(aReply.callId_);
-  if (entry == attempts_.end() || !entry->second->asksFate_) {
+  if (entry == attempts_.end() || !entry->second->asksFate_ ||
+      hub_.LinkOf(aReply.callId_) != aLink) {
     return;
   }
   const CallPointer call = entry->second;
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -356,7 +356,7 @@
     { "GET", "/health", {}, "" }, [this, done, timer](const TargetResult& aHealth) {
       if (aHealth.end_ == TargetEnd::kNotSent) {
         ++health_.failedPolls_;
-        if (health_.failedPolls_ >= kFailedPollsToDrain && health_.state_ != TargetState::kCold) {
+        if (health_.failedPolls_ >= kFailedPollsToDrain) {
           health_.state_ = TargetState::kDraining;
         }
       } else if (aHealth.end_ == TargetEnd::kAnswered) {
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -186,7 +186,10 @@
     port.publishConfig_ = [this](std::shared_ptr<const Config> aConfig) {
       loop_.Post([this, config = std::move(aConfig)] {
         dispatcher_->SetConfig(config);
-        guard_->SetConfig(config);
+        // Versions only grow; one that arrives late is in force nowhere.
+        if (dispatcher_->ConfigVersion() == config->version_) {
+          guard_->SetConfig(config);
+        }
       });
     };
     port.publishTargets_ = [this](std::shared_ptr<const TargetView> aTargets) {
@@ -265,7 +268,7 @@
     } else if (const auto* fate = std::get_if<CallFate>(&aMessage)) {
       OnFate(aSource, *fate);
     } else if (const auto* known = std::get_if<CallFateReply>(&aMessage)) {
-      dispatcher_->OnFateReply(*known);
+      dispatcher_->OnFateReply(*known, aSource.link_);
     } else if (auto* owner = std::get_if<OwnerCall>(&aMessage)) {
       const std::uint64_t callId = owner->call_.callId_;
       dispatcher_->OnOwnerCall(std::move(*owner),
@@ -625,6 +628,7 @@
 // The control side goes first: it may call the port until it is gone.
 Node::~Node()
 {
+  state_->dispatcher_->requestTokens_ = nullptr;
   state_->control_.reset();
 }
 
--- a/tests/connection/HttpFrontTest.cpp
+++ b/tests/connection/HttpFrontTest.cpp
@@ -33,6 +33,11 @@
           held_.push_back(std::move(aExchange));
           return;
         }
+        // Trailers must not count as headers.
+        if (FindHeader(aExchange->request_.headers_, "Quay-Key")) {
+          aExchange->Respond({ 500, {}, "", std::nullopt });
+          return;
+        }
         std::string text = aExchange->request_.method_ + " " + aExchange->request_.path_ + " " +
                            aExchange->request_.body_;
         // Answers of later requests must still come later.
@@ -152,7 +157,7 @@
   RawSocket socket(front.front_->Port());
   socket.Write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
                "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-               "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+               "3\r\nabc\r\n2\r\nde\r\n0\r\nQuay-Key: x\r\n\r\n"
                "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nConnection: close\r\n\r\nxy");
   const std::string answer = socket.ReadToEnd();
   const auto first = answer.find("\r\n\r\nGET /slow ");
