Try another guard when a queue is too long for the deadline

Cause: a guard whose queue can't meet the deadline refuses with 'not run', and the first host gave up although other guards had room. Change: such refusals are retried within the budget like other refusals.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -50,7 +50,9 @@
 {
   return aCode == ErrorCode::kShed || aCode == ErrorCode::kTargetRefused ||
          aCode == ErrorCode::kTargetUnreachable || aCode == ErrorCode::kDraining ||
-         aCode == ErrorCode::kNoTarget || aCode == ErrorCode::kLimitReached;
+         aCode == ErrorCode::kNoTarget || aCode == ErrorCode::kLimitReached ||
+         // The queue of that guard is too long for the deadline; another one may be shorter.
+         aCode == ErrorCode::kDeadlineExceeded;
 }
 
 // Load as the guard reported it; negative if it reported none.
