Start the limit at the announced slots and excuse stalled token waits

Cause: from a limit of 16 the guard took seconds to reach what its target takes, and calls queued past their deadlines; a token wait that ended in a stall of the socket thread was refused although its grant had arrived. Change: before the first call the limit starts at the announced slots; a wait whose timer fires more than 5 ms late gets 5 ms more.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -26,6 +26,9 @@
 // Hint to callers that were refused because guards shed their class: one lifetime of a level.
 constexpr std::uint32_t kShedRetryMs = 1000;
 
+// A timer that fires this much late shows that the socket thread stalled.
+constexpr Duration kStall = milliseconds(5);
+
 // Connections tried for the fate of one call.
 constexpr std::uint32_t kMaxFateQuestions = 3;
 
@@ -449,11 +452,22 @@
       break;
   }
   waiting_[account].push_back(aCall);
-  aCall->tokenTimer_ = loop_.After(kTokenWait, [this, weak = std::weak_ptr(aCall)] {
+  WaitForTokens(aCall, kTokenWait, true);
+}
+
+void Dispatcher::WaitForTokens(const CallPointer& aCall, Duration aWait, bool aExtend)
+{
+  const TimePoint due = loop_.Now() + aWait;
+  aCall->tokenTimer_ = loop_.After(aWait, [this, weak = std::weak_ptr(aCall), due, aExtend] {
     const auto call = weak.lock();
     if (!call || call->tokenTimer_ == 0) {
       return;
     }
+    // If this thread stalled, the grant may be among the events that it hasn't seen yet.
+    if (aExtend && loop_.Now() - due > kStall) {
+      WaitForTokens(call, kStall, false);
+      return;
+    }
     call->tokenTimer_ = 0;
     std::erase(waiting_[call->call_.clientAccount_], call);
     metrics_.Add(Counter::kRefusedRate);
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -137,6 +137,7 @@
   void Accept(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
   void IssueIds(const std::shared_ptr<HttpExchange>& aExchange);
   void Limit(const CallPointer& aCall);
+  void WaitForTokens(const CallPointer& aCall, Duration aWait, bool aExtend);
   void RetryWaiting(const ClientAccountId& aAccount);
   void Begin(const CallPointer& aCall);
 
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -410,6 +410,15 @@
   health_.slots_ = static_cast<std::uint32_t>(slots);
   health_.load_ =
     slots == 0 ? 0 : std::min(1.0, static_cast<double>(inUse) / static_cast<double>(slots));
+  // Before the first call the limit starts at the announced slots. From a small fixed start it took
+  // seconds to reach what the target takes, and calls queued past their deadlines meanwhile.
+  if (admission_.announcedSlots_ == 0 && admission_.running_ == 0 && admission_.queued_ == 0) {
+    AdmissionState fresh;
+    fresh.settings_ = admission_.settings_;
+    fresh.settings_.initialLimit_ = std::max(health_.slots_, fresh.settings_.minLimit_);
+    fresh.limit_ = fresh.settings_.initialLimit_;
+    admission_ = fresh;
+  }
   AnnounceSlots(admission_, health_.slots_);
 }
 
