--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -26,6 +26,9 @@
 // Hint to callers that were refused because guards shed their class: one lifetime of a level.
 constexpr std::uint32_t kShedRetryMs = 1000;
 
+// A timer that fires this much late shows that the socket thread stalled.
+constexpr Duration kStall = milliseconds(5);
+
 // Connections tried for the fate of one call.
 constexpr std::uint32_t kMaxFateQuestions = 3;
 
@@ -50,7 +53,9 @@
 {
   return aCode == ErrorCode::kShed || aCode == ErrorCode::kTargetRefused ||
          aCode == ErrorCode::kTargetUnreachable || aCode == ErrorCode::kDraining ||
-         aCode == ErrorCode::kNoTarget || aCode == ErrorCode::kLimitReached;
+         aCode == ErrorCode::kNoTarget || aCode == ErrorCode::kLimitReached ||
+         // The queue of that guard is too long for the deadline; another one may be shorter.
+         aCode == ErrorCode::kDeadlineExceeded;
 }
 
 // Load as the guard reported it; negative if it reported none.
@@ -240,7 +245,13 @@
     return;
   }
   if (WithoutQuery(request.path_) == "/quay/request-ids") {
-    IssueIds(aExchange);
+    ActiveCall caller;
+    if (const auto refusal = Authenticate(request, caller)) {
+      metrics_.Add(Counter::kRefusedKey);
+      RefuseExchange(aExchange, *refusal);
+    } else {
+      IssueIds(aExchange);
+    }
     return;
   }
   auto call = std::make_shared<ActiveCall>();
@@ -282,6 +293,16 @@
     RefuseExchange(aExchange, { ErrorCode::kConfigurationNotFresh, kShedRetryMs });
     return;
   }
+  const auto token = FindHeader(request.headers_, "Quay-Call");
+  CallContext* context = token ? guard_.Context(*token) : nullptr;
+  if (WithoutQuery(request.path_) == "/quay/request-ids") {
+    if (context == nullptr) {
+      RefuseExchange(aExchange, { ErrorCode::kMissingContext });
+    } else {
+      IssueIds(aExchange);
+    }
+    return;
+  }
   auto call = std::make_shared<ActiveCall>();
   if (!FindCallRoute(request, *call)) {
     RefuseExchange(aExchange, { ErrorCode::kNoRoute });
@@ -291,8 +312,6 @@
     RefuseExchange(aExchange, *refusal);
     return;
   }
-  const auto token = FindHeader(request.headers_, "Quay-Call");
-  CallContext* context = token ? guard_.Context(*token) : nullptr;
   if (context == nullptr) {
     if (!call->route_->open_) {
       RefuseExchange(aExchange, { ErrorCode::kMissingContext });
@@ -324,9 +343,17 @@
       lowered ? std::max(context->importance_, *ParseImportance(*lowered)) : context->importance_;
     call->call_.depth_ = static_cast<std::uint8_t>(context->depth_ + 1);
   }
+  const auto id = FindHeader(request.headers_, "Quay-Request-Id");
+  if (id && !call->route_->repeatable_) {
+    call->requestId_ = *id;
+  }
   Accept(call, aExchange);
   // A deeper call was limited when its caller's request entered.
-  Begin(call);
+  if (call->requestId_.empty()) {
+    Begin(call);
+  } else {
+    BeginWithId(call);
+  }
 }
 
 void Dispatcher::Accept(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange)
@@ -368,12 +395,6 @@
     RefuseExchange(aExchange, { ErrorCode::kMalformedRequest });
     return;
   }
-  ActiveCall caller;
-  if (const auto refusal = Authenticate(request, caller)) {
-    metrics_.Add(Counter::kRefusedKey);
-    RefuseExchange(aExchange, *refusal);
-    return;
-  }
   std::uint64_t count = 1;
   const std::size_t query = request.path_.find('?');
   if (query != std::string::npos) {
@@ -432,11 +453,22 @@
       break;
   }
   waiting_[account].push_back(aCall);
-  aCall->tokenTimer_ = loop_.After(kTokenWait, [this, weak = std::weak_ptr(aCall)] {
+  WaitForTokens(aCall, kTokenWait, true);
+}
+
+void Dispatcher::WaitForTokens(const CallPointer& aCall, Duration aWait, bool aExtend)
+{
+  const TimePoint due = loop_.Now() + aWait;
+  aCall->tokenTimer_ = loop_.After(aWait, [this, weak = std::weak_ptr(aCall), due, aExtend] {
     const auto call = weak.lock();
     if (!call || call->tokenTimer_ == 0) {
       return;
     }
+    // If this thread stalled, the grant may be among the events that it hasn't seen yet.
+    if (aExtend && loop_.Now() - due > kStall) {
+      WaitForTokens(call, kStall, false);
+      return;
+    }
     call->tokenTimer_ = 0;
     std::erase(waiting_[call->call_.clientAccount_], call);
     metrics_.Add(Counter::kRefusedRate);
@@ -549,7 +581,11 @@
         Refuse(aCall, ErrorCode::kDraining, kShedRetryMs);
         return;
       }
-      Limit(aCall);
+      if (aCall->call_.depth_ == 0) {
+        Limit(aCall);
+      } else {
+        Begin(aCall);
+      }
       return;
     case BeginResult::kWait:
       repeats_[{ aCall->ledger_.first, aCall->ledger_.second, aSequence }].push_back(aCall);
@@ -769,7 +805,12 @@
             aAnswer == nullptr ? -1 : ReportedLoad(*aAnswer),
             now);
   if (aAnswer != nullptr && aAnswer->limit_ != 0) {
-    NoteLevel(levels_[call.target_.host_], aAnswer->level_, now);
+    const auto [level, isNew] = levels_.try_emplace(call.target_.host_);
+    if (isNew) {
+      // Each level has its own sequence, so that probes of several guards don't come together.
+      level->second.random_ ^= routing_.random_ * nextCallId_;
+    }
+    NoteLevel(level->second, aAnswer->level_, now);
   }
 }
 
@@ -906,10 +947,11 @@
     aCall->target_.peer_, aCall->attempt_, CallFate{ ledger_.incarnation_, aCall->attempt_ });
 }
 
-void Dispatcher::OnFateReply(const CallFateReply& aReply)
+void Dispatcher::OnFateReply(const CallFateReply& aReply, std::uint64_t aLink)
 {
   const auto entry = attempts_.find(aReply.callId_);
-  if (entry == attempts_.end() || !entry->second->asksFate_) {
+  if (entry == attempts_.end() || !entry->second->asksFate_ ||
+      hub_.LinkOf(aReply.callId_) != aLink) {
     return;
   }
   const CallPointer call = entry->second;
@@ -926,7 +968,8 @@
     Answer answer = MakeAnswer(Outcome::kNotRun, ErrorCode::kTargetUnreachable);
     answer.retriesUnused_ = call->lent_;
     EndAttempt(call, CallResult::kFailed, &answer);
-    RetryOrEnd(call, std::move(answer));
+    // The host has just answered, so it may be chosen again.
+    RetryOrEnd(call, std::move(answer), false);
     return;
   }
   EndAttempt(call, CallResult::kFailed, nullptr);
