Parse only edited entities of a new version; pass actor states by reference

Change: dissemination keeps the parsed entities and marks the edited ones; two actor factories take references.

--- a/peridotquay/process/ControlActor.h
+++ b/peridotquay/process/ControlActor.h
@@ -99,7 +99,7 @@
 /// Runs membership. Tells the other two actors of rankings and of summaries to complete.
 caf::actor SpawnMembershipActor(caf::actor_system& aSystem,
                                 const ControlContext& aContext,
-                                Membership aState,
+                                const Membership& aState,
                                 const caf::actor& aVersions,
                                 const caf::actor& aShares);
 
@@ -107,7 +107,7 @@
 /// in the first message of type caf::actor.
 caf::actor SpawnVersionActor(caf::actor_system& aSystem,
                              const ControlContext& aContext,
-                             Dissemination aState,
+                             const Dissemination& aState,
                              const caf::actor& aPlatform,
                              const caf::actor& aShares);
 
--- a/peridotquay/version/Dissemination.cpp
+++ b/peridotquay/version/Dissemination.cpp
@@ -106,7 +106,7 @@
 void PutInForce(Dissemination& aState, DisseminationEffects& aEffects)
 {
   const auto version = aState.version_;
-  auto compiled = CompileConfig(aState.entities_, aState.dataCentre_, version);
+  auto compiled = CompileConfig(aState.compiled_, aState.entities_, aState.dataCentre_, version);
   if (compiled.has_error()) {
     aEffects.events_.push_back({ EventKind::kVersionRejected, Describe(compiled.assume_error()) });
     return;
@@ -144,6 +144,8 @@
     if (applied.has_error()) {
       // The change stays part of the stream as an empty one; every node treats it alike.
       aEffects.events_.push_back({ EventKind::kVersionRejected, Describe(applied.assume_error()) });
+    } else {
+      TouchEntities(aState.compiled_, change.edits_);
     }
     aState.version_ = change.version_;
     KeepRecent(aState, change);
@@ -169,6 +171,7 @@
     return;
   }
   aState.entities_ = std::move(aEntities);
+  ForgetParsed(aState.compiled_);
   aState.version_ = aVersion;
   aState.recent_.clear();
   aState.recentBytes_ = 0;
--- a/peridotquay/version/Dissemination.h
+++ b/peridotquay/version/Dissemination.h
@@ -8,6 +8,7 @@
 #include "peridotquay/process/PlatformCall.h"
 #include "peridotquay/process/Time.h"
 #include "peridotquay/version/Config.h"
+#include "peridotquay/version/ConfigCompiler.h"
 #include "peridotquay/version/ConfigDelta.h"
 #include "peridotquay/version/ControlMessage.h"
 #include "peridotquay/version/Membership.h"
@@ -106,6 +107,7 @@
   std::shared_ptr<const MemberRanking> ranking_;
 
   Entities entities_;
+  ConfigCache compiled_; ///< What was parsed of entities_; it follows every edit of them.
   Version version_ = 0; ///< Changes are applied up to here.
   Version inForce_ = 0; ///< Compiled and published; less than version_ if a version was rejected.
   Version head_ = 0;    ///< Latest version heard of.
