Keep the limit when a target refuses whatever its load

Cause: each refusal by the target lowers the limit, and a target that refuses 5 % of its calls at random was left with a limit of 2 of 50 slots: about 200 answers a second of 5,000.

Change: refusals that go on at 0.3 of the limit are taken as independent of it; the limit returns, and for 30 s only many refusals lower it.

All tests of request/ pass.

--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -66,6 +66,18 @@
 /// pause.
 constexpr double kManyRefusals = 0.25;
 
+/// Refusals that go on for these windows in a row at this part of the limit don't depend on the
+/// limit. A target that announces up to three times its slots isn't taken for one that refuses at
+/// random.
+constexpr std::uint32_t kRandomWindows = 3;
+constexpr double kRandomPart = 0.3;
+
+/// So long such refusals don't lower the limit, unless they are many.
+constexpr Duration kRandomMemory = seconds(30);
+
+/// Decreases further apart than this are judged apart.
+constexpr Duration kRefusalEpisode = seconds(1);
+
 /// Least length of the interval of the counts behind the early refusal, and least number of offered
 /// calls in it unless it lasted a second.
 constexpr Duration kLevelInterval = milliseconds(100);
@@ -318,10 +330,30 @@
   SetLimit(aState, std::max(slow, std::min(fast, nearRefusal)));
 }
 
+/// Finds refusals that don't depend on the limit: they go on at a small part of it. Then the limit
+/// returns, or a target that refuses a few calls at random would be left nearly idle.
+void JudgeRefusals(AdmissionState& aState, TimePoint aNow)
+{
+  LimitWindow& window = aState.window_;
+  window.refusedWindows_ = window.refusals_ > 0 ? window.refusedWindows_ + 1 : 0;
+  if (window.limitBeforeRefusals_ <= 0) {
+    return;
+  }
+  if (window.refusedWindows_ >= kRandomWindows &&
+      aState.limit_ <= kRandomPart * window.limitBeforeRefusals_) {
+    SetLimit(aState, window.limitBeforeRefusals_);
+    window.ignoreRefusalsUntil_ = aNow + kRandomMemory;
+    window.limitBeforeRefusals_ = 0;
+  } else if (aNow - aState.lastDecrease_ > kRefusalEpisode) {
+    window.limitBeforeRefusals_ = 0;
+  }
+}
+
 /// Adapts the limit to a finished window.
 void EndWindow(AdmissionState& aState, TimePoint aNow)
 {
   LimitWindow& window = aState.window_;
+  JudgeRefusals(aState, aNow);
   const double mean = window.sumSeconds_ / window.samples_;
   if (window.trial_ == LimitWindow::Trial::kMeasuring) {
     EndTrial(aState, mean, aNow);
@@ -416,11 +448,17 @@
   }
   const double answers = std::max(window.samples_, kLeastWindowSamples);
   const bool many = window.refusals_ >= kManyRefusals * answers;
+  if (!many && aNow < window.ignoreRefusalsUntil_) {
+    return;
+  }
   const auto service = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(std::min(1.0, aState.serviceSeconds_)));
   if (!many && aNow - aState.lastDecrease_ < std::max(kLeastDecreaseInterval, service)) {
     return;
   }
+  if (window.limitBeforeRefusals_ <= 0) {
+    window.limitBeforeRefusals_ = aState.limit_;
+  }
   aState.lastDecrease_ = aNow;
   aState.contradicted_ = true;
   // What still runs is what the target could take, unless many of those calls will be refused too.
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -80,6 +80,9 @@
   double latencyBefore_ = 0;   ///< Mean seconds when the trial began.
   double refusedAt_ = 0;       ///< Limit at the latest refusal by the target; 0 if none.
   TimePoint lastTrial_{};
+  std::uint32_t refusedWindows_ = 0; ///< Windows in a row with refusals by the target.
+  double limitBeforeRefusals_ = 0;   ///< Limit before they lowered it; 0 if they didn't lately.
+  TimePoint ignoreRefusalsUntil_{};  ///< Until then single refusals don't lower the limit.
 };
 
 /// State of one guard's admission. Changed only through the functions below.
--- a/tests/request/AdmissionTest.cpp
+++ b/tests/request/AdmissionTest.cpp
@@ -496,6 +496,19 @@
   CHECK(target.state_.limit_ >= 38);
 }
 
+// Guards against a target left nearly idle because it refuses some calls whatever its load.
+TEST_CASE("refusals at random don't collapse the limit", "[admission]")
+{
+  SaturatedTarget target;
+  AnnounceSlots(target.state_, 50);
+  std::uint32_t random = 1;
+  target.Run(seconds(30), 100, [&](std::uint32_t) {
+    random = random * 1664525U + 1013904223U;
+    return (random >> 8U) % 100 < 5 ? -1.0 : 10.0;
+  });
+  CHECK(target.answered_ >= 0.85 * 5000 * 30);
+}
+
 // Guards against early refusal of critical calls, of calls without overload, and without probes.
 TEST_CASE("callers' hosts refuse the shed class and probe", "[admission]")
 {
