--- a/peridotquay/process/ControlActor.h
+++ b/peridotquay/process/ControlActor.h
@@ -99,7 +99,7 @@
 /// Runs membership. Tells the other two actors of rankings and of summaries to complete.
 caf::actor SpawnMembershipActor(caf::actor_system& aSystem,
                                 const ControlContext& aContext,
-                                Membership aState,
+                                const Membership& aState,
                                 const caf::actor& aVersions,
                                 const caf::actor& aShares);
 
@@ -107,14 +107,14 @@
 /// in the first message of type caf::actor.
 caf::actor SpawnVersionActor(caf::actor_system& aSystem,
                              const ControlContext& aContext,
-                             Dissemination aState,
+                             const Dissemination& aState,
                              const caf::actor& aPlatform,
                              const caf::actor& aShares);
 
 /// Runs the share lease and its ledger.
 caf::actor SpawnShareActor(caf::actor_system& aSystem,
                            const ControlContext& aContext,
-                           ShareLease aState,
+                           const ShareLease& aState,
                            const caf::actor& aPlatform);
 
 /// Runs platform calls one at a time in a thread of its own.
--- a/peridotquay/process/ControlActorMembership.cpp
+++ b/peridotquay/process/ControlActorMembership.cpp
@@ -146,7 +146,7 @@
 
 caf::actor SpawnMembershipActor(caf::actor_system& aSystem,
                                 const ControlContext& aContext,
-                                Membership aState,
+                                const Membership& aState,
                                 const caf::actor& aVersions,
                                 const caf::actor& aShares)
 {
--- a/peridotquay/process/ControlActorShare.cpp
+++ b/peridotquay/process/ControlActorShare.cpp
@@ -143,7 +143,7 @@
 
 caf::actor SpawnShareActor(caf::actor_system& aSystem,
                            const ControlContext& aContext,
-                           ShareLease aState,
+                           const ShareLease& aState,
                            const caf::actor& aPlatform)
 {
   return aSystem.spawn([=](ShareActor* aSelf) {
--- a/peridotquay/process/ControlActorVersion.cpp
+++ b/peridotquay/process/ControlActorVersion.cpp
@@ -159,7 +159,7 @@
 
 caf::actor SpawnVersionActor(caf::actor_system& aSystem,
                              const ControlContext& aContext,
-                             Dissemination aState,
+                             const Dissemination& aState,
                              const caf::actor& aPlatform,
                              const caf::actor& aShares)
 {
