--- a/peridotquay/process/ControlActor.h
+++ b/peridotquay/process/ControlActor.h
@@ -114,7 +114,7 @@
 /// Runs the share lease and its ledger.
 caf::actor SpawnShareActor(caf::actor_system& aSystem,
                            const ControlContext& aContext,
-                           ShareLease aState,
+                           const ShareLease& aState,
                            const caf::actor& aPlatform);
 
 /// Runs platform calls one at a time in a thread of its own.
