Give up silent connections to the target

Change: a call without an answer for 300 ms makes the guard ask the target's health on a kept and on a fresh connection; if only the fresh one answers, kept connections are dropped and repeatable calls are given up and retried. A host that lost a call is tried again if there is no other. The overload test has more load: with the limit starting at the announced slots the old load fitted into the target and nothing had to be shed.

--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -373,6 +373,19 @@
   return sent;
 }
 
+void TargetClient::DropIdle()
+{
+  for (const auto& connection : state_->idle_) {
+    connection->Drop();
+  }
+  state_->idle_.clear();
+}
+
+std::size_t TargetClient::IdleConnections() const
+{
+  return state_->idle_.size();
+}
+
 std::size_t TargetClient::Connections() const
 {
   return state_->idle_.size() + state_->busy_.size();
--- a/peridotquay/connection/TargetClient.h
+++ b/peridotquay/connection/TargetClient.h
@@ -55,6 +55,10 @@
   std::uint64_t Send(const HttpRequest& aRequest, Done aDone);
   /// Ends a request by closing its connection. Returns true if a byte of it may have been sent.
   bool Cancel(std::uint64_t aRequest);
+  /// Closes all kept connections that aren't in use.
+  void DropIdle();
+  /// Kept connections that aren't in use.
+  std::size_t IdleConnections() const;
   /// Connections in use or kept.
   std::size_t Connections() const;
 
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -872,7 +872,12 @@
     aCall->excluded_.push_back(aCall->target_.host_);
   }
   bool shedUpstream = false;
-  const auto target = Choose(aCall, shedUpstream);
+  auto target = Choose(aCall, shedUpstream);
+  if (!target && aAnswer.outcome_ == Outcome::kUnknown) {
+    // A host that lost a call isn't overloaded; without another one it is tried again.
+    aCall->excluded_.clear();
+    target = Choose(aCall, shedUpstream);
+  }
   if (!target || !MayRetry(aCall)) {
     End(aCall, std::move(aAnswer));
     return;
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <vector>
 
 namespace peridotquay {
 
@@ -20,6 +21,13 @@
 // Longest wait for an answer of the target's health and load endpoints.
 constexpr Duration kPollTimeout = milliseconds(900);
 
+// A call without an answer for this long makes the guard compare a kept and a fresh connection.
+constexpr Duration kSilenceSuspected = milliseconds(300);
+constexpr Duration kSilenceCheck = milliseconds(100);
+
+// Time that both connections get to answer.
+constexpr Duration kProbeTime = milliseconds(250);
+
 Answer RefusedAnswer(const Call& aCall, ErrorCode aCode, std::uint32_t aRetryAfterMs)
 {
   Answer answer;
@@ -66,6 +74,7 @@
               .maxConnections_ = aSettings.targetConnections_,
               .maxBodyBytes_ = aSettings.maxBodyBytes_,
               .maxHeaderBytes_ = aSettings.maxHeaderBytes_ })
+  , freshClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
   , pollClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
 {
   admission_.settings_.maxLimit_ =
@@ -152,6 +161,7 @@
   running.request_ = client_.Send(TargetRequest(running), [this, aCall](TargetResult aResult) {
     OnTarget(aCall, std::move(aResult));
   });
+  WatchSilence();
 }
 
 HttpRequest Guard::TargetRequest(const Running& aRunning) const
@@ -302,6 +312,89 @@
   });
 }
 
+void Guard::WatchSilence()
+{
+  if (watchingSilence_ || settings_.naive_) {
+    return;
+  }
+  watchingSilence_ = true;
+  loop_.After(kSilenceCheck, [this] {
+    watchingSilence_ = false;
+    const TimePoint now = loop_.Now();
+    bool suspected = false;
+    bool running = false;
+    for (const auto& [number, call] : calls_) {
+      running = running || call.request_ != 0;
+      suspected = suspected || (call.request_ != 0 && now - call.started_ >= kSilenceSuspected);
+    }
+    if (suspected) {
+      ProbeConnections();
+    }
+    if (running) {
+      WatchSilence();
+    }
+  });
+}
+
+void Guard::ProbeConnections()
+{
+  // Slow answers alone are no sign: the kept connection must be silent too.
+  if (probing_ || pollClient_.IdleConnections() == 0) {
+    return;
+  }
+  probing_ = true;
+  struct ProbeResult
+  {
+    bool kept_ = false;
+    bool fresh_ = false;
+  };
+  auto probe = std::make_shared<ProbeResult>();
+  const TimePoint start = loop_.Now();
+  const HttpRequest health{ "GET", "/health", {}, "" };
+  // An end of the connection counts as an answer, because then it isn't silent.
+  const auto kept =
+    pollClient_.Send(health, [probe](const TargetResult& /*aResult*/) { probe->kept_ = true; });
+  freshClient_.DropIdle();
+  const auto fresh = freshClient_.Send(health, [probe](const TargetResult& aResult) {
+    probe->fresh_ = aResult.end_ == TargetEnd::kAnswered;
+  });
+  loop_.After(kProbeTime, [this, probe, start, kept, fresh] {
+    probing_ = false;
+    freshClient_.Cancel(fresh);
+    freshClient_.DropIdle();
+    if (!probe->kept_) {
+      pollClient_.Cancel(kept);
+    }
+    if (!probe->kept_ && probe->fresh_) {
+      GiveUpSilent(start);
+    }
+  });
+}
+
+void Guard::GiveUpSilent(TimePoint aBefore)
+{
+  client_.DropIdle();
+  pollClient_.DropIdle();
+  std::vector<std::uint64_t> silent;
+  for (const auto& [number, call] : calls_) {
+    // A call that can't be repeated waits on: giving it up gains nothing.
+    if (call.request_ != 0 && call.call_.repeatable_ &&
+        aBefore - call.started_ >= kSilenceSuspected) {
+      silent.push_back(number);
+    }
+  }
+  metrics_.Add(Counter::kTargetLost, silent.size());
+  for (const std::uint64_t number : silent) {
+    const auto entry = calls_.find(number);
+    if (entry == calls_.end()) {
+      continue;
+    }
+    client_.Cancel(entry->second.request_);
+    Finish(
+      number, CallEnd::kCancelled, UnknownAnswer(entry->second.call_, ErrorCode::kOutcomeUnknown));
+  }
+}
+
 void Guard::Cancel(std::uint64_t aCall)
 {
   const auto entry = calls_.find(aCall);
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -89,6 +89,11 @@
   void Finish(std::uint64_t aCall, CallEnd aEnd, Answer aAnswer);
   void FillLoad(Answer& aAnswer);
   void WatchQueue();
+  void WatchSilence();
+  /// Asks the target's health on a kept connection and on a fresh one. If only the fresh one
+  /// answers, open connections have gone silent: they are given up.
+  void ProbeConnections();
+  void GiveUpSilent(TimePoint aBefore);
   HttpRequest TargetRequest(const Running& aRunning) const;
   void ReadLoad(const TargetResult& aResult);
 
@@ -96,7 +101,8 @@
   const NodeSettings& settings_;
   Metrics& metrics_;
   TargetClient client_;
-  TargetClient pollClient_; ///< Own connections, so that polls work when all others are in use.
+  TargetClient freshClient_; ///< Never keeps a connection.
+  TargetClient pollClient_;  ///< Own connections, so that polls work when all others are in use.
   std::shared_ptr<const Config> config_;
   AdmissionState admission_;
   ContextTable contexts_;
@@ -106,6 +112,8 @@
   LogThrottle refusalLog_;
   bool draining_ = false;
   bool watchingQueue_ = false;
+  bool watchingSilence_ = false;
+  bool probing_ = false;
 };
 
 } // namespace peridotquay
--- a/tests/failure/ChainTest.cpp
+++ b/tests/failure/ChainTest.cpp
@@ -110,7 +110,7 @@
     int seen = most;
     while (now > seen && !most.compare_exchange_weak(seen, now)) {
     }
-    std::this_thread::sleep_for(milliseconds(20));
+    std::this_thread::sleep_for(milliseconds(40));
     --running;
     return HttpAnswer(200, "ok");
   });
@@ -121,12 +121,12 @@
   std::atomic<int> shed{ 0 };
   std::atomic<int> other{ 0 };
   std::vector<std::thread> callers;
-  for (int i = 0; i < 100; ++i) {
+  for (int i = 0; i < 150; ++i) {
     callers.emplace_back([&] {
       Caller caller(first.node_->Ports().callers_);
       for (int k = 0; k < 10; ++k) {
         const auto answer =
-          caller.Ask("GET", "/bells", "Quay-Key: " + kTestKey + "\r\nQuay-Deadline-Ms: 60\r\n");
+          caller.Ask("GET", "/bells", "Quay-Key: " + kTestKey + "\r\nQuay-Deadline-Ms: 100\r\n");
         if (answer.status_ == 200 && answer.Outcome() == "ran") {
           ++ran;
         } else if (answer.status_ == 503 && answer.Outcome() == "not-run") {
--- a/tests/failure/SilentPathTest.cpp
+++ b/tests/failure/SilentPathTest.cpp
@@ -35,6 +35,8 @@
   /// The first connection passes nothing on in this direction from now on.
   void SilenceForward() { silentForward_ = true; }
   void SilenceBackward() { silentBackward_ = true; }
+  /// All connections that are open now pass nothing on, either way.
+  void SilenceAll() { silentUpTo_ = connections_.load(); }
   /// The first connection is closed.
   void Cut() { cut_ = true; }
   int Connections() const { return connections_; }
@@ -47,22 +49,25 @@
       if (!from->IsOpen()) {
         return;
       }
-      const bool first = connections_++ == 0;
-      threads_.emplace_back([this, from, first] { Serve(*from, first); });
+      const int number = ++connections_;
+      threads_.emplace_back([this, from, number] { Serve(*from, number); });
     }
   }
-  void Serve(RawSocket& aFrom, bool aFirst)
+  void Serve(RawSocket& aFrom, int aNumber)
   {
+    const bool first = aNumber == 1;
     std::optional<RawSocket> connected = Connect();
     if (!connected) {
       return;
     }
     RawSocket& to = *connected;
-    while (!stopping_ && !(aFirst && cut_)) {
+    while (!stopping_ && !(first && cut_)) {
       pollfd both[2] = { { aFrom.Descriptor(), POLLIN, 0 }, { to.Descriptor(), POLLIN, 0 } };
       ::poll(both, 2, 5);
-      if ((both[0].revents != 0 && !Pass(aFrom, to, aFirst && silentForward_)) ||
-          (both[1].revents != 0 && !Pass(to, aFrom, aFirst && silentBackward_))) {
+      if ((both[0].revents != 0 &&
+           !Pass(aFrom, to, (first && silentForward_) || aNumber <= silentUpTo_)) ||
+          (both[1].revents != 0 &&
+           !Pass(to, aFrom, (first && silentBackward_) || aNumber <= silentUpTo_))) {
         return;
       }
     }
@@ -99,6 +104,7 @@
   std::atomic<bool> silentBackward_{ false };
   std::atomic<bool> cut_{ false };
   std::atomic<int> connections_{ 0 };
+  std::atomic<int> silentUpTo_{ 0 }; ///< Numbers from 1; connections up to it are silent.
   std::vector<std::thread> threads_;
   std::thread accepting_;
 };
@@ -214,3 +220,24 @@
   CHECK(answer.status_ == 504);
   CHECK(answer.Outcome() == "unknown");
 }
+
+// Guards against calls that wait for their deadlines on kept connections to the target that went
+// silent although the target lives, and against more calls sent after them.
+TEST_CASE("silent connections to the target are given up", "[silent]")
+{
+  ScriptTarget target(SlowScript);
+  Relay relay(target.Port());
+  RunningNode node(TestSettings("only", "bell", relay.Port()));
+  Publish({ &node }, { &node });
+  Caller caller(node.node_->Ports().callers_);
+  REQUIRE(caller.Ask("GET", "/bells/1").status_ == 200);
+  // The poll of the target's health keeps a connection of its own.
+  std::this_thread::sleep_for(milliseconds(50));
+  relay.SilenceAll();
+  const TimePoint start = Clock::now();
+  CHECK(caller.Ask("GET", "/bells/2").status_ == 200);
+  CHECK(Clock::now() - start < milliseconds(1200));
+  // A slow answer on a connection that isn't silent is waited for.
+  CHECK(caller.Ask("GET", "/bells/slow").body_ == "done GET /bells/slow");
+  CHECK(target.Seen().size() == 3);
+}
