--- a/standins/lib/LoadRunner.cpp
+++ b/standins/lib/LoadRunner.cpp
@@ -3,8 +3,11 @@
 
 #include "standins/lib/TargetBody.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,8 +21,11 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <coroutine>
 #include <map>
+#include <memory>
 #include <optional>
+#include <utility>
 
 namespace peridotquay::standins {
 
--- a/standins/lib/LoadRunner.h
+++ b/standins/lib/LoadRunner.h
@@ -6,13 +6,8 @@
 #include "standins/lib/HistoryCheck.h"
 #include "standins/lib/LoadPlan.h"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-
 #include <coroutine>
 #include <functional>
-#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
