--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -56,7 +56,7 @@
   /// An answer that came by a peer link, or from the local guard with link 0. Dropped and counted
   /// if no call waits for it on that link.
   void OnAnswer(Answer aAnswer, std::uint64_t aLink);
-  void OnFateReply(const CallFateReply& aReply);
+  void OnFateReply(const CallFateReply& aReply, std::uint64_t aLink);
   void OnCallLost(const LostCall& aCall);
   /// Records of request ids from a leaving host.
   void OnHandover(const RequestHandover& aBatch);
@@ -137,6 +137,7 @@
   void Accept(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
   void IssueIds(const std::shared_ptr<HttpExchange>& aExchange);
   void Limit(const CallPointer& aCall);
+  void WaitForTokens(const CallPointer& aCall, Duration aWait, bool aExtend);
   void RetryWaiting(const ClientAccountId& aAccount);
   void Begin(const CallPointer& aCall);
 
@@ -154,7 +155,7 @@
   void EndAttempt(const CallPointer& aCall, CallResult aResult, const Answer* aAnswer);
   void OnAttemptAnswer(const CallPointer& aCall, Answer aAnswer);
   void AskFate(const CallPointer& aCall);
-  bool MayRetry(const CallPointer& aCall);
+  bool MayRetry(const CallPointer& aCall, bool aReachedHost);
   void RetryOrEnd(const CallPointer& aCall, Answer aAnswer, bool aExclude = true);
 
   // End.
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -261,7 +261,11 @@
   calls_.erase(entry);
   loop_.CancelTimer(running.timer_);
   const TimePoint now = loop_.Now();
+  Duration deeper{};
   if (!running.token_.empty()) {
+    if (const CallContext* context = Context(running.token_)) {
+      deeper = DeeperTime(*context, now);
+    }
     aAnswer.retriesUnused_ = CloseContext(contexts_, running.token_);
     if (onContextClosed_) {
       onContextClosed_(running.token_);
@@ -269,7 +273,8 @@
   }
   AdmissionStep step;
   if (!settings_.naive_) {
-    step = FinishCall(admission_, aEnd, now - running.started_, now);
+    const Duration total = now - running.started_;
+    step = FinishCall(admission_, aEnd, { total, total - deeper }, now);
   }
   FillLoad(aAnswer);
   if (running.done_) {
@@ -356,7 +361,7 @@
     { "GET", "/health", {}, "" }, [this, done, timer](const TargetResult& aHealth) {
       if (aHealth.end_ == TargetEnd::kNotSent) {
         ++health_.failedPolls_;
-        if (health_.failedPolls_ >= kFailedPollsToDrain && health_.state_ != TargetState::kCold) {
+        if (health_.failedPolls_ >= kFailedPollsToDrain) {
           health_.state_ = TargetState::kDraining;
         }
       } else if (aHealth.end_ == TargetEnd::kAnswered) {
@@ -410,6 +415,15 @@
   health_.slots_ = static_cast<std::uint32_t>(slots);
   health_.load_ =
     slots == 0 ? 0 : std::min(1.0, static_cast<double>(inUse) / static_cast<double>(slots));
+  // Before the first call the limit starts at the announced slots. From a small fixed start it took
+  // seconds to reach what the target takes, and calls queued past their deadlines meanwhile.
+  if (admission_.announcedSlots_ == 0 && admission_.running_ == 0 && admission_.queued_ == 0) {
+    AdmissionState fresh;
+    fresh.settings_ = admission_.settings_;
+    fresh.settings_.initialLimit_ = std::max(health_.slots_, fresh.settings_.minLimit_);
+    fresh.limit_ = fresh.settings_.initialLimit_;
+    admission_ = fresh;
+  }
   AnnounceSlots(admission_, health_.slots_);
 }
 
