--- a/standins/lib/Fleet.h
+++ b/standins/lib/Fleet.h
@@ -48,7 +48,8 @@
   double seconds_ = 0;
 };
 
-/// A running deployment. The destructor ends every process and removes its folder.
+/// A running deployment. The destructor ends every process and removes its folder, unless the
+/// environment variable QUAYLOAD_KEEP is set.
 class Fleet
 {
 public:
