--- a/peridotquay/version/Dissemination.h
+++ b/peridotquay/version/Dissemination.h
@@ -108,9 +108,9 @@
 
   Entities entities_;
   ConfigCache compiled_; ///< What was parsed of entities_; it follows every edit of them.
-  Version version_ = 0; ///< Changes are applied up to here.
-  Version inForce_ = 0; ///< Compiled and published; less than version_ if a version was rejected.
-  Version head_ = 0;    ///< Latest version heard of.
+  Version version_ = 0;  ///< Changes are applied up to here.
+  Version inForce_ = 0;  ///< Compiled and published; less than version_ if a version was rejected.
+  Version head_ = 0;     ///< Latest version heard of.
   std::deque<Change> recent_; ///< Consecutive, ends with version_.
   std::size_t recentBytes_ = 0;
   Duration bound_ = seconds(10); ///< Freshness bound of the configuration in force.
