Measure configuration changes as nodes apply them

Cause: the capacity program compiled every entity again for each change, while nodes now parse only the edited ones.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -422,7 +422,8 @@
       textBytes += name.size() + json.size();
     }
     const auto beforeConfig = liveBytes.load();
-    auto config = CompileConfig(entities, { "dc0" }, 1);
+    ConfigCache cache;
+    auto config = CompileConfig(cache, entities, { "dc0" }, 1);
     const auto configBytes = liveBytes - beforeConfig;
     if (config.has_error()) {
       std::printf("  compile failed: %s\n", Describe(config.assume_error()).c_str());
@@ -436,7 +437,8 @@
       change.edits_ = { { "account/account-0",
                           R"({"burst":20,"rate":)" + std::to_string(10 + i) + "}" } };
       static_cast<void>(ApplyChange(entities, change));
-      config = CompileConfig(entities, { "dc0" }, change.version_);
+      TouchEntities(cache, change.edits_);
+      config = CompileConfig(cache, entities, { "dc0" }, change.version_);
     }
     const auto each = (CpuSeconds() - started) / kChanges;
     std::printf("  %zu accounts, %zu routes: %zu entities, %zu B of text, %zu B as entities, %zu B "
