--- a/peridotquay/process/ShareLease.cpp
+++ b/peridotquay/process/ShareLease.cpp
@@ -231,15 +231,20 @@
     }
     aLease.revision_ = seen.revision_;
     pending.row_.epoch_ = seen.row_.epoch_ + 1;
-    // Floors are free if they were released, or if this process holds them from before a reclaim.
-    const bool floorsFree = seen.row_.floorEpoch_ == 0 ||
-                            seen.row_.floorEpoch_ == aLease.floorEpoch_ ||
-                            (unused && seen.row_.floorEpoch_ == seen.row_.epoch_);
+    const bool floorsFree =
+      seen.row_.floorEpoch_ == 0 || (unused && seen.row_.floorEpoch_ == seen.row_.epoch_);
+    // This process holds the floors from before a reclaim. Its ledger was cleared since, so grants
+    // that it made may still be used for their lifetime.
+    const bool regained =
+      seen.row_.floorEpoch_ != 0 && seen.row_.floorEpoch_ == aLease.floorEpoch_;
     pending.row_.floorEpoch_ = floorsFree ? pending.row_.epoch_ : seen.row_.floorEpoch_;
     const auto floor =
       std::max(milliseconds(seen.row_.floorMs_),
                std::chrono::duration_cast<milliseconds>(aLease.config_->policy_.floorLease_));
     aLease.floorFrom_ = floorsFree ? aNow : seen.floorSeen_ + floor;
+    if (regained) {
+      aLease.floorFrom_ = aNow + kGrantLifetime;
+    }
   }
   StartWrite(aLease, std::move(pending), {}, aNow, aEffects);
 }
--- a/programs/quayload.cpp
+++ b/programs/quayload.cpp
@@ -22,6 +22,9 @@
 
 namespace {
 
+// A withdrawn key must not be served later than this after the withdrawal began.
+constexpr double kWithdrawnKeySeconds = 3;
+
 using namespace peridotquay;
 using namespace peridotquay::standins;
 
@@ -241,7 +244,8 @@
       }
       const LoadReport& value = report.assume_value();
       (isNaive ? naive : product).push_back(MainGoodput(value));
-      holds = holds && (isNaive || value.history_.Holds());
+      const bool keyEnded = value.withdrawnServedSeconds_.value_or(0) <= kWithdrawnKeySeconds;
+      holds = holds && (isNaive || (value.history_.Holds() && keyEnded));
       auto entry = nlohmann::json::parse(ReportJson(value));
       entry["seed"] = settings.seed_;
       json[isNaive ? "naive" : "product"].push_back(entry);
--- a/tests/failure/Process.h
+++ b/tests/failure/Process.h
@@ -55,10 +55,10 @@
 
   void Signal(int aSignal) { ::kill(pid_, aSignal); }
 
-  /// Exit code, or -1 if the process doesn't end within 10 s or ends by a signal.
-  int Wait()
+  /// Exit code, or -1 if the process doesn't end in time or ends by a signal.
+  int Wait(int aSeconds = 10)
   {
-    for (int i = 0; i < 1000; ++i) {
+    for (int i = 0; i < 100 * aSeconds; ++i) {
       int status = 0;
       if (::waitpid(pid_, &status, WNOHANG) == pid_) {
         pid_ = -1;
