--- a/peridotquay/process/ShareLease.cpp
+++ b/peridotquay/process/ShareLease.cpp
@@ -235,8 +235,7 @@
       seen.row_.floorEpoch_ == 0 || (unused && seen.row_.floorEpoch_ == seen.row_.epoch_);
     // This process holds the floors from before a reclaim. Its ledger was cleared since, so grants
     // that it made may still be used for their lifetime.
-    const bool regained =
-      seen.row_.floorEpoch_ != 0 && seen.row_.floorEpoch_ == aLease.floorEpoch_;
+    const bool regained = seen.row_.floorEpoch_ != 0 && seen.row_.floorEpoch_ == aLease.floorEpoch_;
     pending.row_.floorEpoch_ = floorsFree ? pending.row_.epoch_ : seen.row_.floorEpoch_;
     const auto floor =
       std::max(milliseconds(seen.row_.floorMs_),
