--- a/peridotquay/connection/Datagram.cpp
+++ b/peridotquay/connection/Datagram.cpp
@@ -3,7 +3,6 @@
 
 #include "peridotquay/connection/PeerCodec.h"
 
-// Asio 1.74 needs both before its own headers.
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
--- a/peridotquay/connection/HttpFront.cpp
+++ b/peridotquay/connection/HttpFront.cpp
@@ -2,7 +2,6 @@
 // parsed, because the parser folds lines and merges repeated headers.
 #include "peridotquay/connection/HttpFront.h"
 
-// Asio 1.74 needs both before its own headers.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/peridotquay/connection/PeerHub.cpp
+++ b/peridotquay/connection/PeerHub.cpp
@@ -1,7 +1,6 @@
 // Connection table and outstanding calls.
 #include "peridotquay/connection/PeerHub.h"
 
-// Asio 1.74 needs both before its own headers.
 #include <boost/asio/ip/tcp.hpp>
 
 #include <algorithm>
--- a/peridotquay/connection/PeerLink.cpp
+++ b/peridotquay/connection/PeerLink.cpp
@@ -5,7 +5,6 @@
 #include "peridotquay/connection/PeerCodec.h"
 #include "peridotquay/process/Events.h"
 
-// Asio 1.74 needs both before its own headers.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -1,7 +1,6 @@
 // Pooled HTTP client on Boost.Beast's response parser.
 #include "peridotquay/connection/TargetClient.h"
 
-// Asio 1.74 needs both before its own headers.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -148,7 +148,7 @@
 {
   /// A call without deeper calls: all of its time is the target's own.
   template<typename Rep, typename Period>
-  ServiceTime(std::chrono::duration<Rep, Period> aTotal) // NOLINT(google-explicit-constructor)
+  ServiceTime(std::chrono::duration<Rep, Period> aTotal)
     : total_(aTotal)
     , own_(aTotal)
   {
--- a/peridotquay/request/CallContext.h
+++ b/peridotquay/request/CallContext.h
@@ -29,7 +29,6 @@
   ClientAccountId clientAccount_;
   Importance importance_ = Importance::kLow;
   std::uint8_t depth_ = 0;
-  bool cancelled_ = false;
   std::uint32_t deeperCalls_ = 0; ///< Deeper calls outstanding.
   TimePoint deeperSince_{};       ///< With deeperCalls_ > 0: since when any is outstanding.
   Duration deeperTime_{};         ///< Time in which any was outstanding, up to deeperSince_.
