--- a/bench/path_latency.cpp
+++ b/bench/path_latency.cpp
@@ -81,11 +81,14 @@
     settings.region_ = { "region" };
     settings.service_ = { aService };
     settings.target_ = { "127.0.0.1", aTarget };
-    auto node = Node::Start(settings, [this](const NodeSettings&, Incarnation, SocketPort aPort) {
-      auto control = std::make_unique<GrantingControl>(std::move(aPort));
-      control_ = control.get();
-      return control;
-    });
+    auto node = Node::Start(settings,
+                            [this](const NodeSettings&,
+                                   Incarnation,
+                                   SocketPort aPort) -> Result<std::unique_ptr<ControlPlane>> {
+                              auto control = std::make_unique<GrantingControl>(std::move(aPort));
+                              control_ = control.get();
+                              return std::unique_ptr<ControlPlane>(std::move(control));
+                            });
     if (node.has_error()) {
       std::cerr << Describe(node.assume_error()) << "\n";
       std::exit(1);
--- a/bench/policy_trials.cpp
+++ b/bench/policy_trials.cpp
@@ -317,7 +317,7 @@
     call.deadline_ = now_ + kDeadline;
     call.host_ = static_cast<int>(RandomIndex(random_, kHosts));
     calls_.push_back(call);
-    NoteFirstTry(ratio_[call.host_], std::max(0.0, variant_.retryRatio_));
+    NoteFirstTry(ratio_[call.host_], { .perFirstTry_ = variant_.retryRatio_ });
     ++firstTries_;
     Send(calls_.size() - 1);
   }
@@ -502,7 +502,7 @@
       return;
     }
     if (variant_.retryRatio_ < 0 || call.retries_ >= 3 || now_ >= call.deadline_ ||
-        !TakeRetryToken(ratio_[call.host_], now_)) {
+        !TakeRetryToken(ratio_[call.host_], {}, now_)) {
       call.ended_ = true;
       return;
     }
--- a/peridotquay/connection/HttpFront.cpp
+++ b/peridotquay/connection/HttpFront.cpp
@@ -2,6 +2,8 @@
 // parsed, because the parser folds lines and merges repeated headers.
 #include "peridotquay/connection/HttpFront.h"
 
+#include "peridotquay/connection/KeepAlive.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -498,6 +500,7 @@
       }
       error_code ignored;
       aSocket.set_option(tcp::no_delay(true), ignored);
+      SetKeepAlive(aSocket.native_handle());
       const auto session = std::make_shared<Session>(*state, std::move(aSocket));
       state->sessions_.insert(session);
       session->Start();
--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -180,6 +180,21 @@
          aItem.retryAfterMs_);
 }
 template<typename A>
+void Fields(A& aVisit, AccountUse& aItem)
+{
+  aVisit(aItem.account_, aItem.used_);
+}
+template<typename A>
+void Fields(A& aVisit, RateReport& aItem)
+{
+  aVisit(aItem.host_, aItem.incarnation_, aItem.sequence_, aItem.uses_);
+}
+template<typename A>
+void Fields(A& aVisit, RateReports& aItem)
+{
+  aVisit(aItem.reports_);
+}
+template<typename A>
 void Fields(A& aVisit, Summary& aItem)
 {
   aVisit(aItem.dataCentre_, aItem.version_, aItem.ageMs_, aItem.platformReachable_, aItem.members_);
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -273,6 +273,31 @@
   bool operator==(const ShareGrant&) const = default;
 };
 
+/// Use of one account.
+struct AccountUse
+{
+  ClientAccountId account_;
+  std::uint64_t used_ = 0; ///< Requests since the host started.
+  bool operator==(const AccountUse&) const = default;
+};
+
+/// What a host used of the accounts' limits.
+struct RateReport
+{
+  HostId host_;
+  Incarnation incarnation_ = 0;
+  std::uint64_t sequence_ = 0;   ///< Grows within an incarnation.
+  std::vector<AccountUse> uses_; ///< Accounts with use.
+  bool operator==(const RateReport&) const = default;
+};
+
+/// Reports of one or more hosts (datagram).
+struct RateReports
+{
+  std::vector<RateReport> reports_;
+  bool operator==(const RateReports&) const = default;
+};
+
 /// What delegates of different data centres tell each other once a second.
 struct Summary
 {
@@ -326,6 +351,7 @@
                                  ShareRequest,
                                  ShareGrant,
                                  Summary,
-                                 RequestHandover>;
+                                 RequestHandover,
+                                 RateReports>;
 
 } // namespace peridotquay
--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -1,6 +1,8 @@
 // Pooled HTTP client on Boost.Beast's response parser.
 #include "peridotquay/connection/TargetClient.h"
 
+#include "peridotquay/connection/KeepAlive.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -84,7 +86,12 @@
     done_ = std::move(aDone);
     result_ = {};
     sent_ = false;
+    written_ = false;
     answerBegan_ = false;
+    endsByClose_ = client->settings_.endsByClose_;
+    echoHeader_ = client->settings_.echoHeader_;
+    echo_ = echoHeader_.empty() ? "" : FindHeader(aRequest.headers_, echoHeader_).value_or("");
+    idleTimeout_ = client->settings_.idleTimeout_;
     output_ = RequestText(aRequest, client->settings_.target_);
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(client->settings_.maxHeaderBytes_));
@@ -150,6 +157,7 @@
                             self->result_.connectTime_ = self->loop_.Now() - self->started_;
                             error_code ignored;
                             self->socket_.set_option(tcp::no_delay(true), ignored);
+                            SetKeepAlive(self->socket_.native_handle());
                             self->Write();
                           });
   }
@@ -162,7 +170,7 @@
                              [self = shared_from_this()](const error_code& aError, std::size_t) {
                                // A failed write also fails the read, which then ends the request;
                                // the target may have answered before it stopped reading.
-                               static_cast<void>(aError);
+                               self->written_ = !aError;
                              });
     Read();
   }
@@ -191,6 +199,15 @@
       DropIdle();
       return;
     }
+    if (aError == boost::asio::error::eof && endsByClose_ && parser_->is_header_done() &&
+        parser_->need_eof()) {
+      error_code error;
+      parser_->put_eof(error);
+      if (!error && parser_->is_done()) {
+        Finish();
+        return;
+      }
+    }
     if (aError) {
       End(answerBegan_ ? TargetEnd::kTruncated : TargetEnd::kLost);
       return;
@@ -220,6 +237,10 @@
       Read();
       return;
     }
+    if (IsOfEarlierRequest()) {
+      NextAnswer();
+      return;
+    }
     // Interim answers (1xx) come before the one that counts.
     if (parser_->get().result_int() / 100 == 1 && parser_->get().result_int() != 101) {
       NextAnswer();
@@ -228,6 +249,38 @@
     Finish();
   }
 
+  // Whether the answer names another request than the one that waits.
+  bool IsOfEarlierRequest() const
+  {
+    if (echo_.empty()) {
+      return false;
+    }
+    const auto field = parser_->get().find(echoHeader_);
+    return field != parser_->get().end() &&
+           std::string_view(field->value().data(), field->value().size()) != echo_;
+  }
+
+  // The target says for how many whole seconds it keeps an unused connection.
+  void ReadKeepAlive()
+  {
+    constexpr std::string_view kName = "timeout=";
+    const auto field = parser_->get().find(http::field::keep_alive);
+    if (field == parser_->get().end()) {
+      return;
+    }
+    const std::string_view text(field->value().data(), field->value().size());
+    const std::size_t place = text.find(kName);
+    if (place == std::string_view::npos) {
+      return;
+    }
+    const std::string_view rest = text.substr(place + kName.size());
+    const auto stated = ParseNumber(rest.substr(0, rest.find_first_not_of("0123456789")), 3600);
+    if (stated) {
+      // A request that is sent as the target closes would be lost.
+      idleTimeout_ = std::min<Duration>(idleTimeout_, milliseconds(*stated * 700));
+    }
+  }
+
   void NextAnswer()
   {
     const auto client = client_.lock();
@@ -254,7 +307,9 @@
   void Finish()
   {
     const auto length = parser_->content_length();
-    const bool keep = parser_->keep_alive() && !parser_->need_eof() && input_.empty();
+    // A request that isn't written whole would go on into the next one.
+    const bool keep = parser_->keep_alive() && !parser_->need_eof() && input_.empty() && written_;
+    ReadKeepAlive();
     auto message = parser_->release();
     HttpResponse& response = result_.response_;
     response.status_ = static_cast<std::uint16_t>(message.result_int());
@@ -285,7 +340,7 @@
     TargetResult result = std::move(result_);
     if (aEnd == TargetEnd::kAnswered && open_ && client) {
       client->idle_.push_back(self);
-      StartIdle(client->settings_.idleTimeout_);
+      StartIdle(idleTimeout_);
     } else {
       Drop();
     }
@@ -316,6 +371,11 @@
   std::uint64_t timer_ = 0;
   bool open_ = false;
   bool sent_ = false;
+  bool written_ = false; ///< The whole request is with the system.
+  bool endsByClose_ = false;
+  std::string echoHeader_;
+  std::string echo_; ///< Value that the answer must repeat; empty for any.
+  Duration idleTimeout_{};
   bool answerBegan_ = false;
   bool reading_ = false;
   bool head_ = false;
--- a/peridotquay/connection/TargetClient.h
+++ b/peridotquay/connection/TargetClient.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace peridotquay {
 
@@ -20,6 +21,12 @@
   std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
   Duration connectTimeout_ = milliseconds(500);
   Duration idleTimeout_ = seconds(30); ///< An unused connection is closed after this.
+  /// Header that answers repeat from their request. An answer with another value is late, belongs
+  /// to an earlier request and is dropped. Empty for none.
+  std::string echoHeader_{};
+  /// An answer without a length is whole when its connection ends in order; otherwise it counts as
+  /// truncated, because a whole answer can't be told from a cut one.
+  bool endsByClose_ = false;
 };
 
 /// How a request to the target ended.
@@ -38,8 +45,7 @@
   Duration connectTime_{ 0 }; ///< Zero on a kept connection.
 };
 
-/// Sends each request once. An answer whose end is marked by closing only counts as truncated,
-/// because a whole answer can't be told from a cut one.
+/// Sends each request once.
 class TargetClient
 {
 public:
--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -13,6 +13,9 @@
 
 namespace peridotquay {
 
+class EventLoop;
+struct LocalTarget;
+
 /// What the control side calls on the socket side. Each function may be called from any thread and
 /// doesn't block.
 struct SocketPort
@@ -30,6 +33,10 @@
   std::function<void(TimePoint)> publishFreshness_;
   /// Hands over tokens. The time is when the request for them was made, by this node's clock.
   std::function<void(ShareGrant, TimePoint)> deliverGrant_;
+  /// States what the local target announced, where it announces itself to the control side.
+  std::function<void(const LocalTarget&)> setTarget_;
+  /// Loop of the socket thread, for a control side that runs on it.
+  EventLoop* loop_ = nullptr;
 };
 
 /// Status of the control side, for the admin endpoint.
@@ -64,6 +71,8 @@
   virtual void AnnounceTarget(TargetState aState, std::uint32_t aSlots, double aLoad) = 0;
   /// Announces that this node left, naming the successor of its request records.
   virtual void AnnounceLeft(const HostId& aSuccessor) = 0;
+  /// Replaces what the settings of the host say of the policy, where they say any of it.
+  virtual void SetPolicy(const Policy& /*aPolicy*/) {}
   /// Status by value, as of the last step of each actor.
   virtual ControlStatus Status() const = 0;
 };
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -3,6 +3,7 @@
 
 #include "peridotquay/process/Events.h"
 #include "peridotquay/process/OwnAnswer.h"
+#include "peridotquay/request/RandomStep.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,12 +30,14 @@
                        Incarnation aIncarnation,
                        Guard& aGuard,
                        PeerHub& aHub,
-                       Metrics& aMetrics)
+                       Metrics& aMetrics,
+                       const HttpDialect& aDialect)
   : loop_(aLoop)
   , settings_(aSettings)
   , guard_(aGuard)
   , hub_(aHub)
   , metrics_(aMetrics)
+  , dialect_(aDialect)
   , ledger_(MakeLedger(aSettings.host_, aIncarnation))
 {
   routing_.dataCentre_ = aSettings.dataCentre_;
@@ -63,7 +66,11 @@
 bool Dispatcher::FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const
 {
   aCall.config_ = config_;
-  aCall.route_ = FindRoute(*config_, WithoutQuery(aRequest.path_));
+  aCall.route_ = config_->routesByHost_
+                   ? FindHostRoute(*config_,
+                                   FindHeader(aRequest.headers_, "Host").value_or(""),
+                                   WithoutQuery(aRequest.path_))
+                   : FindRoute(*config_, WithoutQuery(aRequest.path_));
   if (aCall.route_ == nullptr) {
     return false;
   }
@@ -81,15 +88,16 @@
   if (aCall.route_ != nullptr && aCall.route_->open_) {
     return std::nullopt;
   }
-  const auto key = FindHeader(aRequest.headers_, "Quay-Key");
-  if (!key || key->empty()) {
+  auto key = FindHeader(aRequest.headers_, dialect_.keyHeader_);
+  if (!key || key->size() <= dialect_.keyScheme_.size() || !key->starts_with(dialect_.keyScheme_)) {
     return Refusal{ ErrorCode::kMissingKey };
   }
+  key->remove_prefix(dialect_.keyScheme_.size());
   const ClientAccount* account = FindKey(*config_, KeyDigest(*key));
   if (account == nullptr) {
     return Refusal{ ErrorCode::kUnknownKey };
   }
-  if (!settings_.naive_ && loop_.Now() - freshness_ >= config_->policy_.keyFreshnessBound_) {
+  if (!settings_.naive_ && FreshnessAge() >= config_->policy_.keyFreshnessBound_) {
     return Refusal{ ErrorCode::kConfigurationNotFresh, kShedRetryMs };
   }
   aCall.call_.clientAccount_ = account->id_;
@@ -99,10 +107,35 @@
         std::find(allowed.begin(), allowed.end(), account->id_) == allowed.end()) {
       return Refusal{ ErrorCode::kRouteNotAllowed };
     }
+    if (config_->routesByHost_) {
+      aCall.call_.importance_ = ImportanceFor(*config_, *account, *aCall.route_);
+    }
   }
   return std::nullopt;
 }
 
+Duration Dispatcher::FreshnessAge() const
+{
+  // The monotonic clock stands still while the host is suspended; a withdrawal may have come then.
+  return loop_.Now() - freshness_ + (SuspendedTime() - suspendedAtFreshness_);
+}
+
+const ServiceId& Dispatcher::ChooseService(const Route& aRoute)
+{
+  double total = 0;
+  for (const RoutePart& part : aRoute.split_) {
+    total += part.weight_;
+  }
+  double place = RandomFraction(routing_.random_) * total;
+  for (const RoutePart& part : aRoute.split_) {
+    place -= part.weight_;
+    if (place < 0) {
+      return part.service_;
+    }
+  }
+  return aRoute.split_.empty() ? aRoute.service_ : aRoute.split_.front().service_;
+}
+
 std::optional<Dispatcher::Refusal> Dispatcher::ReadLimits(const HttpRequest& aRequest,
                                                           ActiveCall& aCall) const
 {
@@ -110,7 +143,7 @@
   const TimePoint now = loop_.Now();
   aCall.arrived_ = now;
   aCall.deadline_ = now + aCall.route_->deadline_;
-  if (const auto text = FindHeader(aRequest.headers_, "Quay-Deadline-Ms")) {
+  if (const auto text = FindHeader(aRequest.headers_, dialect_.deadlineHeader_)) {
     const auto value = ParseNumber(*text, kLongestDeadlineMs);
     if (!value || *value == 0) {
       return malformed;
@@ -118,6 +151,9 @@
     aCall.deadline_ = std::min(aCall.deadline_, now + milliseconds(*value));
   }
   aCall.budget_.left_ = aCall.route_->maxRetries_;
+  if (!dialect_.hasContexts_) {
+    return std::nullopt;
+  }
   if (const auto text = FindHeader(aRequest.headers_, "Quay-Retry-Budget")) {
     const auto value = ParseNumber(*text, UINT32_MAX);
     if (!value) {
@@ -140,7 +176,8 @@
   metrics_.Add(Counter::kCallerRequests);
   const HttpRequest& request = aExchange->request_;
   // A repeat under a request id is looked up first: its first use may have run.
-  if (draining_ && !FindHeader(request.headers_, "Quay-Request-Id")) {
+  if (draining_ &&
+      !(dialect_.issuesRequestIds_ && FindHeader(request.headers_, "Quay-Request-Id"))) {
     metrics_.Add(Counter::kRefusedDraining);
     RefuseExchange(aExchange, { ErrorCode::kDraining, kShedRetryMs });
     return;
@@ -150,7 +187,7 @@
     RefuseExchange(aExchange, { ErrorCode::kConfigurationNotFresh, kShedRetryMs });
     return;
   }
-  if (WithoutQuery(request.path_) == "/quay/request-ids") {
+  if (dialect_.issuesRequestIds_ && WithoutQuery(request.path_) == "/quay/request-ids") {
     ActiveCall caller;
     if (const auto refusal = Authenticate(request, caller)) {
       metrics_.Add(Counter::kRefusedKey);
@@ -177,8 +214,15 @@
     RefuseExchange(aExchange, *refusal);
     return;
   }
+  if (!call->route_->split_.empty()) {
+    call->call_.service_ = ChooseService(*call->route_);
+  }
+  if (!dialect_.hasContexts_ && call->call_.clientAccount_.value_.empty()) {
+    // A deeper call: its failure wastes the work of the request that it serves.
+    call->call_.importance_ = Importance::kCritical;
+  }
   const auto id = FindHeader(request.headers_, "Quay-Request-Id");
-  if (id && !call->route_->repeatable_) {
+  if (dialect_.issuesRequestIds_ && id && !call->route_->repeatable_) {
     call->requestId_ = *id;
   }
   Accept(call, aExchange);
@@ -268,8 +312,9 @@
   aCall->call_.method_ = request.method_;
   aCall->call_.path_ = request.path_;
   aCall->call_.headers_ = std::move(request.headers_);
-  // Quay headers end here; above all the caller's key must reach neither peers nor targets.
-  RemoveHeadersWithPrefix(aCall->call_.headers_, "Quay-");
+  // The node's own headers end here; above all the caller's key must reach neither peers nor
+  // targets.
+  dialect_.toGuard_(aCall->call_.headers_, settings_.service_);
   if (!aCall->requestId_.empty()) {
     aCall->call_.headers_.emplace_back("Quay-Request-Id", aCall->requestId_);
   }
@@ -326,7 +371,7 @@
 void Dispatcher::Limit(const CallPointer& aCall)
 {
   const ClientAccountId& account = aCall->call_.clientAccount_;
-  if (account.value_.empty()) {
+  if (account.value_.empty() || aCall->config_->clientAccounts_.at(account).ratePerSecond_ <= 0) {
     Begin(aCall);
     return;
   }
@@ -422,7 +467,7 @@
   if (!calls_.contains(aCall.get())) {
     return;
   }
-  NoteFirstTry(ratios_[aCall->route_->id_], aCall->config_->policy_.retryRatio_);
+  NoteFirstTry(ratios_[aCall->call_.service_], RetrySettings(*aCall));
   Attempt(aCall);
 }
 
@@ -434,7 +479,10 @@
   config_ = std::move(aConfig);
   std::erase_if(ratios_, [this](const auto& aEntry) {
     return std::none_of(config_->routes_.begin(), config_->routes_.end(), [&](const Route& aRoute) {
-      return aRoute.id_ == aEntry.first;
+      return aRoute.service_ == aEntry.first ||
+             std::any_of(aRoute.split_.begin(), aRoute.split_.end(), [&](const RoutePart& aPart) {
+               return aPart.service_ == aEntry.first;
+             });
     });
   });
 }
@@ -449,7 +497,10 @@
 
 void Dispatcher::SetFreshness(TimePoint aFreshness)
 {
-  freshness_ = std::max(freshness_, aFreshness);
+  if (aFreshness > freshness_) {
+    freshness_ = aFreshness;
+    suspendedAtFreshness_ = SuspendedTime();
+  }
 }
 
 void Dispatcher::OnGrant(const ShareGrant& aGrant, TimePoint aAsked)
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -6,6 +6,7 @@
 #include "peridotquay/connection/PeerHub.h"
 #include "peridotquay/connection/PeerMessage.h"
 #include "peridotquay/process/Guard.h"
+#include "peridotquay/process/HttpDialect.h"
 #include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
 #include "peridotquay/process/RequestLedger.h"
@@ -42,7 +43,8 @@
              Incarnation aIncarnation,
              Guard& aGuard,
              PeerHub& aHub,
-             Metrics& aMetrics);
+             Metrics& aMetrics,
+             const HttpDialect& aDialect = QuayDialect());
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
   ~Dispatcher();
@@ -101,6 +103,7 @@
     RetryBudget budget_;
     std::vector<HostId> excluded_; ///< Hosts that refused or failed this call.
     std::uint32_t retries_ = 0;
+    std::uint32_t placements_ = 0; ///< Guards that refused the call.
 
     std::string requestId_;      ///< Set if this call runs under a request id.
     std::uint64_t sequence_ = 0; ///< Record of requestId_ while it runs here; 0 otherwise.
@@ -132,6 +135,8 @@
 
   // Intake.
   std::optional<Refusal> Authenticate(const HttpRequest& aRequest, ActiveCall& aCall) const;
+  Duration FreshnessAge() const;
+  const ServiceId& ChooseService(const Route& aRoute);
   std::optional<Refusal> ReadLimits(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
   void Accept(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
@@ -155,7 +160,8 @@
   void EndAttempt(const CallPointer& aCall, CallResult aResult, const Answer* aAnswer);
   void OnAttemptAnswer(const CallPointer& aCall, Answer aAnswer);
   void AskFate(const CallPointer& aCall);
-  bool MayRetry(const CallPointer& aCall, bool aReachedHost);
+  bool MayRetry(const CallPointer& aCall, bool aReachedHost, bool aReachedTarget);
+  RetryRatioSettings RetrySettings(const ActiveCall& aCall) const;
   void RetryOrEnd(const CallPointer& aCall, Answer aAnswer, bool aExclude = true);
 
   // End.
@@ -176,15 +182,17 @@
   Guard& guard_;
   PeerHub& hub_;
   Metrics& metrics_;
+  const HttpDialect& dialect_;
 
   std::shared_ptr<const Config> config_;
   std::shared_ptr<const TargetView> targets_;
   TimePoint freshness_{};
+  Duration suspendedAtFreshness_{}; ///< SuspendedTime when freshness_ was set.
   RoutingState routing_;
   TokenCache tokens_;
   NaiveState naive_;
   std::map<HostId, UpstreamLevel> levels_; ///< By guard; only of hosts in targets_.
-  std::map<RouteId, RetryRatio> ratios_;   ///< Only of routes in config_.
+  std::map<ServiceId, RetryRatio> ratios_; ///< Only of services in config_.
   RequestLedger ledger_;
   std::map<std::pair<HostId, Incarnation>, RequestLedger> adopted_;
   /// Repeats that wait for a running request, by ledger and sequence.
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -13,6 +13,9 @@
 // Connections tried for the fate of one call.
 constexpr std::uint32_t kMaxFateQuestions = 3;
 
+// Most guards that may refuse one call before it is refused for good.
+constexpr std::uint32_t kMaxPlacements = 4;
+
 // Whether another target may succeed after a refusal.
 bool IsBusy(ErrorCode aCode)
 {
@@ -84,7 +87,7 @@
   call.guard_ = {};
   call.localRun_ = 0;
   call.attempt_ = nextCallId_++;
-  call.lent_ = LendRetries(call.budget_);
+  call.lent_ = dialect_.hasContexts_ ? LendRetries(call.budget_) : 0;
   call.call_.callId_ = call.attempt_;
   call.call_.retries_ = call.lent_;
   const auto left =
@@ -181,7 +184,13 @@
   RetryOrEnd(aCall, std::move(aAnswer));
 }
 
-bool Dispatcher::MayRetry(const CallPointer& aCall, bool aReachedHost)
+RetryRatioSettings Dispatcher::RetrySettings(const ActiveCall& aCall) const
+{
+  const Policy& policy = aCall.config_->policy_;
+  return { policy.retryRatio_, policy.retryCap_, policy.leastRetryInterval_ };
+}
+
+bool Dispatcher::MayRetry(const CallPointer& aCall, bool aReachedHost, bool aReachedTarget)
 {
   if (loop_.Now() >= aCall->deadline_) {
     return false;
@@ -189,9 +198,15 @@
   if (settings_.naive_) {
     return NaiveRetries(aCall->retries_);
   }
+  if (!dialect_.hasContexts_ && !aReachedTarget) {
+    // No target has seen the call, so sending it elsewhere adds no load to any.
+    return ++aCall->placements_ <= kMaxPlacements;
+  }
   // The ratio protects services that are slow or failing. A try that found no host cost them
   // nothing.
-  const bool inRatio = !aReachedHost || TakeRetryToken(ratios_[aCall->route_->id_], loop_.Now());
+  const bool inRatio =
+    !aReachedHost ||
+    TakeRetryToken(ratios_[aCall->call_.service_], RetrySettings(*aCall), loop_.Now());
   if (aCall->budget_.left_ == 0 || !inRatio) {
     metrics_.Add(Counter::kRetriesDenied);
     return false;
@@ -223,7 +238,9 @@
   }
   const bool reachedHost =
     aAnswer.outcome_ != Outcome::kNotRun || code != ErrorCode::kTargetUnreachable;
-  if (!target || !MayRetry(aCall, reachedHost)) {
+  const bool reachedTarget =
+    aAnswer.outcome_ != Outcome::kNotRun || code == ErrorCode::kTargetRefused;
+  if (!target || !MayRetry(aCall, reachedHost, reachedTarget)) {
     End(aCall, std::move(aAnswer));
     return;
   }
@@ -253,7 +270,7 @@
   if (call->owner_) {
     // The id makes it safe to ask the same owner again.
     EndAttempt(call, CallResult::kFailed, nullptr);
-    if (aCall.sent_ && MayRetry(call, true)) {
+    if (aCall.sent_ && MayRetry(call, true, true)) {
       metrics_.Add(Counter::kRetries);
       ++call->retries_;
       call->owner_ = false;
--- a/peridotquay/process/DispatcherEnd.cpp
+++ b/peridotquay/process/DispatcherEnd.cpp
@@ -190,7 +190,7 @@
                                 const Refusal& aRefusal)
 {
   metrics_.Add(Counter::kAnswersNotRun);
-  aExchange->Respond(ErrorResponse(
+  aExchange->Respond(dialect_.failure_(
     aRefusal.code_, Outcome::kNotRun, Detail(aRefusal.code_), aRefusal.retryAfterMs_));
 }
 
@@ -200,9 +200,10 @@
 {
   HttpResponse response;
   const auto code = static_cast<ErrorCode>(aAnswer.error_);
+  // A failure of the target keeps its own status unless nothing is known of the work.
   if (aAnswer.status_ == 0 || (aAnswer.outcome_ == Outcome::kUnknown && aAnswer.status_ != 504)) {
     const auto shown = aAnswer.error_ == 0 ? ErrorCode::kOutcomeUnknown : code;
-    response = ErrorResponse(shown, aAnswer.outcome_, Detail(shown), aAnswer.retryAfterMs_);
+    response = dialect_.failure_(shown, aAnswer.outcome_, Detail(shown), aAnswer.retryAfterMs_);
   } else if (IsBodyDropped(aAnswer)) {
     // The request ran, but its answer can't be given whole any more.
     response = ErrorResponse(
@@ -217,7 +218,9 @@
     if (aCall.call_.method_ == "HEAD") {
       response.declaredLength_ = aAnswer.bodyBytes_;
     }
-    response.headers_.emplace_back("Quay-Outcome", OutcomeName(aAnswer.outcome_));
+    if (dialect_.issuesRequestIds_) {
+      response.headers_.emplace_back("Quay-Outcome", OutcomeName(aAnswer.outcome_));
+    }
   }
   if (!aCall.requestId_.empty()) {
     response.headers_.emplace_back("Quay-Request-Id", aCall.requestId_);
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -25,6 +25,7 @@
   X(1003, NodeStopped, kInfo) \
   X(1004, SettingsRejected, kError) \
   X(1005, ListenFailed, kError) \
+  X(1006, SettingsReloaded, kInfo) \
   X(2001, AnswerDropped, kWarning) \
   X(2002, OutcomeUnknown, kWarning) \
   X(2003, TargetRefusing, kWarning) \
@@ -34,6 +35,12 @@
   X(3004, MemberRefuted, kInfo) \
   X(3005, DataCentreUnreachable, kWarning) \
   X(3006, DataCentreReachable, kInfo) \
+  X(3007, TargetSeen, kInfo) \
+  X(3008, TargetStarted, kInfo) \
+  X(3009, TargetDraining, kInfo) \
+  X(3010, TargetLapsed, kWarning) \
+  X(3011, HeartbeatRejected, kWarning) \
+  X(3012, HostRecordRejected, kWarning) \
   X(4001, VersionInForce, kInfo) \
   X(4002, VersionRejected, kError) \
   X(4003, FreshnessLost, kWarning) \
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -48,14 +48,15 @@
   return answer;
 }
 
-Answer WholeAnswer(const Call& aCall, HttpResponse aResponse)
+Answer WholeAnswer(const HttpDialect& aDialect, const Call& aCall, HttpResponse aResponse)
 {
   Answer answer;
   answer.callId_ = aCall.callId_;
   // 504 from a target means that it doesn't know whether its own work ran.
-  answer.outcome_ = aResponse.status_ == 504 ? Outcome::kUnknown : Outcome::kRan;
+  answer.outcome_ =
+    aDialect.unknown504_ && aResponse.status_ == 504 ? Outcome::kUnknown : Outcome::kRan;
   answer.status_ = aResponse.status_;
-  RemoveHeadersWithPrefix(aResponse.headers_, "Quay-");
+  aDialect.toCaller_(aResponse.headers_);
   answer.headers_ = std::move(aResponse.headers_);
   answer.bodyBytes_ = aCall.method_ == "HEAD" ? aResponse.declaredLength_.value_or(0)
                                               : static_cast<std::uint64_t>(aResponse.body_.size());
@@ -65,18 +66,26 @@
 
 } // namespace
 
-Guard::Guard(EventLoop& aLoop, const NodeSettings& aSettings, Metrics& aMetrics)
+Guard::Guard(EventLoop& aLoop,
+             const NodeSettings& aSettings,
+             Metrics& aMetrics,
+             const HttpDialect& aDialect)
   : loop_(aLoop)
   , settings_(aSettings)
   , metrics_(aMetrics)
+  , dialect_(aDialect)
   , client_(aLoop,
             { .target_ = aSettings.target_,
               .maxConnections_ = aSettings.targetConnections_,
               .maxBodyBytes_ = aSettings.maxBodyBytes_,
-              .maxHeaderBytes_ = aSettings.maxHeaderBytes_ })
+              .maxHeaderBytes_ = aSettings.maxHeaderBytes_,
+              .idleTimeout_ = aSettings.targetIdleTimeout_,
+              .echoHeader_ = std::string(aDialect.echoHeader_),
+              .endsByClose_ = aDialect.endsByClose_ })
   , freshClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
   , pollClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
 {
+  admission_.settings_.adaptive_ = !aDialect.trustsSlots_;
   admission_.settings_.maxLimit_ =
     std::min(admission_.settings_.maxLimit_, aSettings.targetConnections_);
 }
@@ -94,7 +103,7 @@
   running.arrived_ = now;
   running.deadline_ = now + milliseconds(aCall.deadlineMs_);
   aStarted(number);
-  if (draining_) {
+  if (draining_ || TargetLeaves()) {
     Refuse(number, ErrorCode::kDraining, 0);
     return;
   }
@@ -168,22 +177,13 @@
 {
   const Call& call = aRunning.call_;
   HttpRequest request{ call.method_, call.path_, call.headers_, call.body_ };
-  const auto requestId = FindHeader(request.headers_, "Quay-Request-Id");
-  const std::string idText = requestId ? std::string(*requestId) : std::string();
-  // Also drops a caller's key should a host have sent one.
-  RemoveHeadersWithPrefix(request.headers_, "Quay-");
   const auto left =
     std::chrono::duration_cast<milliseconds>(aRunning.deadline_ - aRunning.started_).count();
-  request.headers_.emplace_back("Quay-Call", aRunning.token_);
-  request.headers_.emplace_back("Quay-Deadline-Ms",
-                                std::to_string(std::max<std::int64_t>(1, left)));
-  if (!call.clientAccount_.value_.empty()) {
-    request.headers_.emplace_back("Quay-Client-Account", call.clientAccount_.value_);
-  }
-  request.headers_.emplace_back("Quay-Importance", ImportanceName(call.importance_));
-  if (!idText.empty()) {
-    request.headers_.emplace_back("Quay-Request-Id", idText);
-  }
+  dialect_.toTarget_(request.headers_,
+                     { call,
+                       aRunning.token_,
+                       target_ ? std::string_view(target_->id_) : std::string_view(),
+                       std::max<std::int64_t>(1, left) });
   return request;
 }
 
@@ -211,22 +211,20 @@
       break;
   }
   metrics_.Note(Timing::kTarget, loop_.Now() - running.started_);
-  const auto outcome = FindHeader(aResult.response_.headers_, "Quay-Outcome");
-  if (aResult.response_.status_ == 503 && outcome == OutcomeName(Outcome::kNotRun)) {
+  if (const auto load = dialect_.load_(aResult.response_)) {
+    SetSlots(load->slots_);
+  }
+  if (const auto hint = dialect_.refusal_(aResult.response_)) {
     metrics_.Add(Counter::kTargetRefusals);
     std::uint64_t skipped = 0;
     if (refusalLog_.Allow(loop_.Now(), skipped)) {
       LogEvent(Event::kTargetRefusing,
                { { "route", call.route_.value_ }, { "skipped", std::to_string(skipped) } });
     }
-    const auto hint = FindHeader(aResult.response_.headers_, "Quay-Retry-After-Ms");
-    const auto retryAfter = hint ? ParseNumber(*hint, 60'000).value_or(0) : 0;
-    Finish(aCall,
-           CallEnd::kTargetRefused,
-           RefusedAnswer(call, ErrorCode::kTargetRefused, static_cast<std::uint32_t>(retryAfter)));
+    Finish(aCall, CallEnd::kTargetRefused, RefusedAnswer(call, ErrorCode::kTargetRefused, *hint));
     return;
   }
-  Finish(aCall, CallEnd::kAnswered, WholeAnswer(call, std::move(aResult.response_)));
+  Finish(aCall, CallEnd::kAnswered, WholeAnswer(dialect_, call, std::move(aResult.response_)));
 }
 
 void Guard::OnDeadline(std::uint64_t aCall)
@@ -319,7 +317,8 @@
 
 void Guard::WatchSilence()
 {
-  if (watchingSilence_ || settings_.naive_) {
+  // Without a health check that costs nothing, keep-alive probes of the connection find silence.
+  if (watchingSilence_ || settings_.naive_ || !dialect_.pollsTarget_) {
     return;
   }
   watchingSilence_ = true;
@@ -446,6 +445,41 @@
   draining_ = true;
 }
 
+bool Guard::TargetLeaves() const
+{
+  return target_ && (target_->state_ == TargetState::kDraining ||
+                     target_->state_ == TargetState::kLeft || target_->id_.empty());
+}
+
+void Guard::SetTarget(const LocalTarget& aTarget)
+{
+  const bool isNew = !target_ || target_->id_ != aTarget.id_;
+  target_ = aTarget;
+  health_.state_ = aTarget.state_;
+  if (isNew) {
+    // Connections lead to the target that had the address before.
+    client_.DropIdle();
+  }
+  SetSlots(aTarget.slots_);
+  if (TargetLeaves()) {
+    RefuseWaiting(ErrorCode::kDraining);
+  }
+}
+
+void Guard::RefuseWaiting(ErrorCode aCode)
+{
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [number, running] : calls_) {
+    if (running.request_ == 0) {
+      waiting.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : waiting) {
+    CancelWaiting(admission_, number);
+    Refuse(number, aCode, 0);
+  }
+}
+
 void Guard::Poll(std::function<void(const TargetHealth&)> aDone)
 {
   auto done = std::make_shared<std::function<void(const TargetHealth&)>>(std::move(aDone));
@@ -505,9 +539,14 @@
   }
   const auto slots = std::min<std::uint64_t>(json["slots"].get<std::uint64_t>(), 100'000);
   const auto inUse = json["in_use"].get<std::uint64_t>();
-  health_.slots_ = static_cast<std::uint32_t>(slots);
   health_.load_ =
     slots == 0 ? 0 : std::min(1.0, static_cast<double>(inUse) / static_cast<double>(slots));
+  SetSlots(static_cast<std::uint32_t>(slots));
+}
+
+void Guard::SetSlots(std::uint32_t aSlots)
+{
+  health_.slots_ = aSlots;
   // Before the first call the limit starts at the announced slots. From a small fixed start it took
   // seconds to reach what the target takes, and calls queued past their deadlines meanwhile.
   if (admission_.announcedSlots_ == 0 && admission_.running_ == 0 && admission_.queued_ == 0) {
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -4,6 +4,7 @@
 #include "peridotquay/connection/EventLoop.h"
 #include "peridotquay/connection/PeerMessage.h"
 #include "peridotquay/connection/TargetClient.h"
+#include "peridotquay/process/HttpDialect.h"
 #include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
 #include "peridotquay/process/Settings.h"
@@ -16,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace peridotquay {
@@ -30,6 +32,15 @@
   bool operator==(const TargetHealth&) const = default;
 };
 
+/// What the control side says of the local target, where the target announces itself.
+struct LocalTarget
+{
+  std::string id_; ///< Incarnation; empty if none is known.
+  TargetState state_ = TargetState::kCold;
+  std::uint32_t slots_ = 0;
+  bool operator==(const LocalTarget&) const = default;
+};
+
 /// Used on the socket thread only.
 class Guard
 {
@@ -37,7 +48,10 @@
   /// Takes the answer of a call. May be called from within Run.
   using Done = std::function<void(Answer)>;
 
-  Guard(EventLoop& aLoop, const NodeSettings& aSettings, Metrics& aMetrics);
+  Guard(EventLoop& aLoop,
+        const NodeSettings& aSettings,
+        Metrics& aMetrics,
+        const HttpDialect& aDialect = QuayDialect());
   Guard(const Guard&) = delete;
   Guard& operator=(const Guard&) = delete;
   ~Guard();
@@ -53,6 +67,9 @@
   void SetConfig(std::shared_ptr<const Config> aConfig);
   /// From now on new calls are refused with kDraining.
   void SetDraining();
+  /// Takes what the target announced. While it drains or is gone, calls are refused with kDraining,
+  /// those that wait included.
+  void SetTarget(const LocalTarget& aTarget);
   /// Asks the target's health and load endpoints; calls aDone with what is known after that.
   void Poll(std::function<void(const TargetHealth&)> aDone);
 
@@ -96,10 +113,15 @@
   void GiveUpSilent(TimePoint aBefore);
   HttpRequest TargetRequest(const Running& aRunning) const;
   void ReadLoad(const TargetResult& aResult);
+  void SetSlots(std::uint32_t aSlots);
+  void RefuseWaiting(ErrorCode aCode);
+  bool TargetLeaves() const;
 
   EventLoop& loop_;
   const NodeSettings& settings_;
   Metrics& metrics_;
+  const HttpDialect& dialect_;
+  std::optional<LocalTarget> target_; ///< Empty where the target doesn't announce itself.
   TargetClient client_;
   TargetClient freshClient_; ///< Never keeps a connection.
   TargetClient pollClient_;  ///< Own connections, so that polls work when all others are in use.
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -68,6 +68,7 @@
   };
 
   NodeSettings settings_;
+  const HttpDialect& dialect_;
   Incarnation incarnation_ = 0;
   EventLoop loop_;
   Metrics metrics_;
@@ -87,10 +88,12 @@
   TimePoint started_{};
   TimePoint drainStarted_{};
   bool draining_ = false;
+  bool accepting_ = true; ///< New requests of callers are taken.
   bool leaving_ = false;
 
-  explicit State(const NodeSettings& aSettings)
+  State(const NodeSettings& aSettings, const HttpDialect& aDialect)
     : settings_(aSettings)
+    , dialect_(aDialect)
     , incarnation_(WallMilliseconds())
     , started_(Clock::now())
   {
@@ -112,9 +115,9 @@
     if (peers.has_error()) {
       return peers.as_failure();
     }
-    guard_ = std::make_unique<Guard>(loop_, settings_, metrics_);
-    dispatcher_ =
-      std::make_unique<Dispatcher>(loop_, settings_, incarnation_, *guard_, *hub_, metrics_);
+    guard_ = std::make_unique<Guard>(loop_, settings_, metrics_, dialect_);
+    dispatcher_ = std::make_unique<Dispatcher>(
+      loop_, settings_, incarnation_, *guard_, *hub_, metrics_, dialect_);
     HttpFrontSettings http;
     http.maxBodyBytes_ = settings_.maxBodyBytes_;
     http.maxHeaderBytes_ = settings_.maxHeaderBytes_;
@@ -202,12 +205,16 @@
       loop_.Post(
         [this, grant = std::move(aGrant), aAsked] { dispatcher_->OnGrant(grant, aAsked); });
     };
+    port.setTarget_ = [this](const LocalTarget& aTarget) { guard_->SetTarget(aTarget); };
+    port.loop_ = &loop_;
     return port;
   }
 
   void StartTimers()
   {
-    Poll();
+    if (dialect_.pollsTarget_) {
+      Poll();
+    }
     KeepHouse();
   }
 
@@ -521,7 +528,11 @@
     draining_ = true;
     drainStarted_ = loop_.Now();
     LogEvent(Event::kNodeDraining, { { "host", settings_.host_.value_ } });
-    dispatcher_->SetDraining();
+    if (settings_.acceptWhileDraining_ > Duration::zero()) {
+      loop_.After(settings_.acceptWhileDraining_, [this] { StopAccepting(); });
+    } else {
+      StopAccepting();
+    }
     guard_->SetDraining();
     callers_->CloseAfterAnswers();
     const TargetHealth& health = guard_->Health();
@@ -529,10 +540,17 @@
     CheckDrained();
   }
 
+  void StopAccepting()
+  {
+    accepting_ = false;
+    dispatcher_->SetDraining();
+  }
+
   bool IsIdle() const
   {
-    return dispatcher_->Calls() == 0 && guard_->Calls() == 0 && callers_->PendingAnswers() == 0 &&
-           outbound_->PendingAnswers() == 0 && admin_->PendingAnswers() == 0;
+    return !accepting_ && dispatcher_->Calls() == 0 && guard_->Calls() == 0 &&
+           callers_->PendingAnswers() == 0 && outbound_->PendingAnswers() == 0 &&
+           admin_->PendingAnswers() == 0;
   }
 
   void CheckDrained()
@@ -596,9 +614,10 @@
 };
 
 Result<std::unique_ptr<Node>> Node::Start(const NodeSettings& aSettings,
-                                          const ControlFactory& aControl)
+                                          const ControlFactory& aControl,
+                                          const HttpDialect& aDialect)
 {
-  auto state = std::make_unique<State>(aSettings);
+  auto state = std::make_unique<State>(aSettings, aDialect);
   const auto opened = state->Open();
   if (opened.has_error()) {
     return opened.as_failure();
@@ -607,7 +626,11 @@
   if (written.has_error()) {
     return written.as_failure();
   }
-  state->control_ = aControl(state->settings_, state->incarnation_, state->MakePort());
+  auto control = aControl(state->settings_, state->incarnation_, state->MakePort());
+  if (control.has_error()) {
+    return control.as_failure();
+  }
+  state->control_ = std::move(control.assume_value());
   state->dispatcher_->requestTokens_ = [control = state->control_.get()](ShareRequest aRequest) {
     control->RequestTokens(std::move(aRequest));
   };
@@ -655,6 +678,11 @@
   state_->loop_.Post([this] { state_->Drain(); });
 }
 
+void Node::SetPolicy(const Policy& aPolicy)
+{
+  state_->loop_.Post([this, aPolicy] { state_->control_->SetPolicy(aPolicy); });
+}
+
 void Node::Stop()
 {
   state_->loop_.Post([this] { state_->loop_.Stop(); });
--- a/peridotquay/process/Node.h
+++ b/peridotquay/process/Node.h
@@ -4,6 +4,7 @@
 
 #include "peridotquay/process/ControlPlane.h"
 #include "peridotquay/process/Error.h"
+#include "peridotquay/process/HttpDialect.h"
 #include "peridotquay/process/Settings.h"
 
 #include <cstdint>
@@ -26,13 +27,14 @@
 {
 public:
   /// Makes the control side. The settings hold the bound ports instead of 0.
-  using ControlFactory =
-    std::function<std::unique_ptr<ControlPlane>(const NodeSettings&, Incarnation, SocketPort)>;
+  using ControlFactory = std::function<
+    Result<std::unique_ptr<ControlPlane>>(const NodeSettings&, Incarnation, SocketPort)>;
 
   /// Opens all listeners, then writes the port file. Errors: kAddressInUse, kOutOfRange,
-  /// kFileUnreadable (the port file can't be written).
+  /// kFileUnreadable (the port file can't be written), and those of the control side.
   static Result<std::unique_ptr<Node>> Start(const NodeSettings& aSettings,
-                                             const ControlFactory& aControl);
+                                             const ControlFactory& aControl,
+                                             const HttpDialect& aDialect = QuayDialect());
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
   ~Node();
@@ -44,6 +46,8 @@
   /// Begins to leave: refuses new work, finishes the calls in flight, hands over request records.
   /// May be called from any thread.
   void Drain();
+  /// Replaces the policy of the control side. May be called from any thread.
+  void SetPolicy(const Policy& aPolicy);
   /// Ends Run at once; calls in flight are lost. May be called from any thread.
   void Stop();
 
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 21> kKeys = { "host",
+constexpr std::array<std::string_view, 24> kKeys = { "host",
                                                      "data_centre",
                                                      "region",
                                                      "service",
@@ -36,7 +36,10 @@
                                                      "read_timeout_ms",
                                                      "drain_timeout_ms",
                                                      "seed",
-                                                     "naive" };
+                                                     "naive",
+                                                     "accept_while_draining_ms",
+                                                     "target_idle_timeout_ms",
+                                                     "adapter" };
 
 /// The parsed file with its name for errors.
 struct Document
@@ -273,6 +276,10 @@
   BOOST_OUTCOME_TRYV(
     ReadInteger(aDocument, "seed", 0, std::numeric_limits<std::int64_t>::max(), settings.seed_));
   BOOST_OUTCOME_TRYV(ReadFlag(aDocument, "naive", settings.naive_));
+  BOOST_OUTCOME_TRYV(ReadMilliseconds(
+    aDocument, "accept_while_draining_ms", 0, 600000, settings.acceptWhileDraining_));
+  BOOST_OUTCOME_TRYV(ReadMilliseconds(
+    aDocument, "target_idle_timeout_ms", 100, 600000, settings.targetIdleTimeout_));
   BOOST_OUTCOME_TRYV(CheckListenersDiffer(aDocument, settings));
   return settings;
 }
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -35,6 +35,9 @@
   std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
   Duration readTimeout_ = seconds(5); ///< A request must arrive whole within this.
   Duration drainTimeout_ = seconds(30);
+  /// After SIGTERM new requests are still taken so long, for callers that haven't noticed yet.
+  Duration acceptWhileDraining_{};
+  Duration targetIdleTimeout_ = seconds(30); ///< Unused connections to the target are closed then.
   std::uint64_t seed_ = 0; ///< Seed of all random choices; 0 takes one from the system.
   bool naive_ = false; ///< Baseline: round robin, three retries at every hop, a token bucket for
                        ///< each process, no shedding.
--- a/peridotquay/process/Time.h
+++ b/peridotquay/process/Time.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace peridotquay {
 
@@ -19,6 +20,17 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// Time that this host has been suspended since it booted; the monotonic clock doesn't count it.
+inline Duration SuspendedTime()
+{
+  const auto read = [](clockid_t aClock) {
+    timespec time{};
+    clock_gettime(aClock, &time);
+    return seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+  };
+  return read(CLOCK_BOOTTIME) - read(CLOCK_MONOTONIC);
+}
+
 /// Converts a duration to fractional seconds.
 inline double ToSeconds(Duration aDuration)
 {
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -412,6 +412,9 @@
       : aState.serviceSeconds_ + kServiceWeight * (service - aState.serviceSeconds_);
   aState.lastSample_ = aNow;
 
+  if (!aState.settings_.adaptive_) {
+    return;
+  }
   LimitWindow& window = aState.window_;
   if (window.start_ == TimePoint{}) {
     window.start_ = aNow;
@@ -442,6 +445,9 @@
 
 void NoteTargetRefusal(AdmissionState& aState, Duration aServiceTime, TimePoint aNow)
 {
+  if (!aState.settings_.adaptive_) {
+    return;
+  }
   LimitWindow& window = aState.window_;
   ++window.refusals_;
   // A call that started before the last decrease says nothing about the limit since then.
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -26,6 +26,7 @@
     1000; ///< Never above the target's announced slots, when it announces any.
   std::uint32_t queueCapacity_ = 1024; ///< Calls over all classes.
   double queueDeadlineFraction_ = 0.5; ///< Part of a call's time left that it may spend queued.
+  bool adaptive_ = true;               ///< False: the announced slots are the limit.
   bool operator==(const AdmissionSettings&) const = default;
 };
 
--- /dev/null
+++ b/peridotquay/request/RateShare.cpp
@@ -0,0 +1,396 @@
+// Estimate of the tokens that all hosts have left, and this host's part of them.
+#include "peridotquay/request/RateShare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotquay {
+
+namespace {
+
+/// Time constant of the moving average of wanted tokens.
+constexpr double kDemandSeconds = 2.0;
+
+/// Every host's demand counts as at least this part of the mean, so that a host whose demand begins
+/// has a share at once.
+constexpr double kLeastDemandPart = 0.1;
+
+/// Tokens that a host may always take at once while any are left, so that two requests of a small
+/// account that come together are served.
+constexpr double kLeastCredit = 2;
+
+/// Reports in one datagram.
+constexpr std::size_t kReportsAtOnce = 8;
+
+/// Weight of the rate before a report in the moving average of a host's use.
+constexpr double kSlowerRate = 0.6;
+
+/// Reports that come closer together say little of the rate between them.
+constexpr double kLeastRateSeconds = 0.1;
+
+/// Bounds of the hint when to come back.
+constexpr double kLeastRetryMs = 20;
+constexpr double kLongestRetryMs = 2000;
+
+/// Whether no host is heard although several should be. A host that is cut off alone notices it so
+/// long before each of the others counts as silent.
+bool IsIsolated(const RateShareState& aState, TimePoint aNow)
+{
+  const RateShareSettings& settings = aState.settings_;
+  const auto hosts = static_cast<std::int64_t>(std::max<std::size_t>(1, aState.hosts_.size()));
+  return aNow - aState.heard_ >
+         std::max<Duration>(settings.isolation_, 2 * settings.silence_ / hosts);
+}
+
+bool IsSilent(const RateShareState& aState, const HostId& aHost, TimePoint aNow)
+{
+  if (IsIsolated(aState, aNow)) {
+    return true;
+  }
+  const auto peer = aState.peers_.find(aHost);
+  return peer == aState.peers_.end() || aNow - peer->second.heard_ > aState.settings_.silence_;
+}
+
+/// Part of all hosts that this one hears, itself included. The others keep their equal part.
+double HeardPart(const RateShareState& aState, TimePoint aNow)
+{
+  const auto silent =
+    std::count_if(aState.hosts_.begin(), aState.hosts_.end(), [&](const auto& aHost) {
+      return IsSilent(aState, aHost.first, aNow);
+    });
+  const double all = static_cast<double>(aState.hosts_.size()) + 1;
+  return (all - static_cast<double>(silent)) / all;
+}
+
+/// This host's part of the demand of all hosts that it hears.
+double DemandPart(const RateShareState& aState,
+                  const ClientAccountId& aId,
+                  const AccountShare& aAccount,
+                  TimePoint aNow)
+{
+  double total = aAccount.demand_;
+  double hosts = 1;
+  for (const auto& [host, region] : aState.hosts_) {
+    if (IsSilent(aState, host, aNow)) {
+      continue;
+    }
+    hosts += 1;
+    const auto& uses = aState.peers_.at(host).uses_;
+    const auto use = uses.find(aId);
+    total += use == uses.end() ? 0 : use->second.perSecond_;
+  }
+  const double least = kLeastDemandPart * total / hosts + 1e-6;
+  return (aAccount.demand_ + least) / (total + least * hosts);
+}
+
+/// Tokens that this host may take before it hears what others took: its part of what is left, and
+/// of what the limit may be exceeded by. Over all hosts that is no more than both together.
+double MostCredit(const RateShareState& aState, const AccountShare& aAccount, double aPart)
+{
+  const RateShareSettings& settings = aState.settings_;
+  const double overshoot =
+    settings.overshootPart_ * (settings.overshootSeconds_ * aAccount.rate_ + aAccount.burst_) +
+    settings.overshootRequests_;
+  const double hosts = static_cast<double>(aState.hosts_.size()) + 1;
+  return std::max(0.0, aAccount.level_) * aPart + overshoot / hosts;
+}
+
+/// Moves the account to aNow: refill, assumed use of other hosts, credit of this host.
+void Advance(RateShareState& aState,
+             const ClientAccountId& aId,
+             AccountShare& aAccount,
+             TimePoint aNow)
+{
+  const double elapsed = std::max(0.0, ToSeconds(aNow - aAccount.updated_));
+  aAccount.updated_ = std::max(aAccount.updated_, aNow);
+  const double heard = HeardPart(aState, aNow);
+  aAccount.level_ += aAccount.rate_ * heard * elapsed;
+  for (const auto& [host, region] : aState.hosts_) {
+    if (IsSilent(aState, host, aNow)) {
+      continue;
+    }
+    auto& uses = aState.peers_.at(host).uses_;
+    const auto use = uses.find(aId);
+    if (use != uses.end()) {
+      const double assumed = use->second.perSecond_ * elapsed;
+      use->second.assumed_ += assumed;
+      aAccount.level_ -= assumed;
+    }
+  }
+  aAccount.level_ = std::min(aAccount.level_, aAccount.burst_ * heard);
+  aAccount.demand_ *= std::exp(-elapsed / kDemandSeconds);
+  const double part = DemandPart(aState, aId, aAccount, aNow);
+  const double most = std::max(kLeastCredit, MostCredit(aState, aAccount, part));
+  aAccount.credit_ =
+    std::min(aAccount.credit_ + most * elapsed / ToSeconds(aState.settings_.spread_), most);
+}
+
+void SettleGrant(RateShareState& aState, const ShareRequest& aRequest)
+{
+  const auto grant = aState.grants_.find(aRequest.grant_);
+  if (grant == aState.grants_.end()) {
+    return;
+  }
+  const double unused =
+    std::clamp(grant->second.tokens_ - aRequest.used_, 0.0, grant->second.tokens_);
+  const auto account = aState.accounts_.find(grant->second.account_);
+  if (account != aState.accounts_.end()) {
+    account->second.used_ -= unused;
+    account->second.level_ += unused;
+    account->second.credit_ += unused;
+  }
+  aState.grants_.erase(grant);
+}
+
+/// Hosts of this host's region, or all others.
+std::vector<HostId> HostsOf(const RateShareState& aState, bool aOwnRegion)
+{
+  std::vector<HostId> hosts;
+  for (const auto& [host, region] : aState.hosts_) {
+    if ((region == aState.region_) == aOwnRegion) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+/// Whether a host is one of the first of its region that are heard. A region of which none is heard
+/// yet is tried at all of its first hosts.
+bool IsRelay(const RateShareState& aState,
+             const HostId& aHost,
+             const RegionId& aRegion,
+             TimePoint aNow)
+{
+  std::size_t before = 0;
+  bool heard = aHost == aState.host_ || !IsSilent(aState, aHost, aNow);
+  bool anyHeard = heard;
+  std::size_t heardBefore = 0;
+  for (const auto& [host, region] : aState.hosts_) {
+    if (region != aRegion || host == aHost) {
+      continue;
+    }
+    const bool hears = !IsSilent(aState, host, aNow);
+    anyHeard = anyHeard || hears;
+    before += host < aHost ? 1 : 0;
+    heardBefore += host < aHost && hears ? 1 : 0;
+  }
+  if (aRegion == aState.region_ && aState.host_ < aHost) {
+    ++before;
+    ++heardBefore;
+  }
+  return anyHeard ? heard && heardBefore < aState.settings_.relays_
+                  : before < aState.settings_.relays_;
+}
+
+bool IsReportDue(const RateShareState& aState, TimePoint aNow)
+{
+  const Duration age = aNow - aState.reported_;
+  const bool used =
+    std::any_of(aState.accounts_.begin(), aState.accounts_.end(), [&](const auto& aEntry) {
+      const AccountShare& share = aEntry.second;
+      return std::abs(share.used_ - share.reported_) >=
+             std::max(1.0, aState.settings_.reportPart_ * share.burst_);
+    });
+  return age >= aState.settings_.idleReport_ || (used && age >= aState.settings_.reportInterval_);
+}
+
+RateReport OwnReport(const RateShareState& aState)
+{
+  RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {} };
+  for (const auto& [id, share] : aState.accounts_) {
+    if (share.reported_ >= 1) {
+      report.uses_.push_back({ id, static_cast<std::uint64_t>(share.reported_) });
+    }
+  }
+  return report;
+}
+
+/// The reports of the region that this host hasn't relayed yet.
+std::vector<RateReport> NewReports(RateShareState& aState)
+{
+  std::vector<RateReport> reports;
+  if (aState.sequence_ > aState.ownRelayed_) {
+    aState.ownRelayed_ = aState.sequence_;
+    reports.push_back(OwnReport(aState));
+  }
+  for (auto& [host, peer] : aState.peers_) {
+    const auto region = aState.hosts_.find(host);
+    if (region == aState.hosts_.end() || region->second != aState.region_ ||
+        peer.sequence_ <= peer.relayed_) {
+      continue;
+    }
+    peer.relayed_ = peer.sequence_;
+    RateReport report{ host, peer.incarnation_, peer.sequence_, {} };
+    for (const auto& [id, use] : peer.uses_) {
+      report.uses_.push_back({ id, static_cast<std::uint64_t>(use.used_) });
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+/// Takes what another host used; false if the report tells nothing new.
+bool NoteReport(RateShareState& aState, const RateReport& aReport, TimePoint aNow)
+{
+  if (!aState.hosts_.contains(aReport.host_)) {
+    return false;
+  }
+  SharePeer& peer = aState.peers_[aReport.host_];
+  const bool newStart = aReport.incarnation_ > peer.incarnation_;
+  if (aReport.incarnation_ < peer.incarnation_ ||
+      (!newStart && aReport.sequence_ <= peer.sequence_)) {
+    return false;
+  }
+  for (auto& [id, share] : aState.accounts_) {
+    Advance(aState, id, share, aNow);
+  }
+  const bool first = peer.heard_ == TimePoint{};
+  const double since = first ? 0 : std::max(0.0, ToSeconds(aNow - peer.heard_));
+  if (newStart) {
+    peer.uses_.clear();
+    peer.relayed_ = 0;
+  }
+  peer.incarnation_ = aReport.incarnation_;
+  peer.sequence_ = aReport.sequence_;
+  peer.heard_ = aNow;
+  aState.heard_ = aNow;
+  for (auto& [id, known] : peer.uses_) {
+    known.perSecond_ *= kSlowerRate;
+  }
+  for (const AccountUse& use : aReport.uses_) {
+    const auto account = aState.accounts_.find(use.account_);
+    if (account == aState.accounts_.end()) {
+      continue;
+    }
+    PeerUse& known = peer.uses_[use.account_];
+    const double more = static_cast<double>(use.used_) - known.used_;
+    known.used_ = static_cast<double>(use.used_);
+    // Use before this host heard of the other one is in the past.
+    if (first) {
+      continue;
+    }
+    AccountShare& share = account->second;
+    share.level_ = std::min(share.level_ - more + known.assumed_, share.burst_);
+    known.assumed_ = 0;
+    const double rate = std::max(0.0, more) / std::max(since, kLeastRateSeconds);
+    known.perSecond_ += (1 - kSlowerRate) * rate;
+  }
+  return true;
+}
+
+} // namespace
+
+void SetLimits(RateShareState& aState, const Config& aConfig, TimePoint aNow)
+{
+  std::erase_if(aState.accounts_, [&](const auto& aEntry) {
+    return !aConfig.clientAccounts_.contains(aEntry.first);
+  });
+  for (const auto& [id, account] : aConfig.clientAccounts_) {
+    const auto [entry, isNew] = aState.accounts_.try_emplace(id);
+    AccountShare& share = entry->second;
+    if (isNew) {
+      // What other hosts used of the burst isn't known, so it begins empty.
+      share.updated_ = aNow;
+    } else {
+      Advance(aState, id, share, aNow);
+    }
+    share.rate_ = account.ratePerSecond_;
+    share.burst_ = std::max(1.0, aState.settings_.burstPart_ * account.burst_);
+    share.level_ = std::min(share.level_, share.burst_);
+    share.credit_ = std::min(share.credit_, std::max(kLeastCredit, share.level_));
+  }
+}
+
+void SetShareHosts(RateShareState& aState, std::map<HostId, RegionId> aHosts, TimePoint aNow)
+{
+  aHosts.erase(aState.host_);
+  for (auto& [id, share] : aState.accounts_) {
+    Advance(aState, id, share, aNow);
+  }
+  std::erase_if(aState.peers_, [&](const auto& aEntry) { return !aHosts.contains(aEntry.first); });
+  aState.hosts_ = std::move(aHosts);
+}
+
+ShareGrant GrantTokens(RateShareState& aState, const ShareRequest& aRequest, TimePoint aNow)
+{
+  SettleGrant(aState, aRequest);
+  // Tokens of an expired grant count as used.
+  std::erase_if(aState.grants_,
+                [aNow](const auto& aEntry) { return aNow >= aEntry.second.expires_; });
+  ShareGrant reply;
+  reply.nonce_ = aRequest.nonce_;
+  reply.clientAccount_ = aRequest.clientAccount_;
+  const auto entry = aState.accounts_.find(aRequest.clientAccount_);
+  if (entry == aState.accounts_.end() || aRequest.wanted_ < 1) {
+    return reply;
+  }
+  AccountShare& account = entry->second;
+  Advance(aState, entry->first, account, aNow);
+  account.demand_ += aRequest.wanted_ / kDemandSeconds;
+  const double tokens = std::floor(std::min({ aRequest.wanted_, account.credit_, account.level_ }));
+  if (tokens < 1) {
+    const double part = DemandPart(aState, entry->first, account, aNow);
+    const double wait = 1000 / std::max(1e-3, account.rate_ * part);
+    reply.retryAfterMs_ =
+      static_cast<std::uint32_t>(std::clamp(wait, kLeastRetryMs, kLongestRetryMs));
+    return reply;
+  }
+  account.credit_ -= tokens;
+  account.level_ -= tokens;
+  account.used_ += tokens;
+  reply.grant_ = aState.nextGrant_++;
+  reply.tokens_ = tokens;
+  reply.lifetimeMs_ = static_cast<std::uint32_t>(
+    std::chrono::duration_cast<milliseconds>(aState.settings_.grantLifetime_).count());
+  aState.grants_[reply.grant_] = { entry->first, tokens, aNow + aState.settings_.grantLifetime_ };
+  return reply;
+}
+
+std::vector<ReportStep> DueReports(RateShareState& aState, TimePoint aNow)
+{
+  std::vector<ReportStep> steps;
+  if (IsReportDue(aState, aNow)) {
+    aState.reported_ = aNow;
+    ++aState.sequence_;
+    for (auto& [id, share] : aState.accounts_) {
+      share.reported_ = share.used_;
+    }
+    steps.push_back({ { { OwnReport(aState) } }, HostsOf(aState, true) });
+  }
+  if (!IsRelay(aState, aState.host_, aState.region_, aNow) ||
+      aNow - aState.relayed_ < aState.settings_.relayInterval_) {
+    return steps;
+  }
+  aState.relayed_ = aNow;
+  std::vector<RateReport> reports = NewReports(aState);
+  std::vector<HostId> relays = HostsOf(aState, false);
+  std::erase_if(relays, [&](const HostId& aHost) {
+    return !IsRelay(aState, aHost, aState.hosts_.at(aHost), aNow);
+  });
+  for (std::size_t first = 0; !relays.empty() && first < reports.size(); first += kReportsAtOnce) {
+    const auto begin = reports.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto end = reports.begin() +
+                     static_cast<std::ptrdiff_t>(std::min(first + kReportsAtOnce, reports.size()));
+    steps.push_back({ { { begin, end } }, relays });
+  }
+  return steps;
+}
+
+std::optional<ReportStep> NoteReports(RateShareState& aState,
+                                      const RateReports& aReports,
+                                      TimePoint aNow)
+{
+  ReportStep onward;
+  for (const RateReport& report : aReports.reports_) {
+    if (NoteReport(aState, report, aNow) && aState.hosts_.at(report.host_) != aState.region_) {
+      onward.reports_.reports_.push_back(report);
+    }
+  }
+  if (onward.reports_.reports_.empty() || !IsRelay(aState, aState.host_, aState.region_, aNow)) {
+    return std::nullopt;
+  }
+  onward.to_ = HostsOf(aState, true);
+  return onward;
+}
+
+} // namespace peridotquay
--- /dev/null
+++ b/peridotquay/request/RateShare.h
@@ -0,0 +1,132 @@
+// Holds client accounts to their rate and burst over all hosts without a leader: hosts report what
+// they used to each other, and each takes its part of what all of them left.
+#pragma once
+
+#include "peridotquay/connection/PeerMessage.h"
+#include "peridotquay/process/Time.h"
+#include "peridotquay/version/Config.h"
+#include "peridotquay/version/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace peridotquay {
+
+/// Settings of the shares.
+struct RateShareSettings
+{
+  /// What is left of a burst is handed out over this time, so that use that isn't reported yet
+  /// can't exceed it.
+  Duration spread_ = milliseconds(300);
+  /// Use is reported after this time if it is more than reportPart_ of the burst.
+  Duration reportInterval_ = milliseconds(200);
+  double reportPart_ = 0.01;
+  /// Reports of a region are relayed to other regions, whose links are slow and paid by volume, at
+  /// most this often.
+  Duration relayInterval_ = milliseconds(250);
+  /// Hosts of each region that relay; two, so that one of them may be gone.
+  std::size_t relays_ = 2;
+  /// What the limit may be exceeded by: a part of what is allowed in overshootSeconds_, and a
+  /// number of requests. Divided among the hosts, it lets each take a few requests at once.
+  double overshootPart_ = 0.05;
+  double overshootSeconds_ = 5;
+  double overshootRequests_ = 6;
+  /// Part of a burst that is handed out; the rest covers use that is not known during a cut.
+  double burstPart_ = 0.8;
+  /// Longest time between two reports; one without use shows that the host is there.
+  Duration idleReport_ = milliseconds(600);
+  /// A host without a report for this long is taken to use its equal part.
+  Duration silence_ = milliseconds(1500);
+  /// A host that hears nobody for this long is taken to be cut off from all.
+  Duration isolation_ = milliseconds(400);
+  Duration grantLifetime_ = milliseconds(1000);
+  bool operator==(const RateShareSettings&) const = default;
+};
+
+/// Use of one account by one other host.
+struct PeerUse
+{
+  double used_ = 0;      ///< Since the start of that host, as it reported last.
+  double perSecond_ = 0; ///< Between its last reports; assumed to go on until the next one.
+  double assumed_ = 0;   ///< Taken off the level since the last report.
+};
+
+/// Another host.
+struct SharePeer
+{
+  Incarnation incarnation_ = 0;
+  std::uint64_t sequence_ = 0; ///< Of its last report.
+  TimePoint heard_{};
+  std::map<ClientAccountId, PeerUse> uses_;
+  std::uint64_t relayed_ = 0; ///< Sequence of its last report that this host relayed.
+};
+
+/// One account as this host sees it.
+struct AccountShare
+{
+  double rate_ = 0;
+  double burst_ = 0;
+  double level_ = 0;  ///< Tokens that all hosts together have left; at most burst_.
+  double credit_ = 0; ///< Tokens that this host may grant now; at least 0.
+  double used_ = 0;   ///< Granted by this host and not given back, since its start.
+  double reported_ = 0;
+  double demand_ = 0; ///< Moving average of tokens wanted a second.
+  TimePoint updated_{};
+};
+
+/// A grant to this host's own cache whose use isn't known yet.
+struct OpenGrant
+{
+  ClientAccountId account_;
+  double tokens_ = 0;
+  TimePoint expires_{};
+};
+
+/// State of one host. Changed only through the functions below.
+struct RateShareState
+{
+  RateShareSettings settings_;
+  HostId host_;
+  RegionId region_;
+  Incarnation incarnation_ = 0;
+  std::map<ClientAccountId, AccountShare> accounts_;
+  std::map<HostId, RegionId> hosts_; ///< All other hosts.
+  std::map<HostId, SharePeer> peers_;
+  std::map<std::uint64_t, OpenGrant> grants_;
+  std::uint64_t nextGrant_ = 1;
+  std::uint64_t sequence_ = 0; ///< Of the last own report.
+  TimePoint heard_{};          ///< When any other host was heard last.
+  TimePoint reported_{};
+  TimePoint relayed_{};
+  std::uint64_t ownRelayed_ = 0; ///< Sequence of the last own report that this host relayed.
+};
+
+/// Reports and the hosts that must get them.
+struct ReportStep
+{
+  RateReports reports_;
+  std::vector<HostId> to_;
+};
+
+/// Takes the limits of a configuration. A lowered burst takes effect at once.
+void SetLimits(RateShareState& aState, const Config& aConfig, TimePoint aNow);
+
+/// Takes the other hosts that may grant tokens.
+void SetShareHosts(RateShareState& aState, std::map<HostId, RegionId> aHosts, TimePoint aNow);
+
+/// Settles the use of an earlier grant and grants tokens, or says when to come back.
+ShareGrant GrantTokens(RateShareState& aState, const ShareRequest& aRequest, TimePoint aNow);
+
+/// Reports that are due: the own one to the hosts of the region, and those of the region to the
+/// relays of other regions. Call about every 100 ms.
+std::vector<ReportStep> DueReports(RateShareState& aState, TimePoint aNow);
+
+/// Takes reports of other hosts. Late and repeated ones have no effect. Returns what this host must
+/// pass on to its region.
+std::optional<ReportStep> NoteReports(RateShareState& aState,
+                                      const RateReports& aReports,
+                                      TimePoint aNow);
+
+} // namespace peridotquay
--- a/peridotquay/request/RetryBudget.cpp
+++ b/peridotquay/request/RetryBudget.cpp
@@ -10,9 +10,6 @@
 /// Absorbs rounding: ten additions of 0.1 give slightly less than one token.
 constexpr double kTokenSlack = 1e-9;
 
-/// Each route may retry once in this time, whatever its ratio.
-constexpr Duration kLeastRetryInterval = seconds(1);
-
 } // namespace
 
 std::uint32_t LendRetries(RetryBudget& aBudget)
@@ -43,19 +40,19 @@
   return true;
 }
 
-void NoteFirstTry(RetryRatio& aRatio, double aPerFirstTry)
+void NoteFirstTry(RetryRatio& aRatio, const RetryRatioSettings& aSettings)
 {
-  aRatio.tokens_ = std::min(kRetryRatioCap, aRatio.tokens_ + std::max(0.0, aPerFirstTry));
+  aRatio.tokens_ = std::min(aSettings.cap_, aRatio.tokens_ + std::max(0.0, aSettings.perFirstTry_));
 }
 
-bool TakeRetryToken(RetryRatio& aRatio, TimePoint aNow)
+bool TakeRetryToken(RetryRatio& aRatio, const RetryRatioSettings& aSettings, TimePoint aNow)
 {
   if (aRatio.tokens_ >= 1 - kTokenSlack) {
     aRatio.tokens_ = std::max(0.0, aRatio.tokens_ - 1);
     aRatio.last_ = aNow;
     return true;
   }
-  if (aNow - aRatio.last_ >= kLeastRetryInterval) {
+  if (aNow - aRatio.last_ >= aSettings.leastInterval_) {
     aRatio.last_ = aNow;
     return true;
   }
--- a/peridotquay/request/RetryBudget.h
+++ b/peridotquay/request/RetryBudget.h
@@ -26,22 +26,29 @@
 /// Spends one retry; false if none is left.
 bool SpendRetry(RetryBudget& aBudget);
 
-/// Token ratio of one route at one node: retries are at most ratio * first tries, and at least one
-/// a second.
+/// Limits of a token ratio.
+struct RetryRatioSettings
+{
+  double perFirstTry_ = 0.1; ///< Tokens earned by a first try.
+  double cap_ = 10;          ///< Most saved tokens, so that a quiet hour doesn't pay for a storm.
+  /// With no tokens left, one retry is allowed after this time.
+  Duration leastInterval_ = seconds(1);
+  bool operator==(const RetryRatioSettings&) const = default;
+};
+
+/// Token ratio of one service at one node: retries are at most ratio * first tries, and at least
+/// one in each least interval.
 struct RetryRatio
 {
-  double tokens_ = 1; ///< 0 to kRetryRatioCap.
+  double tokens_ = 1; ///< 0 to the cap.
   TimePoint last_{};
   bool operator==(const RetryRatio&) const = default;
 };
 
-/// Upper bound of saved retry tokens, so that a quiet hour doesn't pay for a storm.
-inline constexpr double kRetryRatioCap = 10;
-
 /// Counts a first try.
-void NoteFirstTry(RetryRatio& aRatio, double aPerFirstTry);
+void NoteFirstTry(RetryRatio& aRatio, const RetryRatioSettings& aSettings);
 
-/// Takes one retry token; false if the route has spent its ratio.
-bool TakeRetryToken(RetryRatio& aRatio, TimePoint aNow);
+/// Takes one retry token; false if the service has spent its ratio.
+bool TakeRetryToken(RetryRatio& aRatio, const RetryRatioSettings& aSettings, TimePoint aNow);
 
 } // namespace peridotquay
--- a/peridotquay/version/Config.cpp
+++ b/peridotquay/version/Config.cpp
@@ -105,6 +105,32 @@
   return nullptr;
 }
 
+const Route* FindHostRoute(const Config& aConfig, std::string_view aHost, std::string_view aPath)
+{
+  // Routes are sorted by falling prefix length, so the first match is the longest.
+  const auto found =
+    std::find_if(aConfig.routes_.begin(), aConfig.routes_.end(), [&](const Route& aRoute) {
+      return aPath.starts_with(aRoute.prefix_) && aRoute.host_ == aHost;
+    });
+  return found == aConfig.routes_.end() ? nullptr : &*found;
+}
+
+Importance ImportanceFor(const Config& aConfig, const ClientAccount& aAccount, const Route& aRoute)
+{
+  std::uint32_t accounts = 0;
+  for (const auto& [id, account] : aConfig.clientAccounts_) {
+    accounts = std::max(accounts, account.priority_);
+  }
+  std::uint32_t routes = 0;
+  for (const Route& route : aConfig.routes_) {
+    routes = std::max(routes, route.priority_);
+  }
+  const std::uint32_t ranks = (accounts + 1) * (routes + 1);
+  const std::uint32_t rank = aAccount.priority_ * (routes + 1) + aRoute.priority_;
+  constexpr std::uint32_t kClasses = kImportanceClasses - 1;
+  return static_cast<Importance>(1 + std::min(kClasses - 1, rank * kClasses / ranks));
+}
+
 const ClientAccount* FindKey(const Config& aConfig, std::string_view aDigestHex)
 {
   if (aDigestHex.size() != kDigestDigits) {
--- a/peridotquay/version/Config.h
+++ b/peridotquay/version/Config.h
@@ -17,26 +17,39 @@
 struct ClientAccount
 {
   ClientAccountId id_;
-  double ratePerSecond_ = 0; ///< Requests a second; more than 0.
+  double ratePerSecond_ = 0; ///< Requests a second; 0 for no limit.
   double burst_ = 0;         ///< Requests; at least 1.
   /// Largest part of rate and burst that the data centre of this Config may hold; above 0, at most
   /// 1. Set below 1 by the overlay of a site only.
   double siteRatePart_ = 1.0;
+  std::uint32_t priority_ = 0; ///< 0 is the most important; ranks before a route's priority.
   bool operator==(const ClientAccount&) const = default;
 };
 
+/// A service's part of a route's requests.
+struct RoutePart
+{
+  ServiceId service_;
+  double weight_ = 0; ///< Relative to the other parts; not negative.
+  bool operator==(const RoutePart&) const = default;
+};
+
 /// Maps a path prefix to a service.
 struct Route
 {
   RouteId id_;
+  std::string host_;   ///< Host name that requests must carry; empty for any.
   std::string prefix_; ///< Begins with '/'. The longest matching prefix wins.
   ServiceId service_;
+  std::vector<RoutePart> split_; ///< If set, requests go to these in proportion, not to service_.
   Importance importance_ = Importance::kNormal;
+  std::uint32_t priority_ = 0;   ///< 0 is the most important.
   bool repeatable_ = true;       ///< False: runs at most once.
   bool open_ = false;            ///< True: needs no key and counts for no client account.
   std::uint32_t maxRetries_ = 3; ///< Upper bound of the retry budget; 0 to 16.
   Duration deadline_ =
-    milliseconds(2000); ///< Used when the caller gives none, and its upper bound.
+    milliseconds(2000);  ///< Used when the caller gives none, and its upper bound.
+  Duration objective_{}; ///< An answer within this has its full value; 0 if not stated.
   std::vector<ClientAccountId> clientAccounts_; ///< Allowed client accounts; empty allows all.
   bool operator==(const Route&) const = default;
 };
@@ -57,7 +70,11 @@
   double floorFraction_ = 0.25;        ///< Part of each rate held as long-lived floors; 0 to 0.9.
   Duration floorLease_ = seconds(600); ///< Lease of floors.
   Duration elasticLease_ = seconds(5); ///< Lease of elastic shares.
-  double retryRatio_ = 0.1;            ///< Retries for each first try on a route; 0 to 1.
+  double retryRatio_ = 0.1;            ///< Retries for each first try at a service; 0 to 1.
+  /// Most retries that a host saves up for a service.
+  double retryCap_ = 10;
+  /// Time after which a service may be retried once even if the ratio is spent.
+  Duration leastRetryInterval_ = seconds(1);
   std::uint32_t queueCapacity_ = 1024; ///< Calls queued at a guard; 0 to 1,024.
   double queueDeadlineFraction_ = 0.5; ///< Part of the time left that a call may spend queued.
   bool operator==(const Policy&) const = default;
@@ -73,6 +90,9 @@
   std::vector<Route> routes_; ///< Sorted by falling prefix length, then by prefix.
   std::map<DataCentreId, Site> sites_;
   Policy policy_;
+  /// Routes are chosen by host and exact prefix, without interpreting the path.
+  bool routesByHost_ = false;
+  std::map<ServiceId, std::string> healthPaths_; ///< Services whose targets have a health check.
   bool operator==(const Config&) const = default;
 };
 
@@ -81,6 +101,13 @@
 /// or slashes). A query is ignored.
 const Route* FindRoute(const Config& aConfig, std::string_view aPath);
 
+/// The route of the host with the longest prefix that begins the path; null if none does.
+const Route* FindHostRoute(const Config& aConfig, std::string_view aHost, std::string_view aPath);
+
+/// Importance of an account's requests on a route: the account's priority ranks before the route's.
+/// kCritical is left to calls without an account.
+Importance ImportanceFor(const Config& aConfig, const ClientAccount& aAccount, const Route& aRoute);
+
 /// The client account of a key given by its digest, compared in constant time; null for unknown and
 /// withdrawn keys.
 const ClientAccount* FindKey(const Config& aConfig, std::string_view aDigestHex);
--- a/programs/quayd.cpp
+++ b/programs/quayd.cpp
@@ -3,18 +3,30 @@
 #include "peridotquay/process/MakeControlPlane.h"
 #include "peridotquay/process/Node.h"
 #include "peridotquay/process/Settings.h"
+#include "peridotquay/process/TomlPlaces.h"
+
+#include "platform/PlatformControl.h"
+#include "platform/PlatformDialect.h"
+#include "platform/PlatformSettings.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <boost/outcome/try.hpp>
 #include <glog/logging.h>
+#include <sys/stat.h>
 
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <cstdint>
+#include <cstdlib>
 #include <iostream>
+#include <memory>
+#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 ABSL_FLAG(std::string, config, "", "settings file (TOML)");
@@ -25,11 +37,15 @@
 namespace {
 
 constexpr const char* kUsage =
-  "Overload control node. SIGTERM drains; a second SIGTERM ends the process at once.\n"
+  "Overload control node. SIGTERM drains; a second SIGTERM ends the process at once. SIGHUP reads\n"
+  "the settings file again; a changed file is also noticed without a signal.\n"
   "Exit codes: 0 drained or settings valid, 1 usage, 3 settings file unreadable, 4 syntax error,\n"
   "5 unknown setting, 6 wrong type, 7 value out of range, 8 setting missing, 9 contradiction,\n"
   "10 address in use, 11 port file not writable, 12 ended at once, 20 other failure.";
 
+// A settings file that was changed without a signal is noticed after this.
+constexpr timespec kSettingsCheck{ 2, 0 };
+
 constexpr int kExitUsage = 1;
 constexpr int kExitPortFile = 11;
 constexpr int kExitStopped = 12;
@@ -65,16 +81,93 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   sigaddset(&signals, SIGUSR1);
   return signals;
 }
 
+/// What the settings file says.
+struct FileSettings
+{
+  NodeSettings node_;
+  std::optional<platform::PlatformSettings> platform_; ///< Set on the users' platform.
+  bool operator==(const FileSettings&) const = default;
+};
+
+Result<FileSettings> ReadSettings(const std::string& aFile)
+{
+  BOOST_OUTCOME_TRY(text, ReadWholeFile(aFile));
+  FileSettings settings;
+  BOOST_OUTCOME_TRY(node, ParseNodeSettingsText(text, aFile));
+  settings.node_ = std::move(node);
+  BOOST_OUTCOME_TRY(adapted, platform::HasPlatformSettings(text, aFile));
+  if (adapted) {
+    BOOST_OUTCOME_TRY(adapter, platform::ParsePlatformSettings(text, aFile));
+    settings.platform_ = std::move(adapter);
+  }
+  return settings;
+}
+
+/// Time of the file's last change in nanoseconds; 0 if it can't be read.
+std::int64_t ChangeTime(const std::string& aFile)
+{
+  struct stat status
+  {};
+  if (stat(aFile.c_str(), &status) != 0) {
+    return 0;
+  }
+  return static_cast<std::int64_t>(status.st_mtim.tv_sec) * 1'000'000'000 + status.st_mtim.tv_nsec;
+}
+
+/// The settings in force and the file that they came from.
+class SettingsFile
+{
+public:
+  SettingsFile(std::string aFile, FileSettings aSettings)
+    : file_(std::move(aFile))
+    , changed_(ChangeTime(file_))
+    , settings_(std::move(aSettings))
+  {
+  }
+
+  bool HasChanged() const { return ChangeTime(file_) != changed_; }
+
+  /// Reads the file again. Settings of the policy take effect at once, others with the next start;
+  /// a file with errors changes nothing.
+  void Reload(Node& aNode)
+  {
+    changed_ = ChangeTime(file_);
+    auto read = ReadSettings(file_);
+    if (read.has_error()) {
+      LogEvent(Event::kSettingsRejected, { { "error", Describe(read.assume_error()) } });
+      return;
+    }
+    const FileSettings& next = read.assume_value();
+    const bool policy = next.platform_ && settings_.platform_ &&
+                        next.platform_->policy_ != settings_.platform_->policy_;
+    FileSettings applied = settings_;
+    if (policy) {
+      applied.platform_->policy_ = next.platform_->policy_;
+      aNode.SetPolicy(next.platform_->policy_);
+    }
+    LogEvent(Event::kSettingsReloaded,
+             { { "policy_changed", policy ? "true" : "false" },
+               { "needs_restart", applied == next ? "false" : "true" } });
+    settings_ = std::move(applied);
+  }
+
+private:
+  std::string file_;
+  std::int64_t changed_ = 0;
+  FileSettings settings_; ///< In force.
+};
+
 // Waits for signals on its own thread, so that no code runs in a signal handler.
 class SignalThread
 {
 public:
-  explicit SignalThread(Node& aNode)
-    : thread_([this, &aNode] { Wait(aNode); })
+  SignalThread(Node& aNode, SettingsFile& aSettings)
+    : thread_([this, &aNode, &aSettings] { Wait(aNode, aSettings); })
   {
   }
   SignalThread(const SignalThread&) = delete;
@@ -88,13 +181,16 @@
   bool Stopped() const { return stopped_; }
 
 private:
-  void Wait(Node& aNode)
+  void Wait(Node& aNode, SettingsFile& aSettings)
   {
     const sigset_t signals = HandledSignals();
-    int received = 0;
     bool draining = false;
-    while (!ending_ && sigwait(&signals, &received) == 0) {
-      if (received == SIGUSR1) {
+    while (!ending_) {
+      const int received = sigtimedwait(&signals, nullptr, &kSettingsCheck);
+      if (received == SIGHUP || (received < 0 && aSettings.HasChanged())) {
+        aSettings.Reload(aNode);
+      }
+      if (received < 0 || received == SIGUSR1 || received == SIGHUP) {
         continue;
       }
       if (draining) {
@@ -112,9 +208,28 @@
   std::thread thread_;
 };
 
-int Serve(const NodeSettings& aSettings)
+Result<std::unique_ptr<Node>> StartNode(const FileSettings& aSettings)
+{
+  if (!aSettings.platform_) {
+    return Node::Start(aSettings.node_,
+                       [](const NodeSettings& aNode,
+                          Incarnation aIncarnation,
+                          SocketPort aPort) -> Result<std::unique_ptr<ControlPlane>> {
+                         return MakeControlPlane(aNode, aIncarnation, std::move(aPort));
+                       });
+  }
+  return Node::Start(
+    aSettings.node_,
+    [&](const NodeSettings& aNode, Incarnation aIncarnation, SocketPort aPort) {
+      return platform::StartPlatformControl(
+        *aSettings.platform_, aNode, aIncarnation, std::move(aPort));
+    },
+    platform::PlatformDialect());
+}
+
+int Serve(const std::string& aFile, const FileSettings& aSettings)
 {
-  auto node = Node::Start(aSettings, &MakeControlPlane);
+  auto node = StartNode(aSettings);
   if (node.has_error()) {
     const Error& error = node.assume_error();
     const bool portFile = error.code_ == ErrorCode::kFileUnreadable;
@@ -122,7 +237,8 @@
     std::cerr << "quayd: " << Describe(error) << "\n";
     return portFile ? kExitPortFile : ExitCodeOf(error.code_);
   }
-  const SignalThread signals(*node.assume_value());
+  SettingsFile file(aFile, aSettings);
+  const SignalThread signals(*node.assume_value(), file);
   node.assume_value()->Run();
   return signals.Stopped() ? kExitStopped : 0;
 }
@@ -154,12 +270,16 @@
     pointers.push_back(argument.data());
   }
   const auto rest = absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
-  const std::string file = absl::GetFlag(FLAGS_config);
+  std::string file = absl::GetFlag(FLAGS_config);
+  if (const char* named = std::getenv("PERIDOTQUAY_CONFIG"); file.empty() && named != nullptr) {
+    file = named;
+  }
   if (rest.size() != 1 || file.empty()) {
-    std::cerr << "quayd: --config FILE is required and takes no further arguments\n";
+    std::cerr
+      << "quayd: --config FILE or PERIDOTQUAY_CONFIG is required, and no further arguments\n";
     return kExitUsage;
   }
-  const auto settings = ParseNodeSettings(file);
+  const auto settings = ReadSettings(file);
   const bool checkOnly = absl::GetFlag(FLAGS_check_config);
   if (settings.has_error()) {
     std::cerr << "quayd: " << Describe(settings.assume_error()) << "\n";
@@ -174,7 +294,7 @@
     std::cout << file << ": valid\n";
     return 0;
   }
-  const std::string logDirectory = settings.assume_value().logDirectory_;
+  const std::string logDirectory = settings.assume_value().node_.logDirectory_;
   if (logDirectory.empty()) {
     FLAGS_logtostderr = true;
   } else {
@@ -185,7 +305,7 @@
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  const int code = Serve(settings.assume_value());
+  const int code = Serve(file, settings.assume_value());
   google::ShutdownGoogleLogging();
   return code;
 }
--- a/tests/connection/HttpFrontTest.cpp
+++ b/tests/connection/HttpFrontTest.cpp
@@ -243,6 +243,60 @@
   }
 }
 
+// Guards against an answer to an earlier request that is given to the next one, and against an
+// answer that was reset and passes as ended by closing.
+TEST_CASE("answers are told apart by what they echo and how they end", "[target]")
+{
+  struct Script
+  {
+    std::string name_;
+    std::string answer_;
+    bool reset_;
+    TargetEnd end_;
+  };
+  const std::string right = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok";
+  const std::string late = "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold";
+  const std::string unframed = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nok";
+  const std::vector<Script> scripts = {
+    { "right", right, false, TargetEnd::kAnswered },
+    { "late one first", late + right, false, TargetEnd::kAnswered },
+    { "late one only", late, false, TargetEnd::kTruncated },
+    { "unframed", unframed, false, TargetEnd::kAnswered },
+    { "unframed, reset", unframed, true, TargetEnd::kTruncated }
+  };
+  for (const auto& script : scripts) {
+    INFO(script.name_);
+    RawListener listener;
+    std::thread target([&] {
+      RawSocket socket = listener.Accept();
+      socket.ReadUntil("\r\n\r\n");
+      socket.Write(script.answer_);
+      if (script.reset_) {
+        std::this_thread::sleep_for(milliseconds(50));
+        const linger reset{ 1, 0 };
+        ::setsockopt(socket.Descriptor(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+      }
+    });
+    EventLoop loop;
+    TargetClientSettings settings;
+    settings.target_ = { "127.0.0.1", listener.Port() };
+    settings.echoHeader_ = "X-Id";
+    settings.endsByClose_ = true;
+    TargetClient client(loop, settings);
+    TargetResult result;
+    client.Send({ "GET", "/", { { "X-Id", "7" } }, "" }, [&](TargetResult aResult) {
+      result = std::move(aResult);
+      loop.Stop();
+    });
+    loop.Run();
+    target.join();
+    CHECK(result.end_ == script.end_);
+    if (script.end_ == TargetEnd::kAnswered) {
+      CHECK(result.response_.body_ == "ok");
+    }
+  }
+}
+
 // Guards against a refusal that claims "not run" for a request that reached the target.
 TEST_CASE("no connection means that nothing was sent", "[target]")
 {
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -83,6 +83,7 @@
            ShareRequest{ 1, { "acc" }, 2, 0.5, 10 },
            ShareGrant{ 1, { "acc" }, 3, 10, 1000, 0 },
            Summary{ { "dc1" }, 2, 100, true, { SampleMember() } },
+           RateReports{ { { { "h1" }, 7, 3, { { { "parish" }, 12 } } } } },
            RequestHandover{
              { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true } };
 }
--- /dev/null
+++ b/tests/platform/DecoderTest.cpp
@@ -0,0 +1,281 @@
+// Tests of everything that the adapter decodes: configuration, heartbeats, host records, rows and
+// settings.
+#include "peridotquay/process/Settings.h"
+
+#include "platform/ConfigDecoder.h"
+#include "platform/Heartbeat.h"
+#include "platform/HostRecord.h"
+#include "platform/PlatformSettings.h"
+#include "platform/StoreClient.h"
+#include "tests/version/Mutate.h"
+#include "tests/version/ResultValue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotquay;
+using namespace peridotquay::platform;
+
+namespace {
+
+const std::string kDocument = R"({"version":"r7","routes":{
+  "a":{"host":"h.example","prefix":"/x/","kind":"safe","timeout_ms":1500,"latency_target_ms":900,"priority":2,
+       "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2,"public":false},
+  "b":{"host":"h.example","prefix":"/x/y/","kind":"unsafe","timeout_ms":800,"priority":0,"service":"s1",
+       "max_attempts":1,"public":true}},
+  "services":{"s1":{"health_path":"/health","max_connections":424}},
+  "limits":{"max_header_bytes":16384},
+  "tenants":{"t1":{"api_keys":["k1","k2"],"priority":1,"rate_per_s":51,"burst":60},"t2":{"api_keys":[]}}})";
+
+const std::string kHeartbeat =
+  R"({"service":"s1","address":"10.0.0.1:80","zone":"z","version":"v1","capacity":54,"state":"ready",
+      "cold_remaining_ms":3000,"sequence":4,"born":1700000000000})";
+
+const std::string kRows =
+  R"({"rows":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","ver":412},
+  {"table":"t","part":"","key":"b","ver":413,"deleted":true}],"has_more":true,"ver":530,"now_ms":51230})";
+
+const std::string kSettings = R"([adapter]
+store = "10.0.0.7:8545"
+ready = "10.0.0.1:8546"
+heartbeats = "10.0.0.1:8540"
+heartbeat_ms = 1500
+key_freshness_ms = 5000
+retry_ratio = 0.1
+retry_cap = 1.5
+retry_interval_ms = 8000
+queue_deadline_fraction = 0.6
+)";
+
+HostRecord SomeRecord()
+{
+  HostRecord record;
+  record.host_ = { "side-1" };
+  record.incarnation_ = 17;
+  record.peer_ = { "10.0.0.1", 7000 };
+  record.dataCentre_ = { "z" };
+  record.region_ = { "r" };
+  record.service_ = { "s1" };
+  record.targetId_ = "i-1";
+  record.state_ = TargetState::kReady;
+  record.slots_ = 54;
+  return record;
+}
+
+} // namespace
+
+// Guards against a field of the operator's document that gets another meaning on the way.
+TEST_CASE("a configuration document is decoded field by field", "[platform]")
+{
+  const auto config = Value(DecodeConfig(kDocument, Policy{}));
+  CHECK(config->version_ == 7);
+  const Route* split = FindHostRoute(*config, "h.example", "/x/1");
+  const Route* longer = FindHostRoute(*config, "h.example", "/x/y/1");
+  REQUIRE(split != nullptr);
+  REQUIRE(longer != nullptr);
+  CHECK(FindHostRoute(*config, "other.example", "/x/1") == nullptr);
+  CHECK(FindHostRoute(*config, "h.example", "/x") == nullptr);
+  CHECK(split->repeatable_);
+  CHECK(split->maxRetries_ == 1);
+  CHECK(split->deadline_ == milliseconds(1500));
+  CHECK(split->objective_ == milliseconds(900));
+  CHECK(split->split_ == std::vector<RoutePart>{ { { "s1" }, 90 }, { { "s2" }, 10 } });
+  CHECK_FALSE(longer->repeatable_);
+  CHECK(longer->open_);
+  CHECK(longer->maxRetries_ == 0);
+  const ClientAccount* account = FindKey(*config, KeyDigest("k2"));
+  REQUIRE(account != nullptr);
+  CHECK(account->id_.value_ == "t1");
+  CHECK(account->ratePerSecond_ == 51);
+  CHECK(account->burst_ == 60);
+  CHECK(FindKey(*config, KeyDigest("k3")) == nullptr);
+  CHECK(config->clientAccounts_.at({ "t2" }).ratePerSecond_ == 0);
+  CHECK(config->healthPaths_.at({ "s1" }) == "/health");
+}
+
+// Guards against a request of unknown kind that runs twice.
+TEST_CASE("a route of unknown kind runs at most once", "[platform]")
+{
+  auto text = kDocument;
+  text.replace(text.find("\"safe\""), 6, "\"keyed\"");
+  const auto config = Value(DecodeConfig(text, Policy{}));
+  CHECK_FALSE(FindHostRoute(*config, "h.example", "/x/1")->repeatable_);
+}
+
+// Guards against a document that is used in part.
+TEST_CASE("a malformed document is refused with the entry concerned", "[platform]")
+{
+  struct Fault
+  {
+    const char* from_;
+    const char* to_;
+    const char* subject_;
+  };
+  for (const Fault& fault :
+       { Fault{ "\"r7\"", "\"x7\"", "version" },
+         Fault{ "\"r7\"", "7", "version" },
+         Fault{ "\"timeout_ms\":800", "\"timeout_ms\":-1", "routes.b.timeout_ms" },
+         Fault{ "\"/x/y/\"", "5", "routes.b.prefix" },
+         Fault{ "\"service\":\"s1\",\n       \"max", "\"max", "routes.b" },
+         Fault{ "[\"k1\",\"k2\"]", "\"k1\"", "tenants.t1.api_keys" },
+         Fault{ "\"burst\":60", "\"burst\":\"60\"", "tenants.t1.burst" } }) {
+    auto text = kDocument;
+    INFO(fault.from_ << " -> " << fault.to_);
+    REQUIRE(text.find(fault.from_) != std::string::npos);
+    text.replace(text.find(fault.from_), std::string(fault.from_).size(), fault.to_);
+    const Error error = Failure(DecodeConfig(text, Policy{}));
+    CHECK(error.code_ == ErrorCode::kPlatformMalformed);
+    CHECK(error.subject_ == fault.subject_);
+  }
+}
+
+// Guards against an order that puts a route's priority before the account's.
+TEST_CASE("an account's priority ranks before the route's", "[platform]")
+{
+  Config config;
+  config.clientAccounts_[{ "a" }] = { { "a" }, 0, 0, 1, 0 };
+  config.clientAccounts_[{ "b" }] = { { "b" }, 0, 0, 1, 2 };
+  Route urgent;
+  urgent.priority_ = 0;
+  Route other;
+  other.priority_ = 2;
+  config.routes_ = { urgent, other };
+  const auto& a = config.clientAccounts_.at({ "a" });
+  const auto& b = config.clientAccounts_.at({ "b" });
+  CHECK(ImportanceFor(config, a, other) <= ImportanceFor(config, b, urgent));
+  CHECK(ImportanceFor(config, a, urgent) <= ImportanceFor(config, a, other));
+  CHECK(ImportanceFor(config, a, urgent) > Importance::kCritical);
+}
+
+// Guards against a late report of an earlier start that brings a dead target back.
+TEST_CASE("heartbeats are ordered by start and sequence", "[platform]")
+{
+  const Heartbeat first = Value(DecodeHeartbeat("i-1", kHeartbeat));
+  CHECK(first.slots_ == 54);
+  CHECK(first.coldMs_ == 3000);
+  CHECK_FALSE(first.draining_);
+  Heartbeat next = first;
+  next.sequence_ = 5;
+  CHECK(IsNewer(next, first));
+  CHECK_FALSE(IsNewer(first, next));
+  CHECK_FALSE(IsNewer(first, first));
+  Heartbeat restarted = first;
+  restarted.startedMs_ += 1;
+  restarted.sequence_ = 1;
+  CHECK(IsNewer(restarted, next));
+  CHECK_FALSE(IsNewer(next, restarted));
+  Heartbeat earlier = first;
+  earlier.targetId_ = "i-0";
+  earlier.startedMs_ -= 1;
+  earlier.sequence_ = 99;
+  CHECK_FALSE(IsNewer(earlier, first));
+}
+
+// Guards against a heartbeat of another writer that names a target.
+TEST_CASE("malformed heartbeats name no target", "[platform]")
+{
+  for (const char* body : { "",
+                            "[]",
+                            "{}",
+                            R"({"service":1,"state":"ready","sequence":1,"capacity":1})",
+                            R"({"service":"s","state":"odd","sequence":1,"capacity":1})",
+                            R"({"service":"s","state":"ready","sequence":"1","capacity":1})",
+                            R"({"service":"s","state":"ready","sequence":1,"capacity":-1})" }) {
+    INFO(body);
+    CHECK(Failure(DecodeHeartbeat("i-1", body)).code_ == ErrorCode::kMalformedRequest);
+  }
+  CHECK(DecodeHeartbeat("", kHeartbeat).has_error());
+}
+
+// Guards against a record that comes back changed.
+TEST_CASE("host records survive coding", "[platform]")
+{
+  CHECK(Value(DecodeRecord(EncodeRecord(SomeRecord()))) == SomeRecord());
+  HostRecord unknown = SomeRecord();
+  unknown.targetId_.clear();
+  CHECK(Value(DecodeRecord(EncodeRecord(unknown))) == unknown);
+}
+
+// Guards against targets in the view that are gone.
+TEST_CASE("the view holds targets that are known and not gone", "[platform]")
+{
+  std::map<std::string, SeenRecord> records;
+  records["side-1"] = { SomeRecord(), 1, {} };
+  records["side-2"] = { SomeRecord(), 1, {} };
+  records["side-2"].record_.host_ = { "side-2" };
+  records["side-2"].record_.state_ = TargetState::kLeft;
+  records["side-3"] = { SomeRecord(), 1, {} };
+  records["side-3"].record_.host_ = { "side-3" };
+  records["side-3"].record_.targetId_.clear();
+  const TargetView view = MakeView(records);
+  REQUIRE(view.targets_.at({ "s1" }).size() == 1);
+  CHECK(view.targets_.at({ "s1" }).front().host_.value_ == "side-1");
+  CHECK(view.hosts_.size() == 3);
+}
+
+TEST_CASE("rows are decoded with their versions", "[platform]")
+{
+  const StoreRows rows = Value(ParseRows(kRows));
+  CHECK(rows.version_ == 530);
+  CHECK(rows.more_);
+  REQUIRE(rows.rows_.size() == 2);
+  CHECK(rows.rows_[0] == StoreRow{ "a", "node-1", 412, false });
+  CHECK(rows.rows_[1] == StoreRow{ "b", "", 413, true });
+}
+
+TEST_CASE("base64 of every length comes back", "[platform]")
+{
+  for (std::size_t length = 0; length < 20; ++length) {
+    std::string bytes(length, '\0');
+    for (std::size_t i = 0; i < length; ++i) {
+      bytes[i] = static_cast<char>(i * 37);
+    }
+    const auto decoded = DecodeBase64(EncodeBase64(bytes));
+    REQUIRE(decoded.has_value());
+    CHECK(*decoded == bytes);
+  }
+  CHECK_FALSE(DecodeBase64("abc").has_value());
+  CHECK_FALSE(DecodeBase64("ab!=").has_value());
+}
+
+// Guards against settings that are wrong and pass.
+TEST_CASE("adapter settings are checked with their place", "[platform]")
+{
+  const PlatformSettings settings = Value(ParsePlatformSettings(kSettings, "node.toml"));
+  CHECK(settings.store_ == Address{ "10.0.0.7", 8545 });
+  CHECK(settings.policy_.keyFreshnessBound_ == milliseconds(5000));
+  CHECK(settings.policy_.retryRatio_ == 0.1);
+  struct Fault
+  {
+    const char* from_;
+    const char* to_;
+    ErrorCode code_;
+  };
+  for (const Fault& fault :
+       { Fault{ "store = \"10.0.0.7:8545\"\n", "", ErrorCode::kMissingSetting },
+         Fault{ "ratio = 0.1", "ratio = 1.5", ErrorCode::kOutOfRange },
+         Fault{ "1500", "\"1500\"", ErrorCode::kWrongType },
+         Fault{ "retry_cap", "retry_cup", ErrorCode::kUnknownSetting },
+         Fault{ "[adapter]", "[adapter", ErrorCode::kSyntax } }) {
+    auto text = kSettings;
+    text.replace(text.find(fault.from_), std::string(fault.from_).size(), fault.to_);
+    INFO(fault.to_);
+    const Error error = Failure(ParsePlatformSettings(text, "node.toml"));
+    CHECK(error.code_ == fault.code_);
+    CHECK(error.place_.file_ == "node.toml");
+  }
+}
+
+// Guards against a crash, or a value out of nothing, on input of any other writer.
+TEST_CASE("mutated input gives a value or a typed error", "[platform]")
+{
+  std::mt19937_64 random(20261204);
+  std::size_t refused = 0;
+  for (int i = 0; i < 4000; ++i) {
+    refused += DecodeConfig(Mutate(kDocument, random), Policy{}).has_error() ? 1 : 0;
+    refused += DecodeHeartbeat("i-1", Mutate(kHeartbeat, random)).has_error() ? 1 : 0;
+    refused += DecodeRecord(Mutate(EncodeRecord(SomeRecord()), random)).has_error() ? 1 : 0;
+    refused += ParseRows(Mutate(kRows, random)).has_error() ? 1 : 0;
+    refused += ParsePlatformSettings(Mutate(kSettings, random), "f").has_error() ? 1 : 0;
+  }
+  CHECK(refused > 1000);
+}
--- /dev/null
+++ b/tests/platform/PlatformDialectTest.cpp
@@ -0,0 +1,67 @@
+// Tests of the headers and statuses of the users' clients and targets.
+#include "platform/PlatformDialect.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotquay;
+using namespace peridotquay::platform;
+
+// Guards against a target that sees a caller's key, or believes a caller about account and service.
+TEST_CASE("callers can't set what the node states", "[platform]")
+{
+  HeaderList headers{ { "Authorization", "Token k" },  { "x-tenant-id", "other" },
+                      { "X-Caller-Service", "other" }, { "X-Expected-Instance", "other" },
+                      { "X-Deadline-Ms", "9" },        { "X-Request-Id", "id" },
+                      { "Accept", "text/plain" } };
+  const HttpDialect& dialect = PlatformDialect();
+  dialect.toGuard_(headers, { "own" });
+  CHECK_FALSE(FindHeader(headers, "Authorization"));
+  CHECK_FALSE(FindHeader(headers, "X-Tenant-Id"));
+  CHECK(FindHeader(headers, "X-Caller-Service") == "own");
+  Call call;
+  call.clientAccount_ = { "t1" };
+  dialect.toTarget_(headers, { call, "", "i-1", 750 });
+  const HeaderList expected{ { "X-Request-Id", "id" },         { "Accept", "text/plain" },
+                             { "X-Caller-Service", "own" },    { "X-Deadline-Ms", "750" },
+                             { "X-Expected-Instance", "i-1" }, { "X-Tenant-Id", "t1" } };
+  CHECK(headers == expected);
+}
+
+// Guards against a run that is taken for a refusal, and the reverse.
+TEST_CASE("only a target's own word means that it didn't run", "[platform]")
+{
+  const auto refusal = PlatformDialect().refusal_;
+  CHECK(refusal({ 503, { { "X-Not-Executed", "1" } }, "", std::nullopt }));
+  CHECK(refusal({ 421, {}, "", std::nullopt }));
+  CHECK_FALSE(refusal({ 503, {}, "", std::nullopt }));
+  CHECK_FALSE(refusal({ 500, {}, "", std::nullopt }));
+  CHECK_FALSE(refusal({ 200, {}, "", std::nullopt }));
+}
+
+TEST_CASE("a stated load has three numbers", "[platform]")
+{
+  const auto load = [](const char* aText) {
+    return PlatformDialect().load_({ 200, { { "X-Server-Load", aText } }, "", std::nullopt });
+  };
+  CHECK(load("3,0,8") == StatedLoad{ 3, 0, 8 });
+  for (const char* text : { "", "3", "3,0", "3,0,", "3,0,8,1", "a,0,8", "3;0;8", "3,0,-1" }) {
+    INFO(text);
+    CHECK_FALSE(load(text));
+  }
+}
+
+// Guards against a refusal that isn't true: these statuses promise that the request never runs.
+TEST_CASE("only requests that didn't run get a promise", "[platform]")
+{
+  const auto failure = PlatformDialect().failure_;
+  for (int code = 1; code <= static_cast<int>(ErrorCode::kNotFound); ++code) {
+    const auto status = failure(static_cast<ErrorCode>(code), Outcome::kUnknown, "", 100).status_;
+    CHECK((status == 502 || status == 504));
+  }
+  CHECK(failure(ErrorCode::kShed, Outcome::kNotRun, "", 0).status_ == 503);
+  CHECK(failure(ErrorCode::kNoRoute, Outcome::kNotRun, "", 0).status_ == 404);
+  CHECK(failure(ErrorCode::kUnknownKey, Outcome::kNotRun, "", 0).status_ == 401);
+  const HttpResponse late = failure(ErrorCode::kOverRate, Outcome::kNotRun, "", 250);
+  CHECK(late.status_ == 429);
+  CHECK(FindHeader(late.headers_, "Retry-After") == "0.250");
+}
--- /dev/null
+++ b/tests/request/RateShareTest.cpp
@@ -0,0 +1,266 @@
+// Tests of the shares of rate and burst over all hosts.
+#include "peridotquay/request/RateShare.h"
+
+#include "peridotquay/connection/PeerCodec.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <rapidcheck.h>
+
+using namespace peridotquay;
+
+namespace {
+
+const ClientAccountId kAccount{ "parish" };
+
+/// Hosts in virtual time whose reports arrive late, and a history of taken tokens.
+struct Fleet
+{
+  struct Late
+  {
+    TimePoint due_;
+    std::size_t to_;
+    RateReports reports_;
+  };
+
+  double rate_;
+  double burst_;
+  Duration nearDelay_ = milliseconds(2);
+  Duration farDelay_ = milliseconds(25);
+  TimePoint now_{ seconds(1000) };
+  std::vector<RateShareState> hosts_;
+  std::vector<bool> cut_;
+  std::vector<Late> late_;
+  std::vector<TimePoint> taken_;
+  std::size_t refused_ = 0;
+  std::uint64_t nonce_ = 1;
+  std::uint64_t steps_ = 0;
+  std::size_t bytes_ = 0; ///< Between regions.
+  std::mt19937_64 random_;
+
+  Fleet(std::size_t aHosts, double aRate, double aBurst, std::uint64_t aSeed)
+    : rate_(aRate)
+    , burst_(aBurst)
+    , cut_(aHosts, false)
+    , random_(aSeed)
+  {
+    for (std::size_t i = 0; i < aHosts; ++i) {
+      hosts_.push_back(Start(i, 1));
+    }
+  }
+
+  RateShareState Start(std::size_t aHost, Incarnation aIncarnation)
+  {
+    RateShareState state;
+    state.host_ = { "h" + std::to_string(aHost) };
+    state.incarnation_ = aIncarnation;
+    Config config;
+    config.clientAccounts_[kAccount] = { kAccount, rate_, burst_ };
+    SetLimits(state, config, now_);
+    std::map<HostId, RegionId> all;
+    for (std::size_t i = 0; i < cut_.size(); ++i) {
+      all[{ "h" + std::to_string(i) }] = RegionOf(i);
+    }
+    state.region_ = RegionOf(aHost);
+    SetShareHosts(state, all, now_);
+    return state;
+  }
+
+  static RegionId RegionOf(std::size_t aHost) { return { aHost % 2 == 0 ? "east" : "west" }; }
+
+  void Send(std::size_t aFrom, const ReportStep& aStep)
+  {
+    for (const HostId& host : aStep.to_) {
+      const std::size_t to = std::stoul(host.value_.substr(1));
+      if (!cut_[aFrom] && !cut_[to]) {
+        const bool near = RegionOf(aFrom) == RegionOf(to);
+        late_.push_back({ now_ + (near ? nearDelay_ : farDelay_), to, aStep.reports_ });
+        bytes_ += near ? 0 : EncodePeerMessage(aStep.reports_).size();
+      }
+    }
+  }
+
+  void Take(std::size_t aHost)
+  {
+    ShareRequest request;
+    request.nonce_ = nonce_++;
+    request.clientAccount_ = kAccount;
+    request.wanted_ = 1;
+    if (GrantTokens(hosts_[aHost], request, now_).tokens_ >= 1) {
+      taken_.push_back(now_);
+    } else {
+      ++refused_;
+    }
+  }
+
+  void Step()
+  {
+    now_ += milliseconds(10);
+    std::vector<Late> due;
+    std::erase_if(late_, [&](Late& aLate) {
+      if (aLate.due_ > now_) {
+        return false;
+      }
+      due.push_back(aLate);
+      return true;
+    });
+    for (const Late& late : due) {
+      if (const auto onward = NoteReports(hosts_[late.to_], late.reports_, now_)) {
+        Send(late.to_, *onward);
+      }
+    }
+    if (++steps_ % 10 != 0) {
+      return;
+    }
+    for (std::size_t from = 0; from < hosts_.size(); ++from) {
+      for (const ReportStep& step : DueReports(hosts_[from], now_)) {
+        Send(from, step);
+      }
+    }
+  }
+
+  /// Requests a second over all hosts; the first aHot hosts get all of them.
+  void Run(double aPerSecond, Duration aTime, std::size_t aHot)
+  {
+    const TimePoint end = now_ + aTime;
+    std::poisson_distribution<int> arrivals(aPerSecond * 0.01);
+    while (now_ < end) {
+      Step();
+      for (int i = arrivals(random_); i > 0; --i) {
+        Take(random_() % aHot);
+      }
+    }
+  }
+
+  /// Most taken in any window of the length.
+  std::size_t Most(Duration aWindow) const
+  {
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < taken_.size(); ++last) {
+      while (taken_[last] - taken_[first] > aWindow) {
+        ++first;
+      }
+      most = std::max(most, last - first + 1);
+    }
+    return most;
+  }
+};
+
+/// The limit that the users state for a window of 5 s: a tenth over, and 20 requests.
+double Allowed(double aRate, double aBurst)
+{
+  return (5 * aRate + aBurst) * 1.1 + 20;
+}
+
+} // namespace
+
+// Guards against more than rate and burst when hosts know of each other's use only later.
+TEST_CASE("an account over its rate gets its limit over all hosts", "[rate]")
+{
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    for (const double rate : { 10.0, 51.0, 400.0 }) {
+      Fleet fleet(16, rate, rate, seed);
+      fleet.Run(0.5 * rate, seconds(8), 16);
+      fleet.Run(8 * rate, seconds(10), 16);
+      INFO("seed " << seed << " rate " << rate);
+      CHECK(fleet.Most(seconds(5)) <= Allowed(rate, rate));
+      // What the account may have isn't held back: at least nine tenths of the rate are served.
+      CHECK(static_cast<double>(fleet.taken_.size()) >= 0.9 * (4 * rate + 10 * rate));
+    }
+  }
+}
+
+// Guards against refusals of accounts that stay within their rate, at even and at uneven demand.
+TEST_CASE("an account within its rate is rarely refused", "[rate]")
+{
+  for (const std::size_t hot : { std::size_t{ 16 }, std::size_t{ 4 }, std::size_t{ 1 } }) {
+    for (const double rate : { 10.0, 51.0, 400.0 }) {
+      std::size_t refused = 0;
+      std::size_t asked = 0;
+      for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Fleet fleet(16, rate, rate, seed);
+        fleet.Run(0, seconds(8), 16);
+        fleet.Run(rate / 1.6, seconds(20), hot);
+        refused += fleet.refused_;
+        asked += fleet.taken_.size() + fleet.refused_;
+      }
+      INFO("hot " << hot << " rate " << rate << " refused " << refused << " of " << asked);
+      CHECK(static_cast<double>(refused) <= 0.01 * static_cast<double>(asked));
+    }
+  }
+}
+
+// Guards against two halves of a cut fleet that each hand out the whole limit.
+TEST_CASE("hosts that are cut off keep the limit together", "[rate]")
+{
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    for (const double rate : { 10.0, 51.0, 400.0 }) {
+      Fleet fleet(16, rate, rate, seed);
+      fleet.Run(rate, seconds(8), 16);
+      for (std::size_t i = 0; i < 6; ++i) {
+        fleet.cut_[i] = true;
+      }
+      fleet.Run(6 * rate, seconds(12), 16);
+      fleet.cut_.assign(16, false);
+      fleet.Run(6 * rate, seconds(5), 16);
+      INFO("seed " << seed << " rate " << rate);
+      CHECK(fleet.Most(seconds(5)) <= Allowed(rate, rate));
+    }
+  }
+}
+
+// Guards against a second burst when all hosts restart with nothing kept.
+TEST_CASE("restarted hosts don't hand out the burst again", "[rate]")
+{
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    const double rate = 51;
+    Fleet fleet(16, rate, rate, seed);
+    fleet.Run(0, seconds(8), 16);
+    fleet.Run(4 * rate, seconds(3), 16);
+    for (std::size_t i = 0; i < 16; ++i) {
+      fleet.hosts_[i] = fleet.Start(i, 2);
+    }
+    fleet.Run(4 * rate, seconds(8), 16);
+    INFO("seed " << seed);
+    CHECK(fleet.Most(seconds(5)) <= Allowed(rate, rate));
+  }
+}
+
+// Guards against tokens that were given back but count as used.
+TEST_CASE("unused tokens of a grant come back", "[rate]")
+{
+  Fleet fleet(1, 10, 10, 1);
+  fleet.Run(0, seconds(8), 1);
+  RateShareState& host = fleet.hosts_[0];
+  const ShareGrant grant = GrantTokens(host, { 1, kAccount, 0, 0, 8 }, fleet.now_);
+  REQUIRE(grant.tokens_ == 8);
+  CHECK(GrantTokens(host, { 2, kAccount, 0, 0, 8 }, fleet.now_).tokens_ <= 2);
+  CHECK(GrantTokens(host, { 3, kAccount, grant.grant_, 0, 8 }, fleet.now_).tokens_ == 8);
+}
+
+// Guards against use that is counted twice because a report came again, late or out of order.
+TEST_CASE("reports may be lost, late and repeated", "[rate]")
+{
+  Fleet fleet(2, 10, 100, 1);
+  fleet.Run(0, seconds(30), 2);
+  RateShareState& host = fleet.hosts_[0];
+  const RateReport first{ { "h1" }, 2, 5, { { kAccount, 20 } } };
+  NoteReports(host, { { first } }, fleet.now_);
+  const double level = host.accounts_.at(kAccount).level_;
+  NoteReports(host, { { first } }, fleet.now_);
+  CHECK(host.accounts_.at(kAccount).level_ == Approx(level));
+  // A report of an earlier start of the host says nothing of the present one.
+  NoteReports(host, { { { { "h1" }, 1, 9, { { kAccount, 90 } } } } }, fleet.now_);
+  CHECK(host.accounts_.at(kAccount).level_ == Approx(level));
+}
+
+// Guards against control traffic that grows over the dear links between regions.
+TEST_CASE("few bytes of reports cross between regions", "[rate]")
+{
+  Fleet fleet(16, 51, 51, 1);
+  fleet.Run(30, seconds(20), 16);
+  // A report of an account takes about 30 bytes; each host has one a second at least.
+  CHECK(fleet.bytes_ / 20 < 8192);
+}
--- a/tests/request/RetryBudgetTest.cpp
+++ b/tests/request/RetryBudgetTest.cpp
@@ -92,8 +92,9 @@
 // Guards against retry storms on one route, and against a quiet route that may never retry.
 TEST_CASE("retries are at most the ratio and one a second", "[retry]")
 {
+  const RetryRatioSettings settings;
   CHECK(rc::check("ratio over random traffic", [] {
-    const double ratio = *rc::gen::element(0.0, 0.1, 0.3);
+    const RetryRatioSettings drawn{ .perFirstTry_ = *rc::gen::element(0.0, 0.1, 0.3) };
     RetryRatio state;
     TimePoint now{ seconds(1000) };
     const TimePoint start = now;
@@ -103,32 +104,32 @@
     for (const int step : steps) {
       now += milliseconds(step);
       if (step % 3 != 0) {
-        NoteFirstTry(state, ratio);
+        NoteFirstTry(state, drawn);
         tries += 1;
-      } else if (TakeRetryToken(state, now)) {
+      } else if (TakeRetryToken(state, drawn, now)) {
         retries += 1;
       }
-      RC_ASSERT(retries <= 2 + ratio * tries + ToSeconds(now - start) + 1e-6);
+      RC_ASSERT(retries <= 2 + drawn.perFirstTry_ * tries + ToSeconds(now - start) + 1e-6);
     }
   }));
 
   RetryRatio state;
   const TimePoint now{ seconds(1000) };
-  CHECK(TakeRetryToken(state, now));
-  CHECK_FALSE(TakeRetryToken(state, now + milliseconds(999)));
-  CHECK(TakeRetryToken(state, now + milliseconds(1000)));
+  CHECK(TakeRetryToken(state, settings, now));
+  CHECK_FALSE(TakeRetryToken(state, settings, now + milliseconds(999)));
+  CHECK(TakeRetryToken(state, settings, now + milliseconds(1000)));
   for (int i = 0; i < 10; ++i) {
-    NoteFirstTry(state, 0.1);
+    NoteFirstTry(state, settings);
   }
-  CHECK(TakeRetryToken(state, now + milliseconds(1001)));
+  CHECK(TakeRetryToken(state, settings, now + milliseconds(1001)));
 
   // A long quiet time must not pay for a burst of retries.
   for (int i = 0; i < 100000; ++i) {
-    NoteFirstTry(state, 0.1);
+    NoteFirstTry(state, settings);
   }
   int burst = 0;
-  while (TakeRetryToken(state, now + milliseconds(1002))) {
+  while (TakeRetryToken(state, settings, now + milliseconds(1002))) {
     ++burst;
   }
-  CHECK(burst == static_cast<int>(kRetryRatioCap));
+  CHECK(burst == static_cast<int>(settings.cap_));
 }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 build=${1:-build}
 
-mapfile -t coroutine_headers < <(git grep -lE 'asio::awaitable|co_await' -- 'peridotquay/*.h' 'standins/*.h' 'bench/*.h' || true)
+mapfile -t coroutine_headers < <(git grep -lE 'asio::awaitable|co_await' -- 'peridotquay/*.h' 'platform/*.h' 'standins/*.h' 'bench/*.h' || true)
 files=()
 while read -r file; do
   if grep -qE 'co_await|co_return|asio::awaitable' "$file"; then continue; fi
@@ -13,7 +13,7 @@
     if grep -qF "\"$header\"" "$file"; then skip=1; fi
   done
   if [ "$skip" = 0 ]; then files+=("$file"); fi
-done < <(git ls-files 'peridotquay/*.cpp' 'programs/*.cpp' 'standins/*.cpp' 'samples/*.cpp')
+done < <(git ls-files 'peridotquay/*.cpp' 'platform/*.cpp' 'programs/*.cpp' 'standins/*.cpp' 'samples/*.cpp')
 echo "clang-tidy: ${#files[@]} files"
 [ "${#files[@]}" -gt 0 ] || exit 0
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated\|^Suppressed\|^Use -header' >&2)
