--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -69,6 +69,8 @@
   virtual void RequestTokens(ShareRequest aRequest) = 0;
   /// Announces the local target's state.
   virtual void AnnounceTarget(TargetState aState, std::uint32_t aSlots, double aLoad) = 0;
+  /// This node will leave: callers should go elsewhere. The local target still takes calls.
+  virtual void AnnounceLeaving() {}
   /// Announces that this node left, naming the successor of its request records.
   virtual void AnnounceLeft(const HostId& aSuccessor) = 0;
   /// Replaces what the settings of the host say of the policy, where they say any of it.
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -477,6 +477,8 @@
     return;
   }
   config_ = std::move(aConfig);
+  routing_.settings_.waitWithinRegion_ = config_->policy_.waitWithinRegion_;
+  routing_.settings_.waitBetweenRegions_ = config_->policy_.waitBetweenRegions_;
   std::erase_if(ratios_, [this](const auto& aEntry) {
     return std::none_of(config_->routes_.begin(), config_->routes_.end(), [&](const Route& aRoute) {
       return aRoute.service_ == aEntry.first ||
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -156,6 +156,7 @@
   // Attempts.
   std::optional<Target> Choose(const CallPointer& aCall, bool& aShedUpstream);
   void Attempt(const CallPointer& aCall);
+  Duration AnswerReserve(const Target& aTarget) const;
   void Send(const CallPointer& aCall, const Target& aTarget);
   void EndAttempt(const CallPointer& aCall, CallResult aResult, const Answer* aAnswer);
   void OnAttemptAnswer(const CallPointer& aCall, Answer aAnswer);
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -48,7 +48,8 @@
   const TimePoint now = loop_.Now();
   std::vector<HostId> excluded = aCall->excluded_;
   while (true) {
-    auto target = ChooseTarget(routing_, *targets_, service, excluded, now);
+    auto target =
+      ChooseTarget(routing_, *targets_, service, excluded, now, aCall->route_->objective_);
     if (!target || std::find(excluded.begin(), excluded.end(), target->host_) != excluded.end()) {
       return std::nullopt;
     }
@@ -75,6 +76,11 @@
   Refuse(aCall, shedUpstream ? ErrorCode::kShed : ErrorCode::kNoTarget, kShedRetryMs);
 }
 
+Duration Dispatcher::AnswerReserve(const Target& aTarget) const
+{
+  return aTarget.region_ == settings_.region_ ? kAnswerReserve : kFarAnswerReserve;
+}
+
 void Dispatcher::Send(const CallPointer& aCall, const Target& aTarget)
 {
   const TimePoint now = loop_.Now();
@@ -91,7 +97,7 @@
   call.call_.callId_ = call.attempt_;
   call.call_.retries_ = call.lent_;
   const auto left =
-    std::chrono::duration_cast<milliseconds>(call.deadline_ - now - kAnswerReserve).count();
+    std::chrono::duration_cast<milliseconds>(call.deadline_ - now - AnswerReserve(aTarget)).count();
   call.call_.deadlineMs_ = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left));
   attempts_[call.attempt_] = aCall;
   if (!settings_.naive_) {
@@ -187,7 +193,9 @@
 RetryRatioSettings Dispatcher::RetrySettings(const ActiveCall& aCall) const
 {
   const Policy& policy = aCall.config_->policy_;
-  return { policy.retryRatio_, policy.retryCap_, policy.leastRetryInterval_ };
+  return {
+    policy.retryRatio_, policy.retryCap_, policy.leastRetryInterval_, policy.retryMayHaveRunCost_
+  };
 }
 
 bool Dispatcher::MayRetry(const CallPointer& aCall, bool aReachedHost, bool aReachedTarget)
@@ -204,9 +212,10 @@
   }
   // The ratio protects services that are slow or failing. A try that found no host cost them
   // nothing.
-  const bool inRatio =
-    !aReachedHost ||
-    TakeRetryToken(ratios_[aCall->call_.service_], RetrySettings(*aCall), loop_.Now());
+  const bool inRatio = !aReachedHost || TakeRetryToken(ratios_[aCall->call_.service_],
+                                                       RetrySettings(*aCall),
+                                                       loop_.Now(),
+                                                       aCall->mayHaveRun_);
   if (aCall->budget_.left_ == 0 || !inRatio) {
     metrics_.Add(Counter::kRetriesDenied);
     return false;
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -41,6 +41,7 @@
   X(3010, TargetLapsed, kWarning) \
   X(3011, HeartbeatRejected, kWarning) \
   X(3012, HostRecordRejected, kWarning) \
+  X(3013, HostLost, kWarning) \
   X(4001, VersionInForce, kInfo) \
   X(4002, VersionRejected, kError) \
   X(4003, FreshnessLost, kWarning) \
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -528,15 +528,15 @@
     draining_ = true;
     drainStarted_ = loop_.Now();
     LogEvent(Event::kNodeDraining, { { "host", settings_.host_.value_ } });
+    callers_->CloseAfterAnswers();
+    control_->AnnounceLeaving();
     if (settings_.acceptWhileDraining_ > Duration::zero()) {
+      loop_.After(settings_.acceptWhileDraining_ / 2, [this] { AnnounceDraining(); });
       loop_.After(settings_.acceptWhileDraining_, [this] { StopAccepting(); });
     } else {
+      AnnounceDraining();
       StopAccepting();
     }
-    guard_->SetDraining();
-    callers_->CloseAfterAnswers();
-    const TargetHealth& health = guard_->Health();
-    control_->AnnounceTarget(TargetState::kDraining, health.slots_, health.load_);
     CheckDrained();
   }
 
@@ -544,6 +544,13 @@
   {
     accepting_ = false;
     dispatcher_->SetDraining();
+    guard_->SetDraining();
+  }
+
+  void AnnounceDraining()
+  {
+    const TargetHealth& health = guard_->Health();
+    control_->AnnounceTarget(TargetState::kDraining, health.slots_, health.load_);
   }
 
   bool IsIdle() const
--- a/peridotquay/process/OwnAnswer.h
+++ b/peridotquay/process/OwnAnswer.h
@@ -13,6 +13,9 @@
 /// A guard gives up this much before the first host, so that its answer still arrives in time.
 inline constexpr Duration kAnswerReserve = milliseconds(5);
 
+/// The same for a guard in another region: its answer takes about 20 ms, and the call as long.
+inline constexpr Duration kFarAnswerReserve = milliseconds(60);
+
 /// Hint to callers that were refused because guards shed their class: one lifetime of a level.
 inline constexpr std::uint32_t kShedRetryMs = 1000;
 
--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -25,6 +25,12 @@
 /// Weight of the rate before a report in the moving average of a host's use.
 constexpr double kSlowerRate = 0.6;
 
+/// Each so many reports one names all accounts with use.
+constexpr std::uint64_t kWholeReports = 8;
+
+/// Below so many requests a second an assumed use is dropped.
+constexpr double kNoRate = 0.05;
+
 /// Reports that come closer together say little of the rate between them.
 constexpr double kLeastRateSeconds = 0.1;
 
@@ -42,43 +48,24 @@
          std::max<Duration>(settings.isolation_, 2 * settings.silence_ / hosts);
 }
 
-bool IsSilent(const RateShareState& aState, const HostId& aHost, TimePoint aNow)
+bool IsSilent(const RateShareState& aState, const HostId& aHost)
 {
-  if (IsIsolated(aState, aNow)) {
-    return true;
-  }
   const auto peer = aState.peers_.find(aHost);
-  return peer == aState.peers_.end() || aNow - peer->second.heard_ > aState.settings_.silence_;
+  return peer == aState.peers_.end() || peer->second.silent_;
 }
 
 /// Part of all hosts that this one hears, itself included. The others keep their equal part.
-double HeardPart(const RateShareState& aState, TimePoint aNow)
+double HeardPart(const RateShareState& aState)
 {
-  const auto silent =
-    std::count_if(aState.hosts_.begin(), aState.hosts_.end(), [&](const auto& aHost) {
-      return IsSilent(aState, aHost.first, aNow);
-    });
   const double all = static_cast<double>(aState.hosts_.size()) + 1;
-  return (all - static_cast<double>(silent)) / all;
+  return (1 + static_cast<double>(aState.heardHosts_)) / all;
 }
 
 /// This host's part of the demand of all hosts that it hears.
-double DemandPart(const RateShareState& aState,
-                  const ClientAccountId& aId,
-                  const AccountShare& aAccount,
-                  TimePoint aNow)
+double DemandPart(const RateShareState& aState, const AccountShare& aAccount)
 {
-  double total = aAccount.demand_;
-  double hosts = 1;
-  for (const auto& [host, region] : aState.hosts_) {
-    if (IsSilent(aState, host, aNow)) {
-      continue;
-    }
-    hosts += 1;
-    const auto& uses = aState.peers_.at(host).uses_;
-    const auto use = uses.find(aId);
-    total += use == uses.end() ? 0 : use->second.perSecond_;
-  }
+  const double hosts = 1 + static_cast<double>(aState.heardHosts_);
+  const double total = aAccount.demand_ + aAccount.peersPerSecond_;
   const double least = kLeastDemandPart * total / hosts + 1e-6;
   return (aAccount.demand_ + least) / (total + least * hosts);
 }
@@ -95,34 +82,71 @@
   return std::max(0.0, aAccount.level_) * aPart + overshoot / hosts;
 }
 
+/// Time since the last update in which this host earned credit. A host that has heard nobody for a
+/// moment may be cut off; then the others can't know what it takes.
+double EarningSeconds(const RateShareState& aState, const AccountShare& aAccount, TimePoint aNow)
+{
+  const TimePoint end =
+    aState.heardHosts_ == 0 ? aNow : std::min(aNow, aState.heard_ + aState.settings_.earnTime_);
+  return std::max(0.0, ToSeconds(end - aAccount.updated_));
+}
+
 /// Moves the account to aNow: refill, assumed use of other hosts, credit of this host.
-void Advance(RateShareState& aState,
-             const ClientAccountId& aId,
-             AccountShare& aAccount,
-             TimePoint aNow)
+void Advance(const RateShareState& aState, AccountShare& aAccount, TimePoint aNow)
 {
   const double elapsed = std::max(0.0, ToSeconds(aNow - aAccount.updated_));
+  const double earning = EarningSeconds(aState, aAccount, aNow);
   aAccount.updated_ = std::max(aAccount.updated_, aNow);
-  const double heard = HeardPart(aState, aNow);
-  aAccount.level_ += aAccount.rate_ * heard * elapsed;
-  for (const auto& [host, region] : aState.hosts_) {
-    if (IsSilent(aState, host, aNow)) {
+  const double heard = HeardPart(aState);
+  aAccount.level_ += (aAccount.rate_ * heard - aAccount.peersPerSecond_) * elapsed;
+  aAccount.level_ = std::min(aAccount.level_, aAccount.burst_ * heard);
+  aAccount.demand_ *= std::exp(-elapsed / kDemandSeconds);
+  const double most =
+    std::max(kLeastCredit, MostCredit(aState, aAccount, DemandPart(aState, aAccount)));
+  aAccount.credit_ =
+    std::min(aAccount.credit_ + most * earning / ToSeconds(aState.settings_.spread_), most);
+}
+
+void AdvanceAll(RateShareState& aState, TimePoint aNow)
+{
+  for (auto& [id, share] : aState.accounts_) {
+    Advance(aState, share, aNow);
+  }
+}
+
+/// Ends the assumption that a host goes on as it reported last. What was assumed stays counted.
+void StopAssuming(RateShareState& aState, SharePeer& aPeer, TimePoint aNow)
+{
+  for (auto& [id, use] : aPeer.uses_) {
+    const auto account = aState.accounts_.find(id);
+    if (account != aState.accounts_.end()) {
+      account->second.peersPerSecond_ =
+        std::max(0.0, account->second.peersPerSecond_ - use.perSecond_);
+    }
+    use.used_ += use.perSecond_ * std::max(0.0, ToSeconds(aNow - use.since_));
+    use.perSecond_ = 0;
+    use.since_ = aNow;
+  }
+  aPeer.silent_ = true;
+  --aState.heardHosts_;
+}
+
+/// Finds hosts that fell silent.
+void UpdateSilence(RateShareState& aState, TimePoint aNow)
+{
+  const bool isolated = IsIsolated(aState, aNow);
+  bool advanced = false;
+  for (auto& [host, peer] : aState.peers_) {
+    const bool silent = isolated || aNow - peer.heard_ > aState.settings_.silence_;
+    if (!silent || peer.silent_) {
       continue;
     }
-    auto& uses = aState.peers_.at(host).uses_;
-    const auto use = uses.find(aId);
-    if (use != uses.end()) {
-      const double assumed = use->second.perSecond_ * elapsed;
-      use->second.assumed_ += assumed;
-      aAccount.level_ -= assumed;
+    if (!advanced) {
+      AdvanceAll(aState, aNow);
+      advanced = true;
     }
+    StopAssuming(aState, peer, aNow);
   }
-  aAccount.level_ = std::min(aAccount.level_, aAccount.burst_ * heard);
-  aAccount.demand_ *= std::exp(-elapsed / kDemandSeconds);
-  const double part = DemandPart(aState, aId, aAccount, aNow);
-  const double most = std::max(kLeastCredit, MostCredit(aState, aAccount, part));
-  aAccount.credit_ =
-    std::min(aAccount.credit_ + most * elapsed / ToSeconds(aState.settings_.spread_), most);
 }
 
 void SettleGrant(RateShareState& aState, const ShareRequest& aRequest)
@@ -156,20 +180,17 @@
 
 /// Whether a host is one of the first of its region that are heard. A region of which none is heard
 /// yet is tried at all of its first hosts.
-bool IsRelay(const RateShareState& aState,
-             const HostId& aHost,
-             const RegionId& aRegion,
-             TimePoint aNow)
+bool IsRelay(const RateShareState& aState, const HostId& aHost, const RegionId& aRegion)
 {
   std::size_t before = 0;
-  bool heard = aHost == aState.host_ || !IsSilent(aState, aHost, aNow);
+  bool heard = aHost == aState.host_ || !IsSilent(aState, aHost);
   bool anyHeard = heard;
   std::size_t heardBefore = 0;
   for (const auto& [host, region] : aState.hosts_) {
     if (region != aRegion || host == aHost) {
       continue;
     }
-    const bool hears = !IsSilent(aState, host, aNow);
+    const bool hears = !IsSilent(aState, host);
     anyHeard = anyHeard || hears;
     before += host < aHost ? 1 : 0;
     heardBefore += host < aHost && hears ? 1 : 0;
@@ -194,12 +215,17 @@
   return age >= aState.settings_.idleReport_ || (used && age >= aState.settings_.reportInterval_);
 }
 
-RateReport OwnReport(const RateShareState& aState)
+/// The own report: accounts whose use changed, or all with use from time to time, because reports
+/// may be lost.
+RateReport OwnReport(RateShareState& aState)
 {
+  const bool whole = aState.sequence_ % kWholeReports == 0;
   RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {} };
-  for (const auto& [id, share] : aState.accounts_) {
-    if (share.reported_ >= 1) {
-      report.uses_.push_back({ id, static_cast<std::uint64_t>(share.reported_) });
+  for (auto& [id, share] : aState.accounts_) {
+    if (share.used_ != share.reported_ || (whole && share.used_ >= 1)) {
+      report.uses_.push_back({ id, static_cast<std::uint64_t>(std::max(0.0, share.used_)) });
+      share.reported_ = share.used_;
+      share.changed_ = aState.sequence_;
     }
   }
   return report;
@@ -210,25 +236,87 @@
 {
   std::vector<RateReport> reports;
   if (aState.sequence_ > aState.ownRelayed_) {
+    RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {} };
+    for (const auto& [id, share] : aState.accounts_) {
+      if (share.changed_ > aState.ownRelayed_) {
+        report.uses_.push_back({ id, static_cast<std::uint64_t>(std::max(0.0, share.reported_)) });
+      }
+    }
     aState.ownRelayed_ = aState.sequence_;
-    reports.push_back(OwnReport(aState));
+    reports.push_back(std::move(report));
   }
   for (auto& [host, peer] : aState.peers_) {
     const auto region = aState.hosts_.find(host);
-    if (region == aState.hosts_.end() || region->second != aState.region_ ||
+    if (region == aState.hosts_.end() || region->second != aState.region_ || peer.silent_ ||
         peer.sequence_ <= peer.relayed_) {
       continue;
     }
-    peer.relayed_ = peer.sequence_;
     RateReport report{ host, peer.incarnation_, peer.sequence_, {} };
     for (const auto& [id, use] : peer.uses_) {
-      report.uses_.push_back({ id, static_cast<std::uint64_t>(use.used_) });
+      if (use.changed_ > peer.relayed_) {
+        report.uses_.push_back({ id, static_cast<std::uint64_t>(use.used_) });
+      }
     }
+    peer.relayed_ = peer.sequence_;
     reports.push_back(std::move(report));
   }
   return reports;
 }
 
+/// Takes what a host used of one account.
+void NoteUse(RateShareState& aState,
+             SharePeer& aPeer,
+             const AccountUse& aUse,
+             double aSeconds,
+             bool aWasSilent,
+             TimePoint aNow)
+{
+  const auto account = aState.accounts_.find(aUse.account_);
+  if (account == aState.accounts_.end()) {
+    return;
+  }
+  AccountShare& share = account->second;
+  Advance(aState, share, aNow);
+  PeerUse& known = aPeer.uses_[aUse.account_];
+  const double assumed = known.perSecond_ * std::max(0.0, ToSeconds(aNow - known.since_));
+  const double more = static_cast<double>(aUse.used_) - known.used_;
+  known.used_ = static_cast<double>(aUse.used_);
+  known.since_ = aNow;
+  known.changed_ = aPeer.sequence_;
+  // Use before this host heard of the other one is in the past.
+  if (aSeconds <= 0) {
+    return;
+  }
+  share.level_ = std::min(share.level_ - more + assumed, share.burst_);
+  const double rate = std::max(0.0, more) / std::max(aSeconds, kLeastRateSeconds);
+  const double before = known.perSecond_;
+  const double slower = aWasSilent ? 0 : kSlowerRate;
+  known.perSecond_ = slower * before + (1 - slower) * rate;
+  share.peersPerSecond_ = std::max(0.0, share.peersPerSecond_ + known.perSecond_ - before);
+}
+
+/// Lowers the assumed use of accounts that a report doesn't name: they weren't used.
+void NoteUnused(RateShareState& aState, SharePeer& aPeer, TimePoint aNow)
+{
+  for (auto& [id, use] : aPeer.uses_) {
+    if (use.changed_ == aPeer.sequence_ || use.perSecond_ <= 0) {
+      continue;
+    }
+    const auto account = aState.accounts_.find(id);
+    if (account == aState.accounts_.end()) {
+      continue;
+    }
+    AccountShare& share = account->second;
+    Advance(aState, share, aNow);
+    share.level_ = std::min(
+      share.level_ + use.perSecond_ * std::max(0.0, ToSeconds(aNow - use.since_)), share.burst_);
+    use.since_ = aNow;
+    const double before = use.perSecond_;
+    use.perSecond_ = before < kNoRate ? 0 : kSlowerRate * before;
+    share.peersPerSecond_ = std::max(0.0, share.peersPerSecond_ + use.perSecond_ - before);
+  }
+}
+
 /// Takes what another host used; false if the report tells nothing new.
 bool NoteReport(RateShareState& aState, const RateReport& aReport, TimePoint aNow)
 {
@@ -241,40 +329,30 @@
       (!newStart && aReport.sequence_ <= peer.sequence_)) {
     return false;
   }
-  for (auto& [id, share] : aState.accounts_) {
-    Advance(aState, id, share, aNow);
-  }
   const bool first = peer.heard_ == TimePoint{};
-  const double since = first ? 0 : std::max(0.0, ToSeconds(aNow - peer.heard_));
+  const double elapsed = first ? 0 : std::max(1e-3, ToSeconds(aNow - peer.heard_));
+  if (newStart && !peer.silent_) {
+    AdvanceAll(aState, aNow);
+    StopAssuming(aState, peer, aNow);
+  }
   if (newStart) {
     peer.uses_.clear();
     peer.relayed_ = 0;
   }
+  const bool wasSilent = peer.silent_;
+  if (wasSilent) {
+    AdvanceAll(aState, aNow);
+    peer.silent_ = false;
+    ++aState.heardHosts_;
+  }
   peer.incarnation_ = aReport.incarnation_;
   peer.sequence_ = aReport.sequence_;
   peer.heard_ = aNow;
   aState.heard_ = aNow;
-  for (auto& [id, known] : peer.uses_) {
-    known.perSecond_ *= kSlowerRate;
-  }
   for (const AccountUse& use : aReport.uses_) {
-    const auto account = aState.accounts_.find(use.account_);
-    if (account == aState.accounts_.end()) {
-      continue;
-    }
-    PeerUse& known = peer.uses_[use.account_];
-    const double more = static_cast<double>(use.used_) - known.used_;
-    known.used_ = static_cast<double>(use.used_);
-    // Use before this host heard of the other one is in the past.
-    if (first) {
-      continue;
-    }
-    AccountShare& share = account->second;
-    share.level_ = std::min(share.level_ - more + known.assumed_, share.burst_);
-    known.assumed_ = 0;
-    const double rate = std::max(0.0, more) / std::max(since, kLeastRateSeconds);
-    known.perSecond_ += (1 - kSlowerRate) * rate;
+    NoteUse(aState, peer, use, elapsed, wasSilent, aNow);
   }
+  NoteUnused(aState, peer, aNow);
   return true;
 }
 
@@ -292,7 +370,7 @@
       // What other hosts used of the burst isn't known, so it begins empty.
       share.updated_ = aNow;
     } else {
-      Advance(aState, id, share, aNow);
+      Advance(aState, share, aNow);
     }
     share.rate_ = account.ratePerSecond_;
     share.burst_ = std::max(1.0, aState.settings_.burstPart_ * account.burst_);
@@ -304,8 +382,11 @@
 void SetShareHosts(RateShareState& aState, std::map<HostId, RegionId> aHosts, TimePoint aNow)
 {
   aHosts.erase(aState.host_);
-  for (auto& [id, share] : aState.accounts_) {
-    Advance(aState, id, share, aNow);
+  AdvanceAll(aState, aNow);
+  for (auto& [host, peer] : aState.peers_) {
+    if (!aHosts.contains(host) && !peer.silent_) {
+      StopAssuming(aState, peer, aNow);
+    }
   }
   std::erase_if(aState.peers_, [&](const auto& aEntry) { return !aHosts.contains(aEntry.first); });
   aState.hosts_ = std::move(aHosts);
@@ -325,11 +406,14 @@
     return reply;
   }
   AccountShare& account = entry->second;
-  Advance(aState, entry->first, account, aNow);
+  if (aState.heardHosts_ > 0 && IsIsolated(aState, aNow)) {
+    UpdateSilence(aState, aNow);
+  }
+  Advance(aState, account, aNow);
   account.demand_ += aRequest.wanted_ / kDemandSeconds;
   const double tokens = std::floor(std::min({ aRequest.wanted_, account.credit_, account.level_ }));
   if (tokens < 1) {
-    const double part = DemandPart(aState, entry->first, account, aNow);
+    const double part = DemandPart(aState, account);
     const double wait = 1000 / std::max(1e-3, account.rate_ * part);
     reply.retryAfterMs_ =
       static_cast<std::uint32_t>(std::clamp(wait, kLeastRetryMs, kLongestRetryMs));
@@ -349,24 +433,21 @@
 std::vector<ReportStep> DueReports(RateShareState& aState, TimePoint aNow)
 {
   std::vector<ReportStep> steps;
+  UpdateSilence(aState, aNow);
   if (IsReportDue(aState, aNow)) {
     aState.reported_ = aNow;
     ++aState.sequence_;
-    for (auto& [id, share] : aState.accounts_) {
-      share.reported_ = share.used_;
-    }
     steps.push_back({ { { OwnReport(aState) } }, HostsOf(aState, true) });
   }
-  if (!IsRelay(aState, aState.host_, aState.region_, aNow) ||
+  if (!IsRelay(aState, aState.host_, aState.region_) ||
       aNow - aState.relayed_ < aState.settings_.relayInterval_) {
     return steps;
   }
   aState.relayed_ = aNow;
   std::vector<RateReport> reports = NewReports(aState);
   std::vector<HostId> relays = HostsOf(aState, false);
-  std::erase_if(relays, [&](const HostId& aHost) {
-    return !IsRelay(aState, aHost, aState.hosts_.at(aHost), aNow);
-  });
+  std::erase_if(
+    relays, [&](const HostId& aHost) { return !IsRelay(aState, aHost, aState.hosts_.at(aHost)); });
   for (std::size_t first = 0; !relays.empty() && first < reports.size(); first += kReportsAtOnce) {
     const auto begin = reports.begin() + static_cast<std::ptrdiff_t>(first);
     const auto end = reports.begin() +
@@ -376,6 +457,28 @@
   return steps;
 }
 
+std::set<HostId> LostHosts(const RateShareState& aState,
+                           Duration aTime,
+                           TimePoint aSince,
+                           TimePoint aNow)
+{
+  std::set<HostId> lost;
+  std::set<RegionId> heard;
+  for (const auto& [host, region] : aState.hosts_) {
+    const auto peer = aState.peers_.find(host);
+    const TimePoint last =
+      peer == aState.peers_.end() ? aSince : std::max(aSince, peer->second.heard_);
+    if (aNow - last > aTime) {
+      lost.insert(host);
+    } else if (peer != aState.peers_.end() && !peer->second.silent_) {
+      heard.insert(region);
+    }
+  }
+  std::erase_if(lost,
+                [&](const HostId& aHost) { return !heard.contains(aState.hosts_.at(aHost)); });
+  return lost;
+}
+
 std::optional<ReportStep> NoteReports(RateShareState& aState,
                                       const RateReports& aReports,
                                       TimePoint aNow)
@@ -386,7 +489,7 @@
       onward.reports_.reports_.push_back(report);
     }
   }
-  if (onward.reports_.reports_.empty() || !IsRelay(aState, aState.host_, aState.region_, aNow)) {
+  if (onward.reports_.reports_.empty() || !IsRelay(aState, aState.host_, aState.region_)) {
     return std::nullopt;
   }
   onward.to_ = HostsOf(aState, true);
--- a/peridotquay/request/RateShare.h
+++ b/peridotquay/request/RateShare.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace peridotquay {
@@ -19,28 +20,30 @@
 {
   /// What is left of a burst is handed out over this time, so that use that isn't reported yet
   /// can't exceed it.
-  Duration spread_ = milliseconds(300);
+  Duration spread_ = milliseconds(200);
   /// Use is reported after this time if it is more than reportPart_ of the burst.
   Duration reportInterval_ = milliseconds(200);
   double reportPart_ = 0.01;
   /// Reports of a region are relayed to other regions, whose links are slow and paid by volume, at
   /// most this often.
   Duration relayInterval_ = milliseconds(250);
-  /// Hosts of each region that relay; two, so that one of them may be gone.
-  std::size_t relays_ = 2;
+  /// Hosts of each region that relay. When one is gone, the next takes over after silence_.
+  std::size_t relays_ = 1;
   /// What the limit may be exceeded by: a part of what is allowed in overshootSeconds_, and a
   /// number of requests. Divided among the hosts, it lets each take a few requests at once.
-  double overshootPart_ = 0.05;
+  double overshootPart_ = 0.03;
   double overshootSeconds_ = 5;
-  double overshootRequests_ = 6;
+  double overshootRequests_ = 4;
   /// Part of a burst that is handed out; the rest covers use that is not known during a cut.
-  double burstPart_ = 0.8;
+  double burstPart_ = 0.7;
   /// Longest time between two reports; one without use shows that the host is there.
   Duration idleReport_ = milliseconds(600);
   /// A host without a report for this long is taken to use its equal part.
   Duration silence_ = milliseconds(1500);
   /// A host that hears nobody for this long is taken to be cut off from all.
-  Duration isolation_ = milliseconds(400);
+  Duration isolation_ = milliseconds(330);
+  /// Credit is earned so long after any host was heard.
+  Duration earnTime_ = milliseconds(150);
   Duration grantLifetime_ = milliseconds(1000);
   bool operator==(const RateShareSettings&) const = default;
 };
@@ -48,9 +51,10 @@
 /// Use of one account by one other host.
 struct PeerUse
 {
-  double used_ = 0;      ///< Since the start of that host, as it reported last.
-  double perSecond_ = 0; ///< Between its last reports; assumed to go on until the next one.
-  double assumed_ = 0;   ///< Taken off the level since the last report.
+  double used_ = 0;           ///< Since the start of that host, as it reported last.
+  double perSecond_ = 0;      ///< Between its last reports; assumed to go on until the next one.
+  TimePoint since_{};         ///< Since when perSecond_ is taken off the level without a report.
+  std::uint64_t changed_ = 0; ///< Sequence of the report that changed it last.
 };
 
 /// Another host.
@@ -59,6 +63,7 @@
   Incarnation incarnation_ = 0;
   std::uint64_t sequence_ = 0; ///< Of its last report.
   TimePoint heard_{};
+  bool silent_ = true; ///< Its use isn't assumed; it is taken to use its equal part.
   std::map<ClientAccountId, PeerUse> uses_;
   std::uint64_t relayed_ = 0; ///< Sequence of its last report that this host relayed.
 };
@@ -72,7 +77,9 @@
   double credit_ = 0; ///< Tokens that this host may grant now; at least 0.
   double used_ = 0;   ///< Granted by this host and not given back, since its start.
   double reported_ = 0;
-  double demand_ = 0; ///< Moving average of tokens wanted a second.
+  std::uint64_t changed_ = 0; ///< Sequence of the own report that named it last.
+  double demand_ = 0;         ///< Moving average of tokens wanted a second.
+  double peersPerSecond_ = 0; ///< Invariant: sum of perSecond_ of all hosts that aren't silent.
   TimePoint updated_{};
 };
 
@@ -96,6 +103,7 @@
   std::map<HostId, SharePeer> peers_;
   std::map<std::uint64_t, OpenGrant> grants_;
   std::uint64_t nextGrant_ = 1;
+  std::size_t heardHosts_ = 0; ///< Invariant: hosts in peers_ that aren't silent.
   std::uint64_t sequence_ = 0; ///< Of the last own report.
   TimePoint heard_{};          ///< When any other host was heard last.
   TimePoint reported_{};
@@ -123,6 +131,13 @@
 /// relays of other regions. Call about every 100 ms.
 std::vector<ReportStep> DueReports(RateShareState& aState, TimePoint aNow);
 
+/// Other hosts that weren't heard for the time although others of their region were: they are down
+/// or cut off alone. A host that was never heard counts from aSince on.
+std::set<HostId> LostHosts(const RateShareState& aState,
+                           Duration aTime,
+                           TimePoint aSince,
+                           TimePoint aNow);
+
 /// Takes reports of other hosts. Late and repeated ones have no effect. Returns what this host must
 /// pass on to its region.
 std::optional<ReportStep> NoteReports(RateShareState& aState,
--- a/peridotquay/request/RetryBudget.cpp
+++ b/peridotquay/request/RetryBudget.cpp
@@ -45,10 +45,14 @@
   aRatio.tokens_ = std::min(aSettings.cap_, aRatio.tokens_ + std::max(0.0, aSettings.perFirstTry_));
 }
 
-bool TakeRetryToken(RetryRatio& aRatio, const RetryRatioSettings& aSettings, TimePoint aNow)
+bool TakeRetryToken(RetryRatio& aRatio,
+                    const RetryRatioSettings& aSettings,
+                    TimePoint aNow,
+                    bool aMayHaveRun)
 {
-  if (aRatio.tokens_ >= 1 - kTokenSlack) {
-    aRatio.tokens_ = std::max(0.0, aRatio.tokens_ - 1);
+  const double cost = aMayHaveRun ? aSettings.mayHaveRunCost_ : 1;
+  if (aRatio.tokens_ >= cost - kTokenSlack) {
+    aRatio.tokens_ = std::max(0.0, aRatio.tokens_ - cost);
     aRatio.last_ = aNow;
     return true;
   }
--- a/peridotquay/request/RetryBudget.h
+++ b/peridotquay/request/RetryBudget.h
@@ -33,6 +33,7 @@
   double cap_ = 10;          ///< Most saved tokens, so that a quiet hour doesn't pay for a storm.
   /// With no tokens left, one retry is allowed after this time.
   Duration leastInterval_ = seconds(1);
+  double mayHaveRunCost_ = 1; ///< Tokens of a retry of a call that may have run.
   bool operator==(const RetryRatioSettings&) const = default;
 };
 
@@ -48,7 +49,12 @@
 /// Counts a first try.
 void NoteFirstTry(RetryRatio& aRatio, const RetryRatioSettings& aSettings);
 
-/// Takes one retry token; false if the service has spent its ratio.
-bool TakeRetryToken(RetryRatio& aRatio, const RetryRatioSettings& aSettings, TimePoint aNow);
+/// Takes a retry's tokens; false if the service has spent its ratio.
+/// A retry of a call that may have run costs mayHaveRunCost_, because its own calls are repeated
+/// too.
+bool TakeRetryToken(RetryRatio& aRatio,
+                    const RetryRatioSettings& aSettings,
+                    TimePoint aNow,
+                    bool aMayHaveRun = false);
 
 } // namespace peridotquay
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace peridotquay {
 
@@ -36,11 +37,10 @@
 /// A target that refused is avoided this long.
 constexpr Duration kRefusalPause = milliseconds(20);
 
-/// Reported loads from which calls spill over. From 1 on calls queue at the guard: another data
-/// centre of the region is nearer than the queue. Links between regions are slow and paid by
-/// volume, so they are used only from the second bound on.
-constexpr double kSpillWithinRegion = 1.0;
-constexpr double kSpillBetweenRegions = 1.25;
+/// A target that takes more than this part of the objective is too slow if a farther one takes less
+/// than kMuchFaster of its time.
+constexpr double kTooSlow = 0.8;
+constexpr double kMuchFaster = 0.5;
 
 /// Least part of its share that a target gets at the start of its ramp.
 constexpr double kLeastRamp = 0.02;
@@ -80,6 +80,13 @@
                                                                          : 0;
 }
 
+/// Moving average of the latency; an old one counts less.
+double RecentLatency(const TargetStats& aStats, TimePoint aNow)
+{
+  const double age = std::max(0.0, ToSeconds(aNow - aStats.answered_));
+  return aStats.latencySeconds_ * std::exp2(-age / kLatencyHalfLife);
+}
+
 /// Expected cost of one more call; the least wins.
 double Cost(const Target& aTarget, const TargetStats* aStats, TimePoint aNow)
 {
@@ -87,8 +94,7 @@
   double latency = 0;
   if (aStats != nullptr) {
     cost *= 1 + kReportedWeight * std::clamp(RecentLoad(aStats, aNow), 0.0, kLargestLoad);
-    const double age = std::max(0.0, ToSeconds(aNow - aStats->answered_));
-    latency = aStats->latencySeconds_ * std::exp2(-age / kLatencyHalfLife);
+    latency = RecentLatency(*aStats, aNow);
     cost *= 1 + aStats->inFlight_;
   }
   return cost * (latency + kLatencyBase);
@@ -171,20 +177,89 @@
   });
 }
 
+/// Least recent latency of the candidates in seconds; 0 if one of them has none.
+double BestLatency(const RoutingState& aState, const Candidates& aCandidates, TimePoint aNow)
+{
+  double best = std::numeric_limits<double>::infinity();
+  for (const Target* target : aCandidates) {
+    const TargetStats* stats = FindStats(aState, *target);
+    best = std::min(best, stats == nullptr ? 0 : RecentLatency(*stats, aNow));
+  }
+  return best;
+}
+
+/// Loads from which a call leaves the data centre and the region.
+struct SpillBounds
+{
+  double withinRegion_;
+  double betweenRegions_;
+};
+
+SpillBounds SpillBoundsFor(const RoutingState& aState,
+                           const std::array<Candidates, 3>& aTiers,
+                           Duration aObjective,
+                           TimePoint aNow)
+{
+  const RoutingSettings& settings = aState.settings_;
+  SpillBounds bounds{ settings.spillWithinRegion_, settings.spillBetweenRegions_ };
+  double latency = std::numeric_limits<double>::infinity();
+  for (const Candidates& tier : aTiers) {
+    latency = std::min(latency, BestLatency(aState, tier, aNow));
+  }
+  if (aObjective <= Duration::zero() || latency <= 0 || std::isinf(latency)) {
+    return bounds;
+  }
+  // At a load of 1 + w, a call waits about w times the latency.
+  const double spare = std::max(0.0, ToSeconds(aObjective) / latency - 1);
+  bounds.withinRegion_ = std::clamp(1 + settings.waitWithinRegion_ * spare,
+                                    bounds.withinRegion_,
+                                    std::max(bounds.withinRegion_, settings.highestSpill_));
+  bounds.betweenRegions_ = std::clamp(1 + settings.waitBetweenRegions_ * spare,
+                                      bounds.betweenRegions_,
+                                      std::max(bounds.betweenRegions_, settings.highestSpill_));
+  return bounds;
+}
+
+/// Empties each tier whose targets are too slow for the objective while a farther tier is much
+/// faster.
+void LeaveSlowTiers(const RoutingState& aState,
+                    std::array<Candidates, 3>& aTiers,
+                    Duration aObjective,
+                    TimePoint aNow)
+{
+  if (aObjective <= Duration::zero()) {
+    return;
+  }
+  for (std::size_t near = 0; near + 1 < aTiers.size(); ++near) {
+    const double latency = BestLatency(aState, aTiers[near], aNow);
+    if (aTiers[near].empty() || latency <= kTooSlow * ToSeconds(aObjective)) {
+      continue;
+    }
+    for (std::size_t far = near + 1; far < aTiers.size(); ++far) {
+      if (BestLatency(aState, aTiers[far], aNow) < kMuchFaster * latency &&
+          HasRoom(aState, aTiers[far], aState.settings_.spillWithinRegion_, aNow)) {
+        aTiers[near].clear();
+        break;
+      }
+    }
+  }
+}
+
 /// The nearest tier that has room; all targets if calls queue everywhere. A tier stays whole, so
 /// that a target that reports too little load doesn't draw all of its traffic.
 Candidates NearestWithRoom(const RoutingState& aState,
                            const std::array<Candidates, 3>& aTiers,
+                           const SpillBounds& aBounds,
                            TimePoint aNow)
 {
-  for (const double load : { kSpillWithinRegion, kSpillBetweenRegions }) {
+  for (const double load : { aBounds.withinRegion_, aBounds.betweenRegions_ }) {
     for (std::size_t tier = 0; tier < 2; ++tier) {
       if (HasRoom(aState, aTiers[tier], load, aNow)) {
         return aTiers[tier];
       }
     }
   }
-  if (HasRoom(aState, aTiers[2], kSpillWithinRegion, aNow)) {
+  if (HasRoom(aState, aTiers[2], aState.settings_.spillWithinRegion_, aNow)) {
     return aTiers[2];
   }
   Candidates all;
@@ -249,7 +324,8 @@
                                    const TargetView& aView,
                                    const ServiceId& aService,
                                    const std::vector<HostId>& aExclude,
-                                   TimePoint aNow)
+                                   TimePoint aNow,
+                                   Duration aObjective)
 {
   const auto found = aView.targets_.find(aService);
   if (found == aView.targets_.end()) {
@@ -276,7 +352,9 @@
       usable[Tier(aState, target)].push_back(&target);
     }
   }
-  if (const Candidates nearest = NearestWithRoom(aState, usable, aNow); !nearest.empty()) {
+  LeaveSlowTiers(aState, usable, aObjective, aNow);
+  const SpillBounds bounds = SpillBoundsFor(aState, usable, aObjective, aNow);
+  if (const Candidates nearest = NearestWithRoom(aState, usable, bounds, aNow); !nearest.empty()) {
     return *PickOfTwo(aState, nearest, aNow);
   }
   for (const Candidates& candidates : refusing) {
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -20,6 +20,15 @@
   Duration firstEjection_ = seconds(1); ///< Doubles with each ejection in a row.
   Duration longestEjection_ = seconds(30);
   double maxEjectedFraction_ = 0.5; ///< Of one service's targets.
+  /// Reported load from which calls go to another data centre of the region: from 1 on they queue.
+  double spillWithinRegion_ = 1.0;
+  /// The same for another region, whose link is slow and paid by volume.
+  double spillBetweenRegions_ = 1.25;
+  /// Parts of the time that a call can spare, from its objective, that it waits at a nearer target
+  /// before it crosses to another data centre or region. 0: the bounds above hold alone.
+  double waitWithinRegion_ = 0;
+  double waitBetweenRegions_ = 0;
+  double highestSpill_ = 3.0; ///< Load from which calls go elsewhere whatever they can spare.
   bool operator==(const RoutingSettings&) const = default;
 };
 
@@ -50,11 +59,14 @@
 };
 
 /// Chooses a target of the service, or none. Hosts in aExclude were tried for this call already.
+/// With an objective above 0, the call waits at a near target as long as it can spare the time, and
+/// a near target that is too slow for it gives way to a much faster one.
 std::optional<Target> ChooseTarget(RoutingState& aState,
                                    const TargetView& aView,
                                    const ServiceId& aService,
                                    const std::vector<HostId>& aExclude,
-                                   TimePoint aNow);
+                                   TimePoint aNow,
+                                   Duration aObjective = {});
 
 /// How a call to a target ended, as seen from here.
 enum class CallResult : std::uint8_t
--- a/peridotquay/version/Config.h
+++ b/peridotquay/version/Config.h
@@ -73,6 +73,12 @@
   double retryRatio_ = 0.1;            ///< Retries for each first try at a service; 0 to 1.
   /// Most retries that a host saves up for a service.
   double retryCap_ = 10;
+  /// Parts of the time that a call can spare that it waits before it crosses to another data centre
+  /// or region; 0 to 1.
+  double waitWithinRegion_ = 0;
+  double waitBetweenRegions_ = 0;
+  /// Tokens of the ratio for a retry of a call that may have run.
+  double retryMayHaveRunCost_ = 1;
   /// Time after which a service may be retried once even if the ratio is spent.
   Duration leastRetryInterval_ = seconds(1);
   std::uint32_t queueCapacity_ = 1024; ///< Calls queued at a guard; 0 to 1,024.
--- /dev/null
+++ b/standins/lib/UserStore.cpp
@@ -0,0 +1,198 @@
+// The store's calls on the product's HTTP front.
+#include "standins/lib/UserStore.h"
+
+#include "platform/StoreClient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace peridotquay::standins {
+
+namespace {
+
+constexpr Duration kWatchCheck = milliseconds(5);
+
+std::string QueryValue(const std::string& aPath, const std::string& aName)
+{
+  const std::string mark = aName + "=";
+  std::size_t place = aPath.find('?');
+  while (place != std::string::npos) {
+    if (aPath.compare(place + 1, mark.size(), mark) == 0) {
+      const std::size_t begin = place + 1 + mark.size();
+      return aPath.substr(begin, aPath.find('&', begin) - begin);
+    }
+    place = aPath.find('&', place + 1);
+  }
+  return {};
+}
+
+std::uint64_t QueryNumber(const std::string& aPath, const std::string& aName)
+{
+  return ParseNumber(QueryValue(aPath, aName), UINT64_MAX).value_or(0);
+}
+
+} // namespace
+
+UserStore::UserStore()
+{
+  auto front = HttpFront::Listen(
+    loop_, {}, [this](const std::shared_ptr<HttpExchange>& aExchange) { OnCall(aExchange); });
+  if (front.has_error()) {
+    throw std::runtime_error("the store can't listen");
+  }
+  front_ = std::move(front.assume_value());
+  AnswerWatches();
+  thread_ = std::thread([this] { loop_.Run(); });
+}
+
+UserStore::~UserStore()
+{
+  loop_.Stop();
+  thread_.join();
+}
+
+std::uint16_t UserStore::Port() const
+{
+  return front_->Port();
+}
+
+void UserStore::Put(const std::string& aTable, const std::string& aKey, const std::string& aValue)
+{
+  const std::lock_guard lock(mutex_);
+  rows_[{ aTable, aKey }] = { platform::EncodeBase64(aValue), ++version_, false };
+}
+
+void UserStore::Compact()
+{
+  const std::lock_guard lock(mutex_);
+  compacted_ = ++version_;
+}
+
+std::size_t UserStore::Rows(const std::string& aTable)
+{
+  const std::lock_guard lock(mutex_);
+  std::size_t count = 0;
+  for (const auto& [key, row] : rows_) {
+    count += key.first == aTable && !row.removed_ ? 1 : 0;
+  }
+  return count;
+}
+
+void UserStore::OnCall(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  ++calls_;
+  const std::string& path = aExchange->request_.path_;
+  if (fault_ == UserStoreFault::kDown) {
+    aExchange->Respond({ 503, {}, "", std::nullopt });
+  } else if (fault_ == UserStoreFault::kSilent) {
+    unanswered_.push_back(aExchange);
+  } else if (path.starts_with("/-/rows-get?")) {
+    Read(aExchange);
+  } else if (path.starts_with("/-/rows-feed?")) {
+    BeginWatch(aExchange);
+  } else if (path == "/-/rows-tx") {
+    Transact(aExchange);
+  } else {
+    aExchange->Respond({ 404, {}, "", std::nullopt });
+  }
+}
+
+void UserStore::Read(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const std::string& path = aExchange->request_.path_;
+  const std::string from = QueryValue(path, "from");
+  const std::string end = QueryValue(path, "target");
+  const std::lock_guard lock(mutex_);
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [key, row] : rows_) {
+    const bool inRange = key.second >= from && (end.empty() || key.second < end);
+    if (key.first == QueryValue(path, "table") && inRange && !row.removed_) {
+      rows.push_back({ { "key", key.second }, { "value", row.value_ }, { "ver", row.version_ } });
+    }
+  }
+  const nlohmann::json body = { { "rows", rows }, { "has_more", false }, { "ver", version_ } };
+  aExchange->Respond(JsonResponse(200, body.dump()));
+}
+
+void UserStore::BeginWatch(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const std::string& path = aExchange->request_.path_;
+  watches_.push_back({ aExchange,
+                       QueryValue(path, "table"),
+                       QueryNumber(path, "after"),
+                       loop_.Now() + milliseconds(QueryNumber(path, "wait_ms")) });
+}
+
+void UserStore::Transact(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const auto json = nlohmann::json::parse(aExchange->request_.body_, nullptr, false);
+  if (!json.is_object()) {
+    aExchange->Respond({ 400, {}, "", std::nullopt });
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  nlohmann::json present = nlohmann::json::array();
+  bool holds = true;
+  for (const auto& entry : json.value("expected", nlohmann::json::array())) {
+    const auto found = rows_.find({ entry.at("table"), entry.at("key") });
+    const bool exists = found != rows_.end() && !found->second.removed_;
+    const std::uint64_t version = exists ? found->second.version_ : 0;
+    holds = holds && version == entry.at("ver").get<std::uint64_t>();
+    if (exists) {
+      present.push_back(
+        { { "key", entry.at("key") }, { "value", found->second.value_ }, { "ver", version } });
+    }
+  }
+  if (!holds) {
+    aExchange->Respond(
+      JsonResponse(412, nlohmann::json{ { "rows", present }, { "ver", version_ } }.dump()));
+    return;
+  }
+  ++version_;
+  for (const auto& entry : json.value("writes", nlohmann::json::array())) {
+    rows_[{ entry.at("table"), entry.at("key") }] = { entry.at("value"), version_, false };
+  }
+  for (const auto& entry : json.value("remove", nlohmann::json::array())) {
+    rows_[{ entry.at("table"), entry.at("key") }] = { "", version_, true };
+  }
+  if (fault_ == UserStoreFault::kLosesWrites) {
+    unanswered_.push_back(aExchange);
+    return;
+  }
+  aExchange->Respond(JsonResponse(200, nlohmann::json{ { "ver", version_ } }.dump()));
+}
+
+void UserStore::AnswerWatches()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    std::erase_if(watches_, [this](const Watch& aWatch) {
+      if (aWatch.after_ < compacted_) {
+        aWatch.exchange_->Respond({ 410, {}, "", std::nullopt });
+        return true;
+      }
+      nlohmann::json rows = nlohmann::json::array();
+      for (const auto& [key, row] : rows_) {
+        if (key.first == aWatch.table_ && row.version_ > aWatch.after_) {
+          nlohmann::json entry = { { "key", key.second },
+                                   { "value", row.value_ },
+                                   { "ver", row.version_ } };
+          if (row.removed_) {
+            entry["deleted"] = true;
+          }
+          rows.push_back(std::move(entry));
+        }
+      }
+      if (rows.empty() && loop_.Now() < aWatch.due_) {
+        return false;
+      }
+      const nlohmann::json body = { { "rows", rows }, { "ver", version_ } };
+      aWatch.exchange_->Respond(JsonResponse(200, body.dump()));
+      return true;
+    });
+  }
+  loop_.After(kWatchCheck, [this] { AnswerWatches(); });
+}
+
+} // namespace peridotquay::standins
--- /dev/null
+++ b/standins/lib/UserTarget.cpp
@@ -0,0 +1,104 @@
+// Target on the product's HTTP front; heartbeats are blocking calls of a second thread.
+#include "standins/lib/UserTarget.h"
+
+#include "standins/lib/FleetHttp.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+#include <utility>
+
+namespace peridotquay::standins {
+
+namespace {
+
+constexpr Duration kHeartbeatInterval = milliseconds(200);
+constexpr std::uint64_t kSlots = 50;
+
+} // namespace
+
+UserTarget::UserTarget(std::string aId, std::string aService, std::uint16_t aReports)
+  : id_(std::move(aId))
+  , service_(std::move(aService))
+  , reports_(aReports)
+{
+  auto front = HttpFront::Listen(
+    loop_, {}, [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); });
+  if (front.has_error()) {
+    throw std::runtime_error("the target can't listen");
+  }
+  front_ = std::move(front.assume_value());
+  thread_ = std::thread([this] { loop_.Run(); });
+  reporter_ = std::thread([this] { Report(); });
+}
+
+UserTarget::~UserTarget()
+{
+  ending_ = true;
+  reporter_.join();
+  loop_.Stop();
+  thread_.join();
+}
+
+std::uint16_t UserTarget::Port() const
+{
+  return front_->Port();
+}
+
+std::vector<HttpRequest> UserTarget::Ran()
+{
+  const std::lock_guard lock(mutex_);
+  return ran_;
+}
+
+void UserTarget::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const HttpRequest& request = aExchange->request_;
+  const auto expected = FindHeader(request.headers_, "X-Expected-Instance");
+  if (expected && *expected != id_) {
+    aExchange->Respond({ 421, { { "X-Instance-Id", id_ } }, "", std::nullopt });
+    return;
+  }
+  std::size_t count = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    ran_.push_back(request);
+    count = ran_.size();
+  }
+  const unsigned loseOneIn = loseOneIn_;
+  if (loseOneIn != 0 && count % loseOneIn == 0) {
+    lost_.push_back(aExchange);
+    return;
+  }
+  const std::string requestId(FindHeader(request.headers_, "X-Request-Id").value_or(""));
+  loop_.After(work_, [this, aExchange, requestId] {
+    aExchange->Respond({ 200,
+                         { { "X-Request-Id", requestId },
+                           { "X-Response-Signature", id_ + "." + requestId },
+                           { "X-Server-Load", "1,0," + std::to_string(kSlots) } },
+                         "answer to " + requestId,
+                         std::nullopt });
+  });
+}
+
+void UserTarget::Report()
+{
+  for (std::uint64_t sequence = 1; !ending_; ++sequence) {
+    const nlohmann::json body = { { "service", service_ },
+                                  { "address", "127.0.0.1:" + std::to_string(Port()) },
+                                  { "capacity", kSlots },
+                                  { "state", draining_ ? "draining" : "ready" },
+                                  { "cold_remaining_ms", 0 },
+                                  { "sequence", sequence },
+                                  { "born", 1 } };
+    // A host that is down gets the next report.
+    static_cast<void>(FetchHttp({ "127.0.0.1", reports_ },
+                                { "POST",
+                                  "/-/Instances.Heartbeat/" + id_,
+                                  { { "Content-Type", "application/json" } },
+                                  body.dump() }));
+    std::this_thread::sleep_for(kHeartbeatInterval);
+  }
+}
+
+} // namespace peridotquay::standins
--- /dev/null
+++ b/tests/failure/UserFleetTest.cpp
@@ -0,0 +1,237 @@
+// Tests of whole fleets on the stand-ins of the users' platform.
+#include "tests/failure/UserFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+
+using namespace peridotquay;
+using namespace peridotquay::testing;
+using standins::UserStoreFault;
+
+namespace {
+
+bool Eventually(const std::function<bool()>& aCondition, Duration aTime)
+{
+  const TimePoint end = Clock::now() + aTime;
+  while (Clock::now() < end) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return false;
+}
+
+} // namespace
+
+// Guards against an adapter that doesn't serve: hosts that don't find each other, headers that name
+// the wrong account or service, a key that reaches a target, and requests that run twice.
+TEST_CASE("16 hosts find each other through the store and serve", "[users]")
+{
+  UserFleet fleet(16);
+  REQUIRE(fleet.WaitReady());
+  const std::uint64_t calls = fleet.Store().Calls();
+  std::atomic<int> served{ 0 };
+  std::vector<std::thread> clients;
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    clients.emplace_back([&, host] {
+      for (int i = 0; i < 60; ++i) {
+        const std::string id = std::to_string(host) + "-" + std::to_string(i);
+        const char* path = i % 3 == 0 ? "/write/1" : i % 3 == 1 ? "/read/1" : "/call/1";
+        const auto reply = fleet.Ask(host, path, id, i % 3 == 2 ? "" : "k1");
+        const bool whole = reply.status_ == 200 && reply.body_ == "answer to " + id;
+        served += whole && reply.headers_.contains("x-response-signature") ? 1 : 0;
+        std::this_thread::sleep_for(milliseconds(50));
+      }
+    });
+  }
+  for (auto& client : clients) {
+    client.join();
+  }
+  CHECK(served == 16 * 60);
+  for (const auto& [id, count] : fleet.Runs()) {
+    INFO(id);
+    CHECK(count == 1);
+  }
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    for (const auto& request : fleet.TargetOf(host).Ran()) {
+      CHECK_FALSE(FindHeader(request.headers_, "Authorization"));
+      const std::string id(*FindHeader(request.headers_, "X-Request-Id"));
+      const std::size_t origin = std::stoul(id);
+      CHECK(*FindHeader(request.headers_, "X-Caller-Service") == "s" + std::to_string(origin % 2));
+      const bool open = request.path_.starts_with("/call/");
+      CHECK(FindHeader(request.headers_, "X-Tenant-Id").value_or("none") == (open ? "none" : "t1"));
+    }
+  }
+  // A quiet host makes a proof of freshness every 2.8 s and two watches every 20 s.
+  CHECK(fleet.Store().Calls() - calls < 16 * 8);
+}
+
+// Guards against unknown routes and keys that are served, and known ones that are refused.
+TEST_CASE("routes and keys follow the newest document", "[users]")
+{
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  CHECK(fleet.Ask(0, "/absent/1", "a").status_ == 404);
+  CHECK(fleet.Ask(0, "/read/1", "b", "unknown").status_ == 401);
+  CHECK(fleet.Ask(0, "/read/1", "c", "").status_ == 401);
+  CHECK(fleet.Ask(0, "/read/1", "d", "k2").status_ == 200);
+  auto document = UserDocument(5, { "k1" });
+  document["routes"]["new"] = document["routes"]["read"];
+  document["routes"]["new"]["prefix"] = "/new/";
+  fleet.Store().Put("op", "config", document.dump());
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(Eventually([&] { return fleet.Ask(host, "/new/1", "e").status_ == 200; }, seconds(2)));
+    CHECK(fleet.Ask(host, "/read/1", "f", "k2").status_ == 401);
+  }
+  // Neither an older document nor one that can't be read changes anything.
+  fleet.Store().Put("op", "config", UserDocument(3, { "k1", "k2" }).dump());
+  fleet.Store().Put("op", "config", "{\"version\":\"r9\",\"routes\":5}");
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(fleet.Ask(1, "/new/1", "g").status_ == 200);
+  CHECK(fleet.Ask(1, "/read/1", "h", "k2").status_ == 401);
+  CHECK(fleet.Log(1).find("VersionRejected") != std::string::npos);
+}
+
+// Guards against a withdrawn key that works on at a host that the store doesn't answer, and against
+// open routes that stop with it.
+TEST_CASE("keyed routes stop when the store is silent, open ones go on", "[users]")
+{
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  fleet.Store().SetFault(UserStoreFault::kSilent);
+  CHECK(fleet.Ask(0, "/read/1", "a").status_ == 200);
+  std::this_thread::sleep_for(milliseconds(5100));
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(fleet.Ask(host, "/read/1", "b").status_ == 503);
+    CHECK(fleet.Ask(host, "/call/1", "c", "").status_ == 200);
+  }
+  fleet.Store().SetFault(UserStoreFault::kNone);
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(Eventually([&] { return fleet.Ask(host, "/read/1", "d").status_ == 200; }, seconds(4)));
+  }
+}
+
+// Guards against a target that gets new work after its host acknowledged that it leaves, also while
+// the store is down.
+TEST_CASE("a leaving target gets no new work", "[users]")
+{
+  UserFleet fleet(8);
+  REQUIRE(fleet.WaitReady());
+  fleet.Store().SetFault(UserStoreFault::kDown);
+  fleet.TargetOf(0).SetDraining();
+  REQUIRE(Eventually([&] { return fleet.Log(0).find("TargetDraining") != std::string::npos; },
+                     seconds(2)));
+  const std::size_t before = fleet.TargetOf(0).Ran().size();
+  for (int i = 0; i < 40; ++i) {
+    CHECK(fleet.Ask(static_cast<std::size_t>(i) % 8, "/read/1", std::to_string(i)).status_ == 200);
+  }
+  CHECK(fleet.TargetOf(0).Ran().size() == before);
+}
+
+// Guards against requests that a planned stop or a reload cuts, and against a host that says it is
+// ready while it leaves.
+TEST_CASE("SIGTERM and SIGHUP cut no request", "[users]")
+{
+  UserFleet fleet(8);
+  REQUIRE(fleet.WaitReady());
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.TargetOf(host).SetWork(milliseconds(300));
+  }
+  std::atomic<bool> ending{ false };
+  std::atomic<int> lost{ 0 };
+  std::atomic<int> asked{ 0 };
+  std::vector<std::thread> clients;
+  for (std::size_t host = 0; host < 4; ++host) {
+    clients.emplace_back([&, host] {
+      for (int i = 0; !ending; ++i) {
+        const std::string id = std::to_string(host) + "-" + std::to_string(i);
+        // The clients of the host that stops leave once it isn't ready.
+        const std::size_t at = host == 0 && i > 3 ? 4 : host;
+        const auto status = fleet.Ask(at, i % 2 == 0 ? "/write/1" : "/read/1", id).status_;
+        lost += status == 200 ? 0 : 1;
+        ++asked;
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(700));
+  fleet.ProcessOf(1).Signal(SIGHUP);
+  fleet.ProcessOf(0).Signal(SIGTERM);
+  CHECK(Eventually([&] { return fleet.Ready(0) != 200; }, seconds(1)));
+  CHECK(fleet.ProcessOf(0).Wait(6) == 0);
+  std::this_thread::sleep_for(milliseconds(500));
+  ending = true;
+  for (auto& client : clients) {
+    client.join();
+  }
+  CHECK(asked > 20);
+  CHECK(lost == 0);
+  CHECK(fleet.Log(1).find("SettingsReloaded") != std::string::npos);
+  for (const auto& [id, count] : fleet.Runs()) {
+    INFO(id);
+    CHECK((count == 1 || id.back() % 2 == 1));
+  }
+}
+
+// Guards against a request that runs twice, or a refusal that isn't true, when answers are lost.
+TEST_CASE("lost answers of targets lead to no second run of a write", "[users]")
+{
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.TargetOf(host).LoseOneIn(3);
+  }
+  std::map<std::string, unsigned> status;
+  std::vector<std::thread> clients;
+  std::mutex mutex;
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    clients.emplace_back([&, host] {
+      for (int i = 0; i < 4; ++i) {
+        const std::string id = std::to_string(host) + "-" + std::to_string(i);
+        const unsigned answer = fleet.Ask(host, "/write/1", id).status_;
+        const std::lock_guard lock(mutex);
+        status[id] = answer;
+      }
+    });
+  }
+  for (auto& client : clients) {
+    client.join();
+  }
+  const auto runs = fleet.Runs();
+  for (const auto& [id, answer] : status) {
+    INFO(id << " " << answer);
+    const auto ran = runs.find(id);
+    CHECK((ran == runs.end() || ran->second == 1));
+    CHECK((answer != 503 || ran == runs.end()));
+  }
+}
+
+// Guards against hosts that don't come back when all of them lost everything at once, and against a
+// second row for one host when the store loses answers.
+TEST_CASE("all hosts restart at once while answers of the store are lost", "[users]")
+{
+  UserFleet fleet(8);
+  REQUIRE(fleet.WaitReady());
+  fleet.Store().SetFault(UserStoreFault::kLosesWrites);
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.ProcessOf(host).Signal(SIGKILL);
+  }
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.Restart(host);
+  }
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(Eventually([&] { return fleet.Ask(host, "/read/1", "a").status_ == 200; }, seconds(5)));
+  }
+  fleet.Store().SetFault(UserStoreFault::kNone);
+  fleet.Store().Compact();
+  CHECK(Eventually([&] { return fleet.Store().Rows("quay_hosts") == fleet.Size(); }, seconds(3)));
+  fleet.Store().Put("op", "config", UserDocument(9, { "k2" }).dump());
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(
+      Eventually([&] { return fleet.Ask(host, "/read/1", "b", "k2").status_ == 200; }, seconds(3)));
+    CHECK(
+      Eventually([&] { return fleet.Ask(host, "/read/1", "c", "k1").status_ == 401; }, seconds(3)));
+  }
+}
--- a/tests/request/RateShareTest.cpp
+++ b/tests/request/RateShareTest.cpp
@@ -231,12 +231,14 @@
 // Guards against tokens that were given back but count as used.
 TEST_CASE("unused tokens of a grant come back", "[rate]")
 {
-  Fleet fleet(1, 10, 10, 1);
+  Fleet fleet(1, 10, 20, 1);
   fleet.Run(0, seconds(8), 1);
   RateShareState& host = fleet.hosts_[0];
   const ShareGrant grant = GrantTokens(host, { 1, kAccount, 0, 0, 8 }, fleet.now_);
   REQUIRE(grant.tokens_ == 8);
-  CHECK(GrantTokens(host, { 2, kAccount, 0, 0, 8 }, fleet.now_).tokens_ <= 2);
+  const ShareGrant rest = GrantTokens(host, { 2, kAccount, 0, 0, 20 }, fleet.now_);
+  CHECK(rest.tokens_ <= 12);
+  CHECK(GrantTokens(host, { 4, kAccount, 0, 0, 1 }, fleet.now_).tokens_ == 0);
   CHECK(GrantTokens(host, { 3, kAccount, grant.grant_, 0, 8 }, fleet.now_).tokens_ == 8);
 }
 
--- a/tests/request/RetryBudgetTest.cpp
+++ b/tests/request/RetryBudgetTest.cpp
@@ -89,6 +89,22 @@
   CHECK(budget == RetryBudget{ 1, 1, 1 });
 }
 
+// Guards against repeated runs whose own calls exceed the ratio of deeper services.
+TEST_CASE("a retry of a call that may have run costs more", "[retry]")
+{
+  const RetryRatioSettings settings{ .perFirstTry_ = 0.5,
+                                     .leastInterval_ = seconds(100),
+                                     .mayHaveRunCost_ = 2 };
+  RetryRatio state;
+  const TimePoint now{ seconds(1000) };
+  state.last_ = now;
+  CHECK_FALSE(TakeRetryToken(state, settings, now, true));
+  NoteFirstTry(state, settings);
+  NoteFirstTry(state, settings);
+  CHECK(TakeRetryToken(state, settings, now, true));
+  CHECK_FALSE(TakeRetryToken(state, settings, now, false));
+}
+
 // Guards against retry storms on one route, and against a quiet route that may never retry.
 TEST_CASE("retries are at most the ratio and one a second", "[retry]")
 {
