--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -10,6 +10,7 @@
 #include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
 #include "peridotquay/process/RequestLedger.h"
+#include "peridotquay/process/RequestLog.h"
 #include "peridotquay/process/Settings.h"
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/NaivePolicy.h"
@@ -104,6 +105,7 @@
     std::vector<HostId> excluded_; ///< Hosts that refused or failed this call.
     std::uint32_t retries_ = 0;
     std::uint32_t placements_ = 0; ///< Guards that refused the call.
+    std::uint32_t sends_ = 0;      ///< Attempts at guards.
 
     std::string requestId_;      ///< Set if this call runs under a request id.
     std::uint64_t sequence_ = 0; ///< Record of requestId_ while it runs here; 0 otherwise.
@@ -171,6 +173,9 @@
   void CancelAttempt(const CallPointer& aCall);
   void End(const CallPointer& aCall, Answer aAnswer);
   void LogUnknown(const ActiveCall& aCall, ErrorCode aCode);
+  void LogEnd(const ActiveCall& aCall, const Answer& aAnswer);
+  void LogRefusal(const HttpRequest& aRequest, ErrorCode aCode);
+  std::string_view LoggedId(const HeaderList& aHeaders) const;
   void Refuse(const CallPointer& aCall, ErrorCode aCode, std::uint32_t aRetryAfterMs = 0);
   void EndUnknown(const CallPointer& aCall, ErrorCode aCode);
   void RefuseExchange(const std::shared_ptr<HttpExchange>& aExchange, const Refusal& aRefusal);
@@ -204,6 +209,7 @@
   std::unordered_map<std::uint64_t, CallPointer> attempts_;          ///< By call id.
   std::uint64_t nextCallId_ = 1;
   LogThrottle unknownLog_;
+  RequestLogState requestLog_;
   LogThrottle droppedLog_;
   bool draining_ = false;
 };
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -87,6 +87,7 @@
   metrics_.Add(Counter::kAttempts);
   ActiveCall& call = *aCall;
   call.target_ = aTarget;
+  ++call.sends_;
   call.sent_ = now;
   call.asksFate_ = false;
   call.fateQuestions_ = 0;
@@ -255,6 +256,16 @@
   }
   ++aCall->retries_;
   metrics_.Add(Counter::kRetries);
+  const std::string_view id = LoggedId(aCall->call_.headers_);
+  std::uint64_t leftOut = 0;
+  if (AllowRequestLine(requestLog_, id, true, loop_.Now(), leftOut)) {
+    LogEvent(Event::kCallRepeated,
+             { { "id", std::string(id) },
+               { "from", aCall->target_.host_.value_ },
+               { "to", target->host_.value_ },
+               { "reason", std::string(ErrorName(code)) },
+               { "may_have_run", aCall->mayHaveRun_ ? "true" : "false" } });
+  }
   Send(aCall, *target);
 }
 
--- a/peridotquay/process/DispatcherEnd.cpp
+++ b/peridotquay/process/DispatcherEnd.cpp
@@ -58,6 +58,18 @@
   }
 }
 
+std::string WholeMs(Duration aDuration)
+{
+  return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
+}
+
+// Status of a target's answer, or the name of the failure.
+std::string ReasonOf(const Answer& aAnswer)
+{
+  return aAnswer.error_ == 0 ? std::to_string(aAnswer.status_)
+                             : std::string(ErrorName(static_cast<ErrorCode>(aAnswer.error_)));
+}
+
 } // namespace
 
 void Dispatcher::OnDeadline(const CallPointer& aCall)
@@ -157,6 +169,7 @@
   if (call.contextToken_.empty()) {
     metrics_.Note(Timing::kCaller, loop_.Now() - call.arrived_);
   }
+  LogEnd(call, aAnswer);
   const Done done = std::move(call.done_);
   call.done_ = nullptr;
   if (done) {
@@ -164,6 +177,51 @@
   }
 }
 
+std::string_view Dispatcher::LoggedId(const HeaderList& aHeaders) const
+{
+  const auto header = dialect_.echoHeader_.empty() ? "Quay-Request-Id" : dialect_.echoHeader_;
+  return FindHeader(aHeaders, header).value_or("-");
+}
+
+void Dispatcher::LogEnd(const ActiveCall& aCall, const Answer& aAnswer)
+{
+  const std::string_view id = LoggedId(aCall.call_.headers_);
+  const bool failed = aAnswer.outcome_ != Outcome::kRan || aAnswer.status_ >= 500;
+  const TimePoint now = loop_.Now();
+  std::uint64_t leftOut = 0;
+  if (!AllowRequestLine(requestLog_, id, failed, now, leftOut)) {
+    return;
+  }
+  LogEvent(Event::kRequestEnded,
+           { { "id", std::string(id) },
+             { "route", aCall.call_.route_.value_ },
+             { "service", aCall.call_.service_.value_ },
+             { "account", aCall.call_.clientAccount_.value_ },
+             { "version", std::to_string(aCall.config_->version_) },
+             { "fresh_ms", WholeMs(FreshnessAge()) },
+             { "attempts", std::to_string(aCall.sends_) },
+             { "target", aCall.target_.host_.value_ },
+             { "outcome", std::string(OutcomeName(aAnswer.outcome_)) },
+             { "reason", ReasonOf(aAnswer) },
+             { "ms", WholeMs(now - aCall.arrived_) },
+             { "left_out", std::to_string(leftOut) } });
+}
+
+void Dispatcher::LogRefusal(const HttpRequest& aRequest, ErrorCode aCode)
+{
+  const std::string_view id = LoggedId(aRequest.headers_);
+  std::uint64_t leftOut = 0;
+  if (!AllowRequestLine(requestLog_, id, true, loop_.Now(), leftOut)) {
+    return;
+  }
+  LogEvent(Event::kRequestRefused,
+           { { "id", std::string(id) },
+             { "reason", std::string(ErrorName(aCode)) },
+             { "version", std::to_string(ConfigVersion()) },
+             { "fresh_ms", WholeMs(FreshnessAge()) },
+             { "left_out", std::to_string(leftOut) } });
+}
+
 void Dispatcher::LogUnknown(const ActiveCall& aCall, ErrorCode aCode)
 {
   std::uint64_t skipped = 0;
@@ -190,6 +248,7 @@
                                 const Refusal& aRefusal)
 {
   metrics_.Add(Counter::kAnswersNotRun);
+  LogRefusal(aExchange->request_, aRefusal.code_);
   aExchange->Respond(dialect_.failure_(
     aRefusal.code_, Outcome::kNotRun, Detail(aRefusal.code_), aRefusal.retryAfterMs_));
 }
--- a/peridotquay/process/Events.cpp
+++ b/peridotquay/process/Events.cpp
@@ -1,6 +1,8 @@
 // Writes numbered events through glog.
 #include "peridotquay/process/Events.h"
 
+#include "peridotquay/process/LogOutput.h"
+
 #include <glog/logging.h>
 
 namespace peridotquay {
@@ -48,6 +50,10 @@
     line += field.name_;
     line += "=" + FormatValue(field.value_);
   }
+  if (LogOutput* output = CurrentLogOutput()) {
+    output->Append(line);
+    return;
+  }
   switch (EventSeverity(aEvent)) {
     case Severity::kInfo:
       LOG(INFO) << line;
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -26,9 +26,14 @@
   X(1004, SettingsRejected, kError) \
   X(1005, ListenFailed, kError) \
   X(1006, SettingsReloaded, kInfo) \
+  X(1007, LogLinesDropped, kWarning) \
   X(2001, AnswerDropped, kWarning) \
   X(2002, OutcomeUnknown, kWarning) \
   X(2003, TargetRefusing, kWarning) \
+  X(2004, RequestEnded, kInfo) \
+  X(2005, RequestRefused, kInfo) \
+  X(2006, CallEnded, kInfo) \
+  X(2007, CallRepeated, kInfo) \
   X(3001, MemberJoined, kInfo) \
   X(3002, MemberSuspected, kWarning) \
   X(3003, MemberDead, kWarning) \
@@ -71,7 +76,8 @@
   std::string value_;
 };
 
-/// Writes one structured line through glog: event number, name, fields. Never pass a caller's key.
+/// Writes one structured line to the log output, or through glog if there is none: event number,
+/// name, fields. Never pass a caller's key.
 void LogEvent(Event aEvent, std::initializer_list<EventField> aFields = {});
 
 /// Name of an event as in the catalogue.
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -124,6 +124,7 @@
   waiting.id_ = number;
   waiting.importance_ = aCall.importance_;
   waiting.clientAccount_ = aCall.clientAccount_;
+  waiting.route_ = aCall.route_;
   if (config_) {
     const auto account = config_->clientAccounts_.find(aCall.clientAccount_);
     waiting.weight_ =
@@ -257,6 +258,7 @@
   loop_.CancelTimer(entry->second.timer_);
   Answer answer = RefusedAnswer(entry->second.call_, aCode, aRetryAfterMs);
   FillLoad(answer);
+  LogEnd(entry->second, answer);
   const Done done = std::move(entry->second.done_);
   calls_.erase(entry);
   done(std::move(answer));
@@ -282,15 +284,50 @@
   AdmissionStep step;
   if (!settings_.naive_) {
     const Duration total = now - running.started_;
-    step = FinishCall(admission_, aEnd, { total, total - deeper }, now);
+    step = FinishCall(admission_, aEnd, { total, total - deeper }, now, running.call_.route_);
   }
   FillLoad(aAnswer);
+  LogEnd(running, aAnswer);
   if (running.done_) {
     running.done_(std::move(aAnswer));
   }
   Apply(step);
 }
 
+void Guard::LogEnd(const Running& aRunning, const Answer& aAnswer)
+{
+  // The product's own interface names no request in calls to targets.
+  if (dialect_.echoHeader_.empty()) {
+    return;
+  }
+  const std::string_view id =
+    FindHeader(aRunning.call_.headers_, dialect_.echoHeader_).value_or("-");
+  const bool failed = aAnswer.outcome_ != Outcome::kRan || aAnswer.status_ >= 500;
+  const TimePoint now = loop_.Now();
+  std::uint64_t leftOut = 0;
+  if (!AllowRequestLine(requestLog_, id, failed, now, leftOut)) {
+    return;
+  }
+  const bool started = aRunning.started_ != TimePoint{};
+  const auto ms = [](Duration aDuration) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
+  };
+  LogEvent(
+    Event::kCallEnded,
+    { { "id", std::string(id) },
+      { "target", target_ ? target_->id_ : "" },
+      { "queue_ms", ms((started ? aRunning.started_ : now) - aRunning.arrived_) },
+      { "target_ms", started ? ms(now - aRunning.started_) : "-" },
+      { "running", std::to_string(aAnswer.inFlight_) },
+      { "queued", std::to_string(aAnswer.queued_) },
+      { "limit", std::to_string(aAnswer.limit_) },
+      { "outcome", std::string(OutcomeName(aAnswer.outcome_)) },
+      { "reason",
+        aAnswer.error_ == 0 ? std::to_string(aAnswer.status_)
+                            : std::string(ErrorName(static_cast<ErrorCode>(aAnswer.error_))) },
+      { "left_out", std::to_string(leftOut) } });
+}
+
 void Guard::FillLoad(Answer& aAnswer)
 {
   if (settings_.naive_) {
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -7,6 +7,7 @@
 #include "peridotquay/process/HttpDialect.h"
 #include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
+#include "peridotquay/process/RequestLog.h"
 #include "peridotquay/process/Settings.h"
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/CallContext.h"
@@ -105,6 +106,7 @@
   /// Ends a started call: frees its slot, closes its context and delivers the answer.
   void Finish(std::uint64_t aCall, CallEnd aEnd, Answer aAnswer);
   void FillLoad(Answer& aAnswer);
+  void LogEnd(const Running& aRunning, const Answer& aAnswer);
   void WatchQueue();
   void WatchSilence();
   /// Asks the target's health on a kept connection and on a fresh one. If only the fresh one
@@ -132,6 +134,7 @@
   std::uint64_t next_ = 1;
   TargetHealth health_;
   LogThrottle refusalLog_;
+  RequestLogState requestLog_;
   bool draining_ = false;
   bool watchingQueue_ = false;
   bool watchingSilence_ = false;
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -9,6 +9,7 @@
 #include "peridotquay/process/Events.h"
 #include "peridotquay/process/FateTable.h"
 #include "peridotquay/process/Guard.h"
+#include "peridotquay/process/LogOutput.h"
 #include "peridotquay/process/Metrics.h"
 
 #include <nlohmann/json.hpp>
@@ -259,6 +260,9 @@
   {
     dispatcher_->ReturnTokens();
     ExpireFates(fates_, loop_.Now());
+    if (LogOutput* output = CurrentLogOutput()) {
+      output->Flush();
+    }
     loop_.After(kHousekeepingInterval, [this] { KeepHouse(); });
   }
 
--- a/peridotquay/process/OperatorReport.h
+++ b/peridotquay/process/OperatorReport.h
@@ -9,7 +9,7 @@
 
 namespace peridotquay {
 
-// Exit codes beside those of errors; docs/operations.md lists all.
+// Exit codes beside those of errors; docs/OPERATIONS.md lists all.
 inline constexpr int kExitUsage = 1;      ///< Wrong command line.
 inline constexpr int kExitNotInForce = 3; ///< Written, but not in force everywhere in time.
 
--- /dev/null
+++ b/peridotquay/process/RequestLog.cpp
@@ -0,0 +1,61 @@
+// Sampling of request lines.
+#include "peridotquay/process/RequestLog.h"
+
+#include <algorithm>
+
+namespace peridotquay {
+
+namespace {
+
+// FNV-1a, the same on every host.
+std::uint32_t HashId(std::string_view aId)
+{
+  std::uint32_t hash = 2166136261U;
+  for (const char character : aId) {
+    hash = (hash ^ static_cast<unsigned char>(character)) * 16777619U;
+  }
+  return hash;
+}
+
+void BeginSecond(RequestLogState& aState, TimePoint aNow)
+{
+  const double offered = std::max(1U, aState.successes_);
+  const double part = std::min(1.0, aState.settings_.successesPerSecond_ / offered);
+  aState.threshold_ = static_cast<std::uint32_t>(part * UINT32_MAX);
+  aState.second_ = aNow;
+  aState.failures_ = 0;
+  aState.successes_ = 0;
+  aState.kept_ = 0;
+}
+
+} // namespace
+
+bool AllowRequestLine(RequestLogState& aState,
+                      std::string_view aRequestId,
+                      bool aFailed,
+                      TimePoint aNow,
+                      std::uint64_t& aLeftOut)
+{
+  if (aNow - aState.second_ >= seconds(1)) {
+    BeginSecond(aState, aNow);
+  }
+  bool allowed = false;
+  if (aFailed) {
+    allowed = ++aState.failures_ <= aState.settings_.failuresPerSecond_;
+  } else {
+    ++aState.successes_;
+    // A surge within a second is bounded before the next one adapts the threshold.
+    allowed = HashId(aRequestId) <= aState.threshold_ &&
+              aState.kept_ < 2 * aState.settings_.successesPerSecond_;
+    aState.kept_ += allowed ? 1 : 0;
+  }
+  if (!allowed) {
+    ++aState.leftOut_;
+    return false;
+  }
+  aLeftOut = aState.leftOut_;
+  aState.leftOut_ = 0;
+  return true;
+}
+
+} // namespace peridotquay
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -64,7 +64,7 @@
     if (std::find(kKeys.begin(), kKeys.end(), key.str()) == kKeys.end()) {
       return BOOST_OUTCOME_V2_NAMESPACE::failure(Error{ ErrorCode::kUnknownSetting,
                                                         std::string(key.str()),
-                                                        "a setting of docs/operations.md",
+                                                        "a setting of docs/OPERATIONS.md",
                                                         PlaceOf(key.source(), *aDocument.file_) });
     }
   }
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -134,6 +134,17 @@
   return aState.serviceSeconds_ * std::exp2(-age / kServiceHalfLife);
 }
 
+/// Service time of calls like this one; of all calls while its route has none.
+double ExpectedServiceOf(const AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow)
+{
+  const auto route = aState.routes_.find(aCall.route_);
+  if (route == aState.routes_.end()) {
+    return ExpectedService(aState, aNow);
+  }
+  const double age = std::max(0.0, ToSeconds(aNow - route->second.lastSample_));
+  return route->second.seconds_ * std::exp2(-age / kServiceHalfLife);
+}
+
 std::uint32_t RetryAfterMs(const AdmissionState& aState, TimePoint aNow)
 {
   const double waitMs = 1000 * ExpectedService(aState, aNow) *
@@ -148,7 +159,8 @@
     return true;
   }
   // With nothing running, a call is the only way to learn the present service time.
-  return aState.running_ > 0 && ToSeconds(aCall.deadline_ - aNow) < ExpectedService(aState, aNow);
+  return aState.running_ > 0 &&
+         ToSeconds(aCall.deadline_ - aNow) < ExpectedServiceOf(aState, aCall, aNow);
 }
 
 /// Whether the call has spent its part of the deadline in the queue. Critical calls may wait until
@@ -402,6 +414,21 @@
   window.peakRunning_ = aState.running_;
 }
 
+void NoteRouteService(AdmissionState& aState,
+                      const RouteId& aRoute,
+                      double aSeconds,
+                      TimePoint aNow)
+{
+  if (aRoute.value_.empty() ||
+      (aState.routes_.size() >= kMaxServiceRoutes && !aState.routes_.contains(aRoute))) {
+    return;
+  }
+  RouteService& route = aState.routes_[aRoute];
+  route.seconds_ =
+    route.seconds_ <= 0 ? aSeconds : route.seconds_ + kServiceWeight * (aSeconds - route.seconds_);
+  route.lastSample_ = aNow;
+}
+
 /// Counts a service time and adapts the limit when the window is full.
 void NoteServiceTime(AdmissionState& aState, const ServiceTime& aServiceTime, TimePoint aNow)
 {
@@ -553,7 +580,8 @@
 AdmissionStep FinishCall(AdmissionState& aState,
                          CallEnd aEnd,
                          const ServiceTime& aServiceTime,
-                         TimePoint aNow)
+                         TimePoint aNow,
+                         const RouteId& aRoute)
 {
   assert(aState.running_ > 0);
   aState.running_ -= aState.running_ > 0 ? 1 : 0;
@@ -561,6 +589,7 @@
     case CallEnd::kAnswered:
     case CallEnd::kTimedOut:
       NoteServiceTime(aState, aServiceTime, aNow);
+      NoteRouteService(aState, aRoute, std::max(0.0, ToSeconds(aServiceTime.total_)), aNow);
       break;
     case CallEnd::kTargetRefused:
       NoteTargetRefusal(aState, aServiceTime.total_, aNow);
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -40,6 +40,7 @@
   double weight_ = 1; ///< Share of the client account in its class: its rate.
   TimePoint arrived_{};
   TimePoint deadline_{};
+  RouteId route_{}; ///< Calls of one route take about equally long.
   bool operator==(const WaitingCall&) const = default;
 };
 
@@ -86,6 +87,16 @@
   TimePoint ignoreRefusalsUntil_{};  ///< Until then single refusals don't lower the limit.
 };
 
+/// Moving average of the service time of one route.
+struct RouteService
+{
+  double seconds_ = 0;
+  TimePoint lastSample_{};
+};
+
+/// Most routes whose service times are kept apart.
+inline constexpr std::size_t kMaxServiceRoutes = 256;
+
 /// State of one guard's admission. Changed only through the functions below.
 struct AdmissionState
 {
@@ -95,11 +106,12 @@
   bool contradicted_ = false; ///< The target refused or queued below the limit at least once.
   std::uint32_t running_ = 0;
   std::array<ClassQueue, kImportanceClasses> queues_;
-  std::size_t queued_ = 0;    ///< Invariant: sum of queues_ sizes.
-  double serviceSeconds_ = 0; ///< Moving average of service time.
-  TimePoint lastSample_{};    ///< When serviceSeconds_ got its latest value.
-  double floorSeconds_ = 0;   ///< Moving least mean service time of a window.
-  TimePoint floorSince_{};    ///< When the floor was last confirmed or raised by a trial.
+  std::size_t queued_ = 0;                 ///< Invariant: sum of queues_ sizes.
+  double serviceSeconds_ = 0;              ///< Moving average of service time.
+  TimePoint lastSample_{};                 ///< When serviceSeconds_ got its latest value.
+  std::map<RouteId, RouteService> routes_; ///< At most kMaxServiceRoutes.
+  double floorSeconds_ = 0;                ///< Moving least mean service time of a window.
+  TimePoint floorSince_{}; ///< When the floor was last confirmed or raised by a trial.
   TimePoint lastDecrease_{};
   LimitWindow window_;
   std::array<double, kImportanceClasses>
@@ -167,7 +179,8 @@
 AdmissionStep FinishCall(AdmissionState& aState,
                          CallEnd aEnd,
                          const ServiceTime& aServiceTime,
-                         TimePoint aNow);
+                         TimePoint aNow,
+                         const RouteId& aRoute = {});
 
 /// Removes a waiting call that its caller cancelled; false if it isn't waiting.
 bool CancelWaiting(AdmissionState& aState, std::uint64_t aId);
--- a/peridotquay/version/Config.h
+++ b/peridotquay/version/Config.h
@@ -98,7 +98,6 @@
   Policy policy_;
   /// Routes are chosen by host and exact prefix, without interpreting the path.
   bool routesByHost_ = false;
-  std::map<ServiceId, std::string> healthPaths_; ///< Services whose targets have a health check.
   bool operator==(const Config&) const = default;
 };
 
--- a/peridotquay/version/ConfigCompiler.h
+++ b/peridotquay/version/ConfigCompiler.h
@@ -1,6 +1,6 @@
 // Turns the entities of a version into the configuration of one data centre.
 //
-// Entities and their JSON (docs/operations.md has all keys with ranges):
+// Entities and their JSON (docs/OPERATIONS.md has all keys with ranges):
 //   account/<id>      {"rate":100,"burst":200}
 //   key/<digest>      {"account":"<id>"}, with "withdrawn":true once withdrawn
 //   route/<id>        {"prefix":"/a","service":"<id>"}, optional importance, repeatable, open,
--- a/programs/quayctl.cpp
+++ b/programs/quayctl.cpp
@@ -1,5 +1,6 @@
 // The operators' command line.
 #include "peridotquay/process/BlockingHttp.h"
+#include "peridotquay/process/LogTrace.h"
 #include "peridotquay/process/OperatorCommands.h"
 #include "peridotquay/process/TomlPlaces.h"
 
@@ -216,6 +217,12 @@
       "  Shows what a node would do with a request of a client account.\n",
       0,
       RunExplain },
+    { "trace",
+      "trace ID FILE\n"
+      "  Shows what hosts logged of a request, in order. FILE holds their logs. Needs no "
+      "platform.\n",
+      2,
+      [](const Arguments& aArguments) { return TraceCommand(aArguments[0], aArguments[1]); } },
     { "drain",
       "drain --node=ip:port\n"
       "  Tells a node to finish its calls and leave.\n",
@@ -226,7 +233,7 @@
 }
 
 constexpr std::string_view kCommonHelp =
-  "All commands take --json and --help. Exit codes: docs/operations.md.\n";
+  "All commands take --json and --help. Exit codes: docs/OPERATIONS.md.\n";
 
 void PrintHelp(std::ostream& aStream, const Command* aCommand)
 {
--- a/programs/quayd.cpp
+++ b/programs/quayd.cpp
@@ -1,5 +1,6 @@
 // The node process on each target host.
 #include "peridotquay/process/Events.h"
+#include "peridotquay/process/LogOutput.h"
 #include "peridotquay/process/MakeControlPlane.h"
 #include "peridotquay/process/Node.h"
 #include "peridotquay/process/Settings.h"
@@ -26,6 +27,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -305,7 +307,13 @@
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // On the users' platform lines go to standard output, and never block.
+  LogOutput output(STDOUT_FILENO, settings.assume_value().node_.host_.value_);
+  if (settings.assume_value().platform_) {
+    SetLogOutput(&output);
+  }
   const int code = Serve(file, settings.assume_value());
+  SetLogOutput(nullptr);
   google::ShutdownGoogleLogging();
   return code;
 }
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -1,8 +1,11 @@
 // Tests of whole fleets on the stand-ins of the users' platform.
 #include "tests/failure/UserFleet.h"
 
+#include "peridotquay/process/LogTrace.h"
+
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 
@@ -208,6 +211,52 @@
   }
 }
 
+// Guards against a walk-through of docs/OPERATIONS.md whose lines no host writes: a refusal, an
+// answer of unknown outcome and a refusal during an outage of the store are found by the request's
+// id.
+TEST_CASE("a failed request is explained by the logs of its hosts", "[users]")
+{
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  const auto trace = [&](const std::string& aId) {
+    std::string log;
+    for (std::size_t host = 0; host < fleet.Size(); ++host) {
+      log += fleet.Log(host);
+    }
+    std::string text;
+    for (const auto& line : TraceLines(log, aId)) {
+      text += line + "\n";
+    }
+    return text;
+  };
+  const auto explains = [&](const std::string& aId, const std::vector<std::string>& aParts) {
+    return Eventually(
+      [&] {
+        const std::string text = trace(aId);
+        return std::all_of(aParts.begin(), aParts.end(), [&](const std::string& aPart) {
+          return text.find(aPart) != std::string::npos;
+        });
+      },
+      seconds(2));
+  };
+  CHECK(fleet.Ask(0, "/read/1", "refused", "unknown").status_ == 401);
+  CHECK(explains("refused", { "RequestRefused", "reason=unknown-key", "version=1", "fresh_ms=" }));
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.TargetOf(host).LoseOneIn(1);
+  }
+  CHECK(fleet.Ask(0, "/write/1", "unknown").status_ == 504);
+  CHECK(explains("unknown",
+                 { "CallEnded", "target=i-h", "RequestEnded", "outcome=unknown", "queue_ms=" }));
+  fleet.Store().SetFault(UserStoreFault::kDown);
+  std::this_thread::sleep_for(milliseconds(5100));
+  CHECK(fleet.Ask(0, "/read/1", "outage").status_ == 503);
+  CHECK(explains("outage", { "RequestRefused", "reason=configuration-not-fresh" }));
+  CHECK(fleet.Log(0).find("PlatformUnreachable") != std::string::npos);
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(fleet.Log(host).find("Token") == std::string::npos);
+  }
+}
+
 // Guards against hosts that don't come back when all of them lost everything at once, and against a
 // second row for one host when the store loses answers.
 TEST_CASE("all hosts restart at once while answers of the store are lost", "[users]")
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -89,7 +89,6 @@
   CHECK(account->burst_ == 60);
   CHECK(FindKey(*config, KeyDigest("k3")) == nullptr);
   CHECK(config->clientAccounts_.at({ "t2" }).ratePerSecond_ == 0);
-  CHECK(config->healthPaths_.at({ "s1" }) == "/health");
 }
 
 // Guards against a request of unknown kind that runs twice.
@@ -151,7 +150,6 @@
 {
   const Heartbeat first = Value(DecodeHeartbeat("i-1", kHeartbeat));
   CHECK(first.slots_ == 54);
-  CHECK(first.coldMs_ == 3000);
   CHECK_FALSE(first.draining_);
   Heartbeat next = first;
   next.sequence_ = 5;
--- a/tests/request/AdmissionTest.cpp
+++ b/tests/request/AdmissionTest.cpp
@@ -600,3 +600,30 @@
   }
   CHECK(state.limit_ == Approx(16));
 }
+
+// Guards against short calls that are refused as too late because other routes of the target take
+// longer.
+TEST_CASE("a call is judged by the service time of its route", "[admission]")
+{
+  AdmissionState state;
+  const TimePoint now{ seconds(1000) };
+  const auto call = [&](std::uint64_t aId, const char* aRoute, Duration aLeft) {
+    WaitingCall waiting;
+    waiting.id_ = aId;
+    waiting.importance_ = Importance::kCritical;
+    waiting.route_ = { aRoute };
+    waiting.arrived_ = now;
+    waiting.deadline_ = now + aLeft;
+    return waiting;
+  };
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    const bool slow = i % 2 == 0;
+    OfferCall(state, call(i, slow ? "slow" : "quick", seconds(5)), now);
+    FinishCall(
+      state, CallEnd::kAnswered, milliseconds(slow ? 900 : 20), now, { slow ? "slow" : "quick" });
+  }
+  OfferCall(state, call(30, "slow", seconds(5)), now);
+  CHECK(OfferCall(state, call(31, "quick", milliseconds(100)), now).refuse_.empty());
+  CHECK(OfferCall(state, call(32, "slow", milliseconds(100)), now).refuse_.size() == 1);
+  CHECK(OfferCall(state, call(33, "unseen", milliseconds(100)), now).refuse_.size() == 1);
+}
--- a/tests/request/RateShareTest.cpp
+++ b/tests/request/RateShareTest.cpp
@@ -266,3 +266,21 @@
   // A report of an account takes about 30 bytes; each host has one a second at least.
   CHECK(fleet.bytes_ / 20 < 8192);
 }
+
+// Guards against calls to a host that is gone for good, and against a region that is cut off and
+// taken for gone.
+TEST_CASE("a host that is gone is found by its silence", "[rate]")
+{
+  Fleet fleet(8, 50, 50, 1);
+  const TimePoint start = fleet.now_;
+  fleet.Run(20, seconds(6), 8);
+  CHECK(LostHosts(fleet.hosts_[0], seconds(4), start, fleet.now_).empty());
+  fleet.cut_[3] = true;
+  fleet.Run(20, seconds(6), 8);
+  CHECK(LostHosts(fleet.hosts_[0], seconds(4), start, fleet.now_) == std::set<HostId>{ { "h3" } });
+  // The host itself hears nobody, so it can't tell who is gone.
+  CHECK(LostHosts(fleet.hosts_[3], seconds(4), start, fleet.now_).empty());
+  fleet.cut_[3] = false;
+  fleet.Run(20, seconds(3), 8);
+  CHECK(LostHosts(fleet.hosts_[0], seconds(4), start, fleet.now_).empty());
+}
