--- a/peridotquay/process/ShareLease.cpp
+++ b/peridotquay/process/ShareLease.cpp
@@ -72,10 +72,10 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(aDuration).count());
 }
 
-ShareAllotment OwnAllotment(const ShareLease& aLease, const PoolEntry& aEntry)
+SharePortion OwnPortion(const ShareLease& aLease, const PoolEntry& aEntry)
 {
   const auto found = aEntry.shares_.find(aLease.dataCentre_);
-  return found == aEntry.shares_.end() ? ShareAllotment{} : found->second;
+  return found == aEntry.shares_.end() ? SharePortion{} : found->second;
 }
 
 std::uint32_t Giving(const ShareLease& aLease, const ClientAccountId& aAccount)
@@ -320,7 +320,7 @@
     if (entry == aLease.entries_.end() || ledger == aLedger.accounts_.end()) {
       continue;
     }
-    const auto own = OwnAllotment(aLease, entry->second);
+    const auto own = OwnPortion(aLease, entry->second);
     const auto held = own.floor_ + own.elastic_;
     const auto used = UnitsOfUse(ledger->second, account.ratePerSecond_);
     const bool isShort = IsShort(aLease, ledger->second, aNow);
@@ -462,7 +462,7 @@
   for (const auto& [account, entry] : aPool) {
     const auto known = aLease.entries_.find(account);
     if (known != aLease.entries_.end() &&
-        OwnAllotment(aLease, known->second) != OwnAllotment(aLease, entry)) {
+        OwnPortion(aLease, known->second) != OwnPortion(aLease, entry)) {
       aLease.giving_.erase(account);
     }
     aLease.entries_[account] = entry;
@@ -514,7 +514,7 @@
       entry.free_ -= taken;
       own.elastic_ += taken;
     }
-    if (own == ShareAllotment{}) {
+    if (own == SharePortion{}) {
       entry.shares_.erase(aLease.dataCentre_);
     }
   }
@@ -703,10 +703,10 @@
       value.at("free").get_to(entry.free_);
       std::uint64_t sum = entry.free_;
       for (const auto& [id, share] : value.at("shares").items()) {
-        const ShareAllotment allotment{ share.at(0).get<std::uint32_t>(),
-                                        share.at(1).get<std::uint32_t>() };
-        sum += std::uint64_t{ allotment.floor_ } + allotment.elastic_;
-        entry.shares_[DataCentreId{ id }] = allotment;
+        const SharePortion portion{ share.at(0).get<std::uint32_t>(),
+                                    share.at(1).get<std::uint32_t>() };
+        sum += std::uint64_t{ portion.floor_ } + portion.elastic_;
+        entry.shares_[DataCentreId{ id }] = portion;
       }
       if (sum != kShareUnits || entry.sites_ == 0 ||
           std::uint64_t{ entry.sites_ } * entry.floorUnits_ > kShareUnits) {
@@ -722,10 +722,10 @@
 
 ShareLimit LimitOf(const ClientAccount& aAccount,
                    const PoolEntry& aEntry,
-                   const ShareAllotment& aAllotment)
+                   const SharePortion& aPortion)
 {
   ShareLimit limit;
-  const double units = aAllotment.floor_ + aAllotment.elastic_;
+  const double units = aPortion.floor_ + aPortion.elastic_;
   limit.ratePerSecond_ = aAccount.ratePerSecond_ * units / kShareUnits;
   const double sites = aEntry.sites_;
   const double floorPart = aAccount.burst_ * aEntry.floorUnits_ / kShareUnits;
@@ -733,11 +733,11 @@
   const double floorBurst = wholeToken ? std::max(floorPart, 1.0) : floorPart;
   const double elasticTotal = kShareUnits - sites * aEntry.floorUnits_;
   const double elasticBurst = aAccount.burst_ - sites * floorBurst;
-  if (aAllotment.floor_ > 0) {
+  if (aPortion.floor_ > 0) {
     limit.burst_ += floorBurst;
   }
   if (elasticTotal > 0) {
-    limit.burst_ += elasticBurst * aAllotment.elastic_ / elasticTotal;
+    limit.burst_ += elasticBurst * aPortion.elastic_ / elasticTotal;
   }
   // The overlay of the site may hold the data centre below what its units stand for.
   limit.ratePerSecond_ =
@@ -832,7 +832,7 @@
   if (account == aLease.config_->clientAccounts_.end()) {
     return {};
   }
-  auto own = OwnAllotment(aLease, entry->second);
+  auto own = OwnPortion(aLease, entry->second);
   own.elastic_ -= std::min(own.elastic_, Giving(aLease, aAccount));
   if (!HoldsElastic(aLease, aNow)) {
     own.elastic_ = 0;
--- a/peridotquay/process/ShareLease.h
+++ b/peridotquay/process/ShareLease.h
@@ -49,21 +49,21 @@
 };
 
 /// Units of one client account in one data centre.
-struct ShareAllotment
+struct SharePortion
 {
   std::uint32_t floor_ = 0;
   std::uint32_t elastic_ = 0;
-  bool operator==(const ShareAllotment&) const = default;
+  bool operator==(const SharePortion&) const = default;
 };
 
 /// One client account in the pool row.
-/// Invariant: free_ and all allotments sum to kShareUnits.
+/// Invariant: free_ and all portions sum to kShareUnits.
 struct PoolEntry
 {
   std::uint32_t sites_ = 1;      ///< Data centres with a floor.
   std::uint32_t floorUnits_ = 0; ///< Floor of each of them.
   std::uint32_t free_ = 0;
-  std::map<DataCentreId, ShareAllotment> shares_;
+  std::map<DataCentreId, SharePortion> shares_;
   bool operator==(const PoolEntry&) const = default;
 };
 
@@ -75,11 +75,11 @@
 std::string EncodeSharePool(const SharePool& aPool);
 Result<SharePool> DecodeSharePool(std::string_view aText);
 
-/// Limit that an allotment stands for. Each floor holds at least one token if the burst has one for
+/// Limit that an portion stands for. Each floor holds at least one token if the burst has one for
 /// every data centre; what floors hold is taken from the elastic part, so the sum stays the burst.
 ShareLimit LimitOf(const ClientAccount& aAccount,
                    const PoolEntry& aEntry,
-                   const ShareAllotment& aAllotment);
+                   const SharePortion& aPortion);
 
 /// Settings of the lease.
 struct ShareLeaseSettings
