Don't use connections that rested for requests that run at most once

Cause: a target may forget a kept connection before its stated timeout. What is sent on it next is reset, and nobody can tell whether that ran, so a request that must run at most once fails (502). Ruled out: a shorter idle timeout for all, because requests that can be repeated lose only a retry. Change: such requests use a kept connection only within 200 ms of its last answer, else a new one. Measured: HttpFrontTest "a connection that rested isn't used for what can't be repeated" fails without the change.

--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -120,8 +120,12 @@
 
   bool Sent() const { return sent_; }
 
+  /// Time since the last answer; only of a kept connection.
+  Duration Rest() const { return loop_.Now() - restSince_; }
+
   void StartIdle(Duration aTimeout)
   {
+    restSince_ = loop_.Now();
     timer_ = loop_.After(aTimeout, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         self->DropIdle();
@@ -367,6 +371,7 @@
   TargetClient::Done done_; ///< Set while a request is under way.
   TargetResult result_;
   TimePoint started_{};
+  TimePoint restSince_{};
   std::uint64_t number_ = 0;
   std::uint64_t timer_ = 0;
   bool open_ = false;
@@ -401,14 +406,21 @@
   state_->busy_.clear();
 }
 
-std::uint64_t TargetClient::Send(const HttpRequest& aRequest, Done aDone)
+std::uint64_t TargetClient::Send(const HttpRequest& aRequest, Done aDone, Reuse aReuse)
 {
   const std::uint64_t number = state_->next_++;
+  const TargetClientSettings& settings = state_->settings_;
+  auto& idle = state_->idle_;
   std::shared_ptr<TargetConnection> connection;
-  if (!state_->idle_.empty()) {
-    connection = state_->idle_.back();
-    state_->idle_.pop_back();
-  } else if (state_->busy_.size() < state_->settings_.maxConnections_) {
+  // The last one has rested the shortest.
+  if (!idle.empty() && (aReuse == Reuse::kAny || idle.back()->Rest() <= settings.longestRest_)) {
+    connection = idle.back();
+    idle.pop_back();
+  } else if (state_->busy_.size() < settings.maxConnections_) {
+    if (!idle.empty() && state_->busy_.size() + idle.size() >= settings.maxConnections_) {
+      idle.front()->Drop();
+      idle.erase(idle.begin());
+    }
     connection = std::make_shared<TargetConnection>(state_);
   } else {
     state_->loop_.Post([done = std::move(aDone)] { done(TargetResult{}); });
--- a/peridotquay/connection/TargetClient.h
+++ b/peridotquay/connection/TargetClient.h
@@ -20,7 +20,8 @@
   std::size_t maxBodyBytes_ = std::size_t{ 768 } * 1024;
   std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
   Duration connectTimeout_ = milliseconds(500);
-  Duration idleTimeout_ = seconds(30); ///< An unused connection is closed after this.
+  Duration idleTimeout_ = seconds(30);       ///< An unused connection is closed after this.
+  Duration longestRest_ = milliseconds(200); ///< For requests with Reuse::kLately.
   /// Header that answers repeat from their request. An answer with another value is late, belongs
   /// to an earlier request and is dropped. Empty for none.
   std::string echoHeader_{};
@@ -45,6 +46,15 @@
   Duration connectTime_{ 0 }; ///< Zero on a kept connection.
 };
 
+/// Which kept connections a request may use.
+enum class Reuse : std::uint8_t
+{
+  kAny,
+  /// Only one that was used within longestRest_. A target may have forgotten a connection that
+  /// rested, and a request that is reset on it can't be told from one that ran.
+  kLately
+};
+
 /// Sends each request once.
 class TargetClient
 {
@@ -58,7 +68,7 @@
 
   /// Sends a request. aDone is called once, never from within Send, unless Cancel comes first.
   /// Returns a number for Cancel.
-  std::uint64_t Send(const HttpRequest& aRequest, Done aDone);
+  std::uint64_t Send(const HttpRequest& aRequest, Done aDone, Reuse aReuse = Reuse::kAny);
   /// Ends a request by closing its connection. Returns true if a byte of it may have been sent.
   bool Cancel(std::uint64_t aRequest);
   /// Closes all kept connections that aren't in use.
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -168,9 +168,10 @@
   }
   running.token_ = std::move(token);
   metrics_.Add(Counter::kTargetCalls);
-  running.request_ = client_.Send(TargetRequest(running), [this, aCall](TargetResult aResult) {
-    OnTarget(aCall, std::move(aResult));
-  });
+  running.request_ = client_.Send(
+    TargetRequest(running),
+    [this, aCall](TargetResult aResult) { OnTarget(aCall, std::move(aResult)); },
+    running.call_.repeatable_ ? Reuse::kAny : Reuse::kLately);
   WatchSilence();
 }
 
--- a/tests/connection/HttpFrontTest.cpp
+++ b/tests/connection/HttpFrontTest.cpp
@@ -297,6 +297,48 @@
   }
 }
 
+// Guards against a request that must run at most once and is sent on a connection that the target
+// has forgotten: it is reset, and nobody can tell whether it ran.
+TEST_CASE("a connection that rested isn't used for what can't be repeated", "[target]")
+{
+  RawListener listener;
+  std::thread target([&] {
+    std::vector<RawSocket> sockets;
+    for (const int requests : { 2, 1 }) {
+      sockets.push_back(listener.Accept());
+      for (int i = 0; i < requests; ++i) {
+        sockets.back().ReadUntil("\r\n\r\n");
+        sockets.back().Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      }
+    }
+  });
+  EventLoop loop;
+  TargetClientSettings settings;
+  settings.target_ = { "127.0.0.1", listener.Port() };
+  TargetClient client(loop, settings);
+  const auto send = [&](Reuse aReuse) {
+    TargetResult result;
+    client.Send(
+      { "POST", "/", {}, "" },
+      [&](TargetResult aResult) {
+        result = std::move(aResult);
+        loop.Stop();
+      },
+      aReuse);
+    loop.Run();
+    return result;
+  };
+  CHECK(send(Reuse::kLately).end_ == TargetEnd::kAnswered);
+  // At once, the connection is used again.
+  CHECK(send(Reuse::kLately).connectTime_ == Duration::zero());
+  loop.After(settings.longestRest_ + milliseconds(50), [&] { loop.Stop(); });
+  loop.Run();
+  const TargetResult rested = send(Reuse::kLately);
+  CHECK(rested.end_ == TargetEnd::kAnswered);
+  CHECK(rested.connectTime_ > Duration::zero());
+  target.join();
+}
+
 // Guards against a refusal that claims "not run" for a request that reached the target.
 TEST_CASE("no connection means that nothing was sent", "[target]")
 {
