Relay reports of rates and read the store once for each data centre

Cause: every host watched and proved the configuration at the store, and reported its use of rates to all hosts of its region. Ruled out: longer watches and rarer proofs; the bounds of changes and withdrawals don't allow them. Change: the first host of a data centre that is heard reads the store for the others (StoreFeed): it sends changed rows and answers questions for proofs; a host without a young proof reads for itself. Reports go to the hosts of the data centre, and relays carry them to others.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -192,7 +192,32 @@
 template<typename A>
 void Fields(A& aVisit, RateReports& aItem)
 {
-  aVisit(aItem.reports_);
+  aVisit(aItem.sender_, aItem.reports_);
+}
+template<typename A>
+void Fields(A& aVisit, RowVersions& aItem)
+{
+  aVisit(aItem.config_, aItem.hosts_);
+}
+template<typename A>
+void Fields(A& aVisit, FeedQuestion& aItem)
+{
+  aVisit(aItem.nonce_, aItem.held_);
+}
+template<typename A>
+void Fields(A& aVisit, FeedAnswer& aItem)
+{
+  aVisit(aItem.nonce_, aItem.proofAgeMs_, aItem.newest_);
+}
+template<typename A>
+void Fields(A& aVisit, FeedRow& aItem)
+{
+  aVisit(aItem.key_, aItem.content_, aItem.version_);
+}
+template<typename A>
+void Fields(A& aVisit, FeedRows& aItem)
+{
+  aVisit(aItem.table_, aItem.after_, aItem.version_, aItem.rows_);
 }
 template<typename A>
 void Fields(A& aVisit, Summary& aItem)
@@ -256,6 +281,8 @@
 constexpr std::uint64_t kEnumLast<MemberState> = static_cast<std::uint64_t>(MemberState::kLeft);
 template<>
 constexpr std::uint64_t kEnumLast<TargetState> = static_cast<std::uint64_t>(TargetState::kLeft);
+template<>
+constexpr std::uint64_t kEnumLast<FeedTable> = static_cast<std::uint64_t>(FeedTable::kHosts);
 
 // Output that msgpack::packer writes to.
 struct StringOutput
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -15,7 +15,7 @@
 namespace peridotquay {
 
 /// Version of the node-to-node protocol; a Hello with another version ends the connection.
-inline constexpr std::uint32_t kPeerProtocolVersion = 1;
+inline constexpr std::uint32_t kPeerProtocolVersion = 2;
 
 /// Largest frame body in bytes. Bounds the memory that a peer can claim.
 inline constexpr std::size_t kMaxFrameBytes = std::size_t{ 1 } << 20U;
@@ -294,10 +294,64 @@
 /// Reports of one or more hosts (datagram).
 struct RateReports
 {
+  HostId sender_; ///< The host that relays them, or the one that they are of.
   std::vector<RateReport> reports_;
   bool operator==(const RateReports&) const = default;
 };
 
+/// Newest rows of the platform's store that a host holds, by the store's versions.
+struct RowVersions
+{
+  std::uint64_t config_ = 0; ///< Of the row with the configuration; 0: none.
+  std::uint64_t hosts_ = 0;  ///< Up to it, all rows of hosts are known.
+  bool operator==(const RowVersions&) const = default;
+};
+
+/// Largest age of a proof that a FeedAnswer states; a larger one means that there is none.
+inline constexpr std::uint64_t kLongestProofAgeMs = 60'000;
+
+/// Asks a host of the data centre for a proof of what the asker holds (datagram).
+struct FeedQuestion
+{
+  std::uint64_t nonce_ = 0;
+  RowVersions held_;
+  bool operator==(const FeedQuestion&) const = default;
+};
+
+/// Answer to a FeedQuestion (datagram).
+struct FeedAnswer
+{
+  std::uint64_t nonce_ = 0;
+  std::uint64_t proofAgeMs_ = 0; ///< Time since newest_.config_ is known to have been the newest.
+  RowVersions newest_;           ///< What the answering host holds.
+  bool operator==(const FeedAnswer&) const = default;
+};
+
+/// Which rows a FeedRows holds.
+enum class FeedTable : std::uint8_t
+{
+  kConfig,
+  kHosts
+};
+
+struct FeedRow
+{
+  std::string key_;
+  std::string content_;
+  std::uint64_t version_ = 0;
+  bool operator==(const FeedRow&) const = default;
+};
+
+/// Changed rows of the platform's store for the other hosts of the data centre.
+struct FeedRows
+{
+  FeedTable table_ = FeedTable::kConfig;
+  std::uint64_t after_ = 0; ///< rows_ are all that changed after this version of the store.
+  std::uint64_t version_ = 0;
+  std::vector<FeedRow> rows_;
+  bool operator==(const FeedRows&) const = default;
+};
+
 /// What delegates of different data centres tell each other once a second.
 struct Summary
 {
@@ -352,6 +406,9 @@
                                  ShareGrant,
                                  Summary,
                                  RequestHandover,
-                                 RateReports>;
+                                 RateReports,
+                                 FeedQuestion,
+                                 FeedAnswer,
+                                 FeedRows>;
 
 } // namespace peridotquay
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -53,6 +53,8 @@
   X(4004, FreshnessRegained, kInfo) \
   X(4005, PlatformUnreachable, kWarning) \
   X(4006, PlatformReachable, kInfo) \
+  X(4007, StoreReadAlone, kInfo) \
+  X(4008, StoreFeedFollowed, kInfo) \
   X(5001, ShareLeaseTaken, kInfo) \
   X(5002, ShareLeaseLost, kWarning) \
   X(6001, PeerConnected, kInfo) \
--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -166,41 +166,88 @@
   aState.grants_.erase(grant);
 }
 
-/// Hosts of this host's region, or all others.
-std::vector<HostId> HostsOf(const RateShareState& aState, bool aOwnRegion)
+/// Whether another host was heard lately enough to relay.
+bool MayRelay(const RateShareState& aState, const HostId& aHost, TimePoint aNow)
+{
+  const auto peer = aState.peers_.find(aHost);
+  const auto place = aState.hosts_.find(aHost);
+  if (peer == aState.peers_.end() || place == aState.hosts_.end() ||
+      peer->second.heard_ == TimePoint{}) {
+    return false;
+  }
+  const bool near = place->second.region_ == aState.place_.region_;
+  return aNow - peer->second.heard_ <=
+         (near ? aState.settings_.nearRelaySilence_ : aState.settings_.farRelaySilence_);
+}
+
+/// The host that relays for this region, which is also a relay of its data centre; empty if this
+/// host does.
+std::optional<HostId> RegionRelay(const RateShareState& aState, TimePoint aNow)
+{
+  for (const auto& [host, place] : aState.hosts_) {
+    if (host < aState.host_ && place.region_ == aState.place_.region_ &&
+        MayRelay(aState, host, aNow)) {
+      return host;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<HostId> HostsOfDataCentre(const RateShareState& aState)
 {
   std::vector<HostId> hosts;
-  for (const auto& [host, region] : aState.hosts_) {
-    if ((region == aState.region_) == aOwnRegion) {
+  for (const auto& [host, place] : aState.hosts_) {
+    if (place == aState.place_) {
       hosts.push_back(host);
     }
   }
   return hosts;
 }
 
-/// Whether a host is one of the first of its region that are heard. A region of which none is heard
-/// yet is tried at all of its first hosts.
-bool IsRelay(const RateShareState& aState, const HostId& aHost, const RegionId& aRegion)
+/// Hosts by the place that they share.
+using Places = std::map<std::pair<RegionId, DataCentreId>, std::vector<HostId>>;
+
+/// The relay of each place: its first host that was heard lately. Of a place without one, its first
+/// host and the others are tried by turns: the first may be down for good.
+std::vector<HostId> RelaysOf(const RateShareState& aState,
+                             const Places& aPlaces,
+                             std::uint64_t& aRound,
+                             TimePoint aNow)
 {
-  std::size_t before = 0;
-  bool heard = aHost == aState.host_ || !IsSilent(aState, aHost);
-  bool anyHeard = heard;
-  std::size_t heardBefore = 0;
-  for (const auto& [host, region] : aState.hosts_) {
-    if (region != aRegion || host == aHost) {
-      continue;
+  std::vector<HostId> relays;
+  ++aRound;
+  for (const auto& [place, hosts] : aPlaces) {
+    const auto relay = std::find_if(hosts.begin(), hosts.end(), [&](const HostId& aHost) {
+      return MayRelay(aState, aHost, aNow);
+    });
+    const std::size_t next = aRound % 2 == 0 ? 0 : aRound / 2 % hosts.size();
+    relays.push_back(relay != hosts.end() ? *relay : hosts[next]);
+  }
+  return relays;
+}
+
+/// Relays of the other data centres of the region.
+std::vector<HostId> NearRelays(RateShareState& aState, TimePoint aNow)
+{
+  Places places;
+  for (const auto& [host, place] : aState.hosts_) {
+    if (place.region_ == aState.place_.region_ && place.dataCentre_ != aState.place_.dataCentre_) {
+      places[{ place.region_, place.dataCentre_ }].push_back(host);
     }
-    const bool hears = !IsSilent(aState, host);
-    anyHeard = anyHeard || hears;
-    before += host < aHost ? 1 : 0;
-    heardBefore += host < aHost && hears ? 1 : 0;
   }
-  if (aRegion == aState.region_ && aState.host_ < aHost) {
-    ++before;
-    ++heardBefore;
+  return RelaysOf(aState, places, aState.nearRounds_, aNow);
+}
+
+/// Relays of the other regions.
+std::vector<HostId> FarRelays(RateShareState& aState, TimePoint aNow)
+{
+  Places places;
+  for (const auto& [host, place] : aState.hosts_) {
+    if (place.region_ != aState.place_.region_) {
+      places[{ place.region_, {} }].push_back(host);
+    }
   }
-  return anyHeard ? heard && heardBefore < aState.settings_.relays_
-                  : before < aState.settings_.relays_;
+  return RelaysOf(aState, places, aState.farRounds_, aNow);
 }
 
 bool IsReportDue(const RateShareState& aState, TimePoint aNow)
@@ -231,38 +278,57 @@
   return report;
 }
 
-/// The reports of the region that this host hasn't relayed yet.
-std::vector<RateReport> NewReports(RateShareState& aState)
+/// Reports of the data centre that weren't relayed within the region yet, or reports of the region
+/// that weren't relayed to other regions.
+std::vector<RateReport> NewReports(RateShareState& aState, bool aFar)
 {
   std::vector<RateReport> reports;
-  if (aState.sequence_ > aState.ownRelayed_) {
+  std::uint64_t& ownRelayed = aFar ? aState.ownRelayedFar_ : aState.ownRelayedNear_;
+  if (aState.sequence_ > ownRelayed) {
     RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {} };
     for (const auto& [id, share] : aState.accounts_) {
-      if (share.changed_ > aState.ownRelayed_) {
+      if (share.changed_ > ownRelayed) {
         report.uses_.push_back({ id, static_cast<std::uint64_t>(std::max(0.0, share.reported_)) });
       }
     }
-    aState.ownRelayed_ = aState.sequence_;
+    ownRelayed = aState.sequence_;
     reports.push_back(std::move(report));
   }
   for (auto& [host, peer] : aState.peers_) {
-    const auto region = aState.hosts_.find(host);
-    if (region == aState.hosts_.end() || region->second != aState.region_ || peer.silent_ ||
-        peer.sequence_ <= peer.relayed_) {
+    const auto place = aState.hosts_.find(host);
+    const bool ours =
+      place != aState.hosts_.end() &&
+      (aFar ? place->second.region_ == aState.place_.region_ : place->second == aState.place_);
+    std::uint64_t& relayed = aFar ? peer.relayedFar_ : peer.relayedNear_;
+    if (!ours || peer.silent_ || peer.sequence_ <= relayed) {
       continue;
     }
     RateReport report{ host, peer.incarnation_, peer.sequence_, {} };
     for (const auto& [id, use] : peer.uses_) {
-      if (use.changed_ > peer.relayed_) {
+      if (use.changed_ > relayed) {
         report.uses_.push_back({ id, static_cast<std::uint64_t>(use.used_) });
       }
     }
-    peer.relayed_ = peer.sequence_;
+    relayed = peer.sequence_;
     reports.push_back(std::move(report));
   }
   return reports;
 }
 
+/// Adds reports to the steps, as many datagrams as they need.
+void AddSteps(std::vector<ReportStep>& aSteps,
+              const HostId& aSender,
+              const std::vector<RateReport>& aReports,
+              const std::vector<HostId>& aTo)
+{
+  for (std::size_t first = 0; !aTo.empty() && first < aReports.size(); first += kReportsAtOnce) {
+    const auto begin = aReports.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto end = aReports.begin() +
+                     static_cast<std::ptrdiff_t>(std::min(first + kReportsAtOnce, aReports.size()));
+    aSteps.push_back({ { aSender, { begin, end } }, aTo });
+  }
+}
+
 /// Takes what a host used of one account.
 void NoteUse(RateShareState& aState,
              SharePeer& aPeer,
@@ -337,7 +403,8 @@
   }
   if (newStart) {
     peer.uses_.clear();
-    peer.relayed_ = 0;
+    peer.relayedNear_ = 0;
+    peer.relayedFar_ = 0;
   }
   const bool wasSilent = peer.silent_;
   if (wasSilent) {
@@ -379,7 +446,7 @@
   }
 }
 
-void SetShareHosts(RateShareState& aState, std::map<HostId, RegionId> aHosts, TimePoint aNow)
+void SetShareHosts(RateShareState& aState, std::map<HostId, HostPlace> aHosts, TimePoint aNow)
 {
   aHosts.erase(aState.host_);
   AdvanceAll(aState, aNow);
@@ -437,26 +504,31 @@
   if (IsReportDue(aState, aNow)) {
     aState.reported_ = aNow;
     ++aState.sequence_;
-    steps.push_back({ { { OwnReport(aState) } }, HostsOf(aState, true) });
+    AddSteps(steps, aState.host_, { OwnReport(aState) }, HostsOfDataCentre(aState));
   }
-  if (!IsRelay(aState, aState.host_, aState.region_) ||
-      aNow - aState.relayed_ < aState.settings_.relayInterval_) {
-    return steps;
+  if (aNow - aState.relayedNear_ >= aState.settings_.nearRelayInterval_ &&
+      !DataCentreRelay(aState, aNow)) {
+    aState.relayedNear_ = aNow;
+    AddSteps(steps, aState.host_, NewReports(aState, false), NearRelays(aState, aNow));
   }
-  aState.relayed_ = aNow;
-  std::vector<RateReport> reports = NewReports(aState);
-  std::vector<HostId> relays = HostsOf(aState, false);
-  std::erase_if(
-    relays, [&](const HostId& aHost) { return !IsRelay(aState, aHost, aState.hosts_.at(aHost)); });
-  for (std::size_t first = 0; !relays.empty() && first < reports.size(); first += kReportsAtOnce) {
-    const auto begin = reports.begin() + static_cast<std::ptrdiff_t>(first);
-    const auto end = reports.begin() +
-                     static_cast<std::ptrdiff_t>(std::min(first + kReportsAtOnce, reports.size()));
-    steps.push_back({ { { begin, end } }, relays });
+  if (aNow - aState.relayedFar_ >= aState.settings_.farRelayInterval_ &&
+      !RegionRelay(aState, aNow)) {
+    aState.relayedFar_ = aNow;
+    AddSteps(steps, aState.host_, NewReports(aState, true), FarRelays(aState, aNow));
   }
   return steps;
 }
 
+std::optional<HostId> DataCentreRelay(const RateShareState& aState, TimePoint aNow)
+{
+  for (const auto& [host, place] : aState.hosts_) {
+    if (host < aState.host_ && place == aState.place_ && MayRelay(aState, host, aNow)) {
+      return host;
+    }
+  }
+  return std::nullopt;
+}
+
 std::set<HostId> LostHosts(const RateShareState& aState,
                            Duration aTime,
                            TimePoint aSince,
@@ -464,35 +536,56 @@
 {
   std::set<HostId> lost;
   std::set<RegionId> heard;
-  for (const auto& [host, region] : aState.hosts_) {
+  for (const auto& [host, place] : aState.hosts_) {
     const auto peer = aState.peers_.find(host);
     const TimePoint last =
       peer == aState.peers_.end() ? aSince : std::max(aSince, peer->second.heard_);
     if (aNow - last > aTime) {
       lost.insert(host);
     } else if (peer != aState.peers_.end() && !peer->second.silent_) {
-      heard.insert(region);
+      heard.insert(place.region_);
     }
   }
-  std::erase_if(lost,
-                [&](const HostId& aHost) { return !heard.contains(aState.hosts_.at(aHost)); });
+  std::erase_if(
+    lost, [&](const HostId& aHost) { return !heard.contains(aState.hosts_.at(aHost).region_); });
   return lost;
 }
 
-std::optional<ReportStep> NoteReports(RateShareState& aState,
-                                      const RateReports& aReports,
-                                      TimePoint aNow)
+std::vector<ReportStep> NoteReports(RateShareState& aState,
+                                    const RateReports& aReports,
+                                    TimePoint aNow)
 {
-  ReportStep onward;
+  std::vector<RateReport> outside;
+  std::vector<RateReport> far;
   for (const RateReport& report : aReports.reports_) {
-    if (NoteReport(aState, report, aNow) && aState.hosts_.at(report.host_) != aState.region_) {
-      onward.reports_.reports_.push_back(report);
+    if (!NoteReport(aState, report, aNow)) {
+      continue;
     }
+    const HostPlace& place = aState.hosts_.at(report.host_);
+    if (place != aState.place_) {
+      outside.push_back(report);
+    }
+    if (place.region_ != aState.place_.region_) {
+      far.push_back(report);
+    }
+  }
+  const auto sender = aState.hosts_.find(aReports.sender_);
+  const HostPlace from = sender == aState.hosts_.end() ? aState.place_ : sender->second;
+  const auto near = DataCentreRelay(aState, aNow);
+  const auto region = RegionRelay(aState, aNow);
+  std::vector<ReportStep> onward;
+  if (!near) {
+    AddSteps(onward, aState.host_, outside, HostsOfDataCentre(aState));
+  }
+  if (!region) {
+    AddSteps(onward, aState.host_, far, NearRelays(aState, aNow));
   }
-  if (onward.reports_.reports_.empty() || !IsRelay(aState, aState.host_, aState.region_)) {
-    return std::nullopt;
+  // A sender from elsewhere that doesn't know the relay here yet tries other hosts.
+  if (from.region_ != aState.place_.region_ && region) {
+    AddSteps(onward, aState.host_, far, { *region });
+  } else if (from.region_ == aState.place_.region_ && from != aState.place_ && near) {
+    AddSteps(onward, aState.host_, outside, { *near });
   }
-  onward.to_ = HostsOf(aState, true);
   return onward;
 }
 
--- a/peridotquay/request/RateShare.h
+++ b/peridotquay/request/RateShare.h
@@ -1,5 +1,6 @@
 // Holds client accounts to their rate and burst over all hosts without a leader: hosts report what
-// they used to each other, and each takes its part of what all of them left.
+// they used to each other, and each takes its part of what all of them left. Within a data centre
+// every host reports to every other; a relay carries the reports to other data centres.
 #pragma once
 
 #include "peridotquay/connection/PeerMessage.h"
@@ -24,11 +25,15 @@
   /// Use is reported after this time if it is more than reportPart_ of the burst.
   Duration reportInterval_ = milliseconds(200);
   double reportPart_ = 0.01;
-  /// Reports of a region are relayed to other regions, whose links are slow and paid by volume, at
-  /// most this often.
-  Duration relayInterval_ = milliseconds(250);
-  /// Hosts of each region that relay. When one is gone, the next takes over after silence_.
-  std::size_t relays_ = 1;
+  /// One host of a data centre relays its reports to the other data centres of the region, and one
+  /// of the region to other regions, each at most this often: these links are paid by volume.
+  Duration nearRelayInterval_ = milliseconds(100);
+  Duration farRelayInterval_ = milliseconds(200);
+  /// A relay of the region that isn't heard for so long is replaced by the next host; it is heard
+  /// every idleReport_, with pauses of relays between. The same for other regions, which are
+  /// farther. Both are less than silence_, so that the hosts behind a relay don't count as silent.
+  Duration nearRelaySilence_ = milliseconds(700);
+  Duration farRelaySilence_ = milliseconds(1100);
   /// What the limit may be exceeded by: a part of what is allowed in overshootSeconds_, and a
   /// number of requests. Divided among the hosts, it lets each take a few requests at once.
   double overshootPart_ = 0.03;
@@ -37,7 +42,7 @@
   /// Part of a burst that is handed out; the rest covers use that is not known during a cut.
   double burstPart_ = 0.7;
   /// Longest time between two reports; one without use shows that the host is there.
-  Duration idleReport_ = milliseconds(600);
+  Duration idleReport_ = milliseconds(300);
   /// A host without a report for this long is taken to use its equal part.
   Duration silence_ = milliseconds(1500);
   /// A host that hears nobody for this long is taken to be cut off from all.
@@ -65,7 +70,16 @@
   TimePoint heard_{};
   bool silent_ = true; ///< Its use isn't assumed; it is taken to use its equal part.
   std::map<ClientAccountId, PeerUse> uses_;
-  std::uint64_t relayed_ = 0; ///< Sequence of its last report that this host relayed.
+  std::uint64_t relayedNear_ = 0; ///< Sequence of its last report relayed within the region.
+  std::uint64_t relayedFar_ = 0;  ///< The same to other regions.
+};
+
+/// Where a host is.
+struct HostPlace
+{
+  DataCentreId dataCentre_;
+  RegionId region_;
+  bool operator==(const HostPlace&) const = default;
 };
 
 /// One account as this host sees it.
@@ -96,10 +110,10 @@
 {
   RateShareSettings settings_;
   HostId host_;
-  RegionId region_;
+  HostPlace place_;
   Incarnation incarnation_ = 0;
   std::map<ClientAccountId, AccountShare> accounts_;
-  std::map<HostId, RegionId> hosts_; ///< All other hosts.
+  std::map<HostId, HostPlace> hosts_; ///< All other hosts.
   std::map<HostId, SharePeer> peers_;
   std::map<std::uint64_t, OpenGrant> grants_;
   std::uint64_t nextGrant_ = 1;
@@ -107,8 +121,13 @@
   std::uint64_t sequence_ = 0; ///< Of the last own report.
   TimePoint heard_{};          ///< When any other host was heard last.
   TimePoint reported_{};
-  TimePoint relayed_{};
-  std::uint64_t ownRelayed_ = 0; ///< Sequence of the last own report that this host relayed.
+  TimePoint relayedNear_{};
+  TimePoint relayedFar_{};
+  std::uint64_t ownRelayedNear_ = 0; ///< Sequence of the last own report relayed within the region.
+  std::uint64_t ownRelayedFar_ = 0;  ///< The same to other regions.
+  /// Times that relays were looked for; they choose among the hosts of a place without a known one.
+  std::uint64_t nearRounds_ = 0;
+  std::uint64_t farRounds_ = 0;
 };
 
 /// Reports and the hosts that must get them.
@@ -122,26 +141,29 @@
 void SetLimits(RateShareState& aState, const Config& aConfig, TimePoint aNow);
 
 /// Takes the other hosts that may grant tokens.
-void SetShareHosts(RateShareState& aState, std::map<HostId, RegionId> aHosts, TimePoint aNow);
+void SetShareHosts(RateShareState& aState, std::map<HostId, HostPlace> aHosts, TimePoint aNow);
 
 /// Settles the use of an earlier grant and grants tokens, or says when to come back.
 ShareGrant GrantTokens(RateShareState& aState, const ShareRequest& aRequest, TimePoint aNow);
 
-/// Reports that are due: the own one to the hosts of the region, and those of the region to the
-/// relays of other regions. Call about every 100 ms.
+/// Reports that are due: the own one to the hosts of the data centre, and what this host relays to
+/// other data centres and regions. Call about every 100 ms.
 std::vector<ReportStep> DueReports(RateShareState& aState, TimePoint aNow);
 
+/// The host that relays for this data centre; empty if this host does.
+std::optional<HostId> DataCentreRelay(const RateShareState& aState, TimePoint aNow);
+
 /// Other hosts that weren't heard for the time although others of their region were: they are down
-/// or cut off alone. A host that was never heard counts from aSince on.
+/// or cut off. A host that was never heard counts from aSince on.
 std::set<HostId> LostHosts(const RateShareState& aState,
                            Duration aTime,
                            TimePoint aSince,
                            TimePoint aNow);
 
 /// Takes reports of other hosts. Late and repeated ones have no effect. Returns what this host must
-/// pass on to its region.
-std::optional<ReportStep> NoteReports(RateShareState& aState,
-                                      const RateReports& aReports,
-                                      TimePoint aNow);
+/// pass on to its data centre and region.
+std::vector<ReportStep> NoteReports(RateShareState& aState,
+                                    const RateReports& aReports,
+                                    TimePoint aNow);
 
 } // namespace peridotquay
--- /dev/null
+++ b/peridotquay/version/StoreFeed.cpp
@@ -0,0 +1,94 @@
+// Questions to the host that reads the store, and when to do without it.
+#include "peridotquay/version/StoreFeed.h"
+
+namespace peridotquay {
+
+namespace {
+
+void NoteUnanswered(StoreFeedState& aState)
+{
+  aState.open_ = false;
+  if (++aState.unanswered_ >= aState.settings_.unanswered_) {
+    aState.following_ = false;
+  }
+}
+
+} // namespace
+
+std::optional<FeedQuestion> DueQuestion(StoreFeedState& aState,
+                                        const std::optional<HostId>& aSource,
+                                        const RowVersions& aOwn,
+                                        TimePoint aNow,
+                                        Duration aSuspended)
+{
+  const StoreFeedSettings& settings = aState.settings_;
+  if (aSource != aState.source_) {
+    aState.source_ = aSource;
+    aState.open_ = false;
+    aState.unanswered_ = 0;
+    aState.missed_ = 0;
+    aState.following_ = aState.following_ && aSource.has_value();
+  }
+  if (!aSource) {
+    return std::nullopt;
+  }
+  if (aState.open_ && aNow - aState.asked_ >= settings.answerTime_) {
+    NoteUnanswered(aState);
+  } else if (aState.open_ || aNow - aState.asked_ < settings.askInterval_) {
+    return std::nullopt;
+  }
+  ++aState.nonce_;
+  aState.open_ = true;
+  aState.asked_ = aNow;
+  aState.suspended_ = aSuspended;
+  return FeedQuestion{ aState.nonce_, aOwn };
+}
+
+FeedStep NoteFeedAnswer(StoreFeedState& aState,
+                        const FeedAnswer& aAnswer,
+                        const RowVersions& aOwn,
+                        TimePoint aNow,
+                        Duration aSuspended)
+{
+  FeedStep step;
+  if (!aState.open_ || aAnswer.nonce_ != aState.nonce_) {
+    return step;
+  }
+  aState.open_ = false;
+  aState.unanswered_ = 0;
+  // Counted from before the question was sent, so that the way of the answer and a suspension make
+  // the proof look older, never younger.
+  const Duration age = (aNow - aState.asked_) + (aSuspended - aState.suspended_) +
+                       milliseconds(static_cast<std::int64_t>(aAnswer.proofAgeMs_));
+  const bool young =
+    aAnswer.proofAgeMs_ <= kLongestProofAgeMs && age <= aState.settings_.oldestProof_;
+  const bool lacksConfig = aAnswer.newest_.config_ > aOwn.config_;
+  const bool lacksHosts = aAnswer.newest_.hosts_ > aOwn.hosts_;
+  aState.missed_ = lacksConfig || lacksHosts ? aState.missed_ + 1 : 0;
+  if (aState.missed_ >= aState.settings_.missedRows_) {
+    aState.missed_ = 0;
+    step.readConfig_ = lacksConfig;
+    step.readHosts_ = lacksHosts;
+  }
+  if (!young) {
+    aState.following_ = false;
+    return step;
+  }
+  if (!lacksConfig) {
+    aState.following_ = true;
+    step.proved_ = aNow - age;
+  }
+  return step;
+}
+
+void NoteAsked(StoreFeedState& aState, TimePoint aNow)
+{
+  aState.wasAsked_ = aNow;
+}
+
+bool IsSource(const StoreFeedState& aState, TimePoint aNow)
+{
+  return aState.wasAsked_ != TimePoint{} && aNow - aState.wasAsked_ < aState.settings_.askedTime_;
+}
+
+} // namespace peridotquay
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -257,6 +257,58 @@
   }
 }
 
+// Guards against calls of the store that grow with the hosts, and against followers that learn of
+// nothing once the host that reads for them is gone or can't reach the store.
+TEST_CASE("one host of a data centre reads the store for the others", "[users]")
+{
+  UserFleet fleet(16);
+  REQUIRE(fleet.WaitReady());
+  const auto followed = [&](std::size_t aHost) {
+    return fleet.Log(aHost).find("StoreFeedFollowed") != std::string::npos;
+  };
+  // Hosts 4 to 15 have an earlier one in their data centre, by name: h10 to h15 are before h2.
+  REQUIRE(Eventually(
+    [&] {
+      std::size_t followers = 0;
+      for (std::size_t host = 0; host < fleet.Size(); ++host) {
+        followers += followed(host) ? 1 : 0;
+      }
+      return followers == 12;
+    },
+    seconds(5)));
+  // Open watches end with the next change.
+  fleet.Store().Put("op", "config", UserDocument(2, { "k1", "k2" }).dump());
+  std::this_thread::sleep_for(milliseconds(500));
+  const std::uint64_t calls = fleet.Store().Calls();
+  auto document = UserDocument(3, { "k1" });
+  fleet.Store().Put("op", "config", document.dump());
+  const auto refused = [&](std::size_t aHost) {
+    return Eventually([&] { return fleet.Ask(aHost, "/read/1", "a", "k2").status_ == 401; },
+                      seconds(1));
+  };
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    INFO("host " << host);
+    CHECK(refused(host));
+  }
+  // Four readers take the change and prove it.
+  CHECK(fleet.Store().Calls() - calls < 4 * 8);
+  for (const std::size_t reader : { 0, 1, 10, 11 }) {
+    CHECK_FALSE(followed(reader));
+    fleet.ProcessOf(reader).Signal(SIGSTOP);
+  }
+  document = UserDocument(4, {});
+  fleet.Store().Put("op", "config", document.dump());
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    const bool reader = host < 2 || host == 10 || host == 11;
+    INFO("host " << host);
+    CHECK((reader || Eventually([&] { return fleet.Ask(host, "/read/1", "b").status_ == 401; },
+                                milliseconds(2500))));
+  }
+  for (const std::size_t reader : { 0, 1, 10, 11 }) {
+    fleet.ProcessOf(reader).Signal(SIGCONT);
+  }
+}
+
 // Guards against hosts that don't come back when all of them lost everything at once, and against a
 // second row for one host when the store loses answers.
 TEST_CASE("all hosts restart at once while answers of the store are lost", "[users]")
--- a/tests/request/RateShareTest.cpp
+++ b/tests/request/RateShareTest.cpp
@@ -36,7 +36,8 @@
   std::size_t refused_ = 0;
   std::uint64_t nonce_ = 1;
   std::uint64_t steps_ = 0;
-  std::size_t bytes_ = 0; ///< Between regions.
+  std::size_t regionBytes_ = 0;     ///< Between regions.
+  std::size_t dataCentreBytes_ = 0; ///< Between data centres, regions included.
   std::mt19937_64 random_;
 
   Fleet(std::size_t aHosts, double aRate, double aBurst, std::uint64_t aSeed)
@@ -58,25 +59,31 @@
     Config config;
     config.clientAccounts_[kAccount] = { kAccount, rate_, burst_ };
     SetLimits(state, config, now_);
-    std::map<HostId, RegionId> all;
+    std::map<HostId, HostPlace> all;
     for (std::size_t i = 0; i < cut_.size(); ++i) {
-      all[{ "h" + std::to_string(i) }] = RegionOf(i);
+      all[{ "h" + std::to_string(i) }] = PlaceOf(i);
     }
-    state.region_ = RegionOf(aHost);
+    state.place_ = PlaceOf(aHost);
     SetShareHosts(state, all, now_);
     return state;
   }
 
-  static RegionId RegionOf(std::size_t aHost) { return { aHost % 2 == 0 ? "east" : "west" }; }
+  /// Two regions of two data centres each.
+  static HostPlace PlaceOf(std::size_t aHost)
+  {
+    return { { "d" + std::to_string(aHost % 4) }, { aHost % 2 == 0 ? "east" : "west" } };
+  }
 
   void Send(std::size_t aFrom, const ReportStep& aStep)
   {
     for (const HostId& host : aStep.to_) {
       const std::size_t to = std::stoul(host.value_.substr(1));
       if (!cut_[aFrom] && !cut_[to]) {
-        const bool near = RegionOf(aFrom) == RegionOf(to);
+        const bool near = PlaceOf(aFrom).region_ == PlaceOf(to).region_;
         late_.push_back({ now_ + (near ? nearDelay_ : farDelay_), to, aStep.reports_ });
-        bytes_ += near ? 0 : EncodePeerMessage(aStep.reports_).size();
+        const std::size_t bytes = EncodePeerMessage(aStep.reports_).size();
+        regionBytes_ += near ? 0 : bytes;
+        dataCentreBytes_ += PlaceOf(aFrom) == PlaceOf(to) ? 0 : bytes;
       }
     }
   }
@@ -106,8 +113,8 @@
       return true;
     });
     for (const Late& late : due) {
-      if (const auto onward = NoteReports(hosts_[late.to_], late.reports_, now_)) {
-        Send(late.to_, *onward);
+      for (const ReportStep& step : NoteReports(hosts_[late.to_], late.reports_, now_)) {
+        Send(late.to_, step);
       }
     }
     if (++steps_ % 10 != 0) {
@@ -249,12 +256,12 @@
   fleet.Run(0, seconds(30), 2);
   RateShareState& host = fleet.hosts_[0];
   const RateReport first{ { "h1" }, 2, 5, { { kAccount, 20 } } };
-  NoteReports(host, { { first } }, fleet.now_);
+  NoteReports(host, { { "h1" }, { first } }, fleet.now_);
   const double level = host.accounts_.at(kAccount).level_;
-  NoteReports(host, { { first } }, fleet.now_);
+  NoteReports(host, { { "h1" }, { first } }, fleet.now_);
   CHECK(host.accounts_.at(kAccount).level_ == Approx(level));
   // A report of an earlier start of the host says nothing of the present one.
-  NoteReports(host, { { { { "h1" }, 1, 9, { { kAccount, 90 } } } } }, fleet.now_);
+  NoteReports(host, { { "h1" }, { { { "h1" }, 1, 9, { { kAccount, 90 } } } } }, fleet.now_);
   CHECK(host.accounts_.at(kAccount).level_ == Approx(level));
 }
 
@@ -264,7 +271,52 @@
   Fleet fleet(16, 51, 51, 1);
   fleet.Run(30, seconds(20), 16);
   // A report of an account takes about 30 bytes; each host has one a second at least.
-  CHECK(fleet.bytes_ / 20 < 8192);
+  CHECK(fleet.regionBytes_ / 20 < 8192);
+}
+
+// Guards against reports from every host to every other one: their number grows with the square of
+// the hosts, and links between data centres are paid by volume.
+TEST_CASE("bytes between data centres grow with the hosts, not their square", "[rate]")
+{
+  const auto bytesPerHost = [](std::size_t aHosts) {
+    Fleet fleet(aHosts, 200, 200, 1);
+    fleet.Run(120, seconds(20), aHosts);
+    return static_cast<double>(fleet.dataCentreBytes_) / 20 / static_cast<double>(aHosts);
+  };
+  const double few = bytesPerHost(16);
+  CHECK(bytesPerHost(80) < 1.5 * few);
+}
+
+// Guards against a region that is never heard again because its first hosts are gone for good.
+TEST_CASE("regions find each other although the first hosts of both are down", "[rate]")
+{
+  Fleet fleet(16, 50, 50, 1);
+  for (const std::size_t down : { 0, 1, 2, 3, 4, 5 }) {
+    fleet.cut_[down] = true;
+  }
+  fleet.Run(20, seconds(12), 16);
+  for (std::size_t host = 6; host < 16; ++host) {
+    INFO("host " << host);
+    CHECK(fleet.hosts_[host].heardHosts_ == 9);
+  }
+}
+
+// Guards against regions that find each other's relay only after as many tries as they have hosts:
+// until then both keep the other's part of all rates unused.
+TEST_CASE("large regions that restarted at once hear each other within two seconds", "[rate]")
+{
+  Fleet fleet(80, 60, 60, 1);
+  fleet.Run(40, seconds(6), 80);
+  for (std::size_t i = 0; i < 80; ++i) {
+    fleet.hosts_[i] = fleet.Start(i, 2);
+    // The first hosts of both regions don't come back.
+    fleet.cut_[i] = i < 4 || i == 10 || i == 11 || i == 12 || i == 13;
+  }
+  fleet.Run(40, seconds(2), 80);
+  for (std::size_t host = 20; host < 80; ++host) {
+    INFO("host " << host);
+    CHECK(fleet.hosts_[host].heardHosts_ >= 71);
+  }
 }
 
 // Guards against calls to a host that is gone for good, and against a region that is cut off and
