Avoid targets that fail more of their requests than the others

Cause: an answer with status 500 counted as success, so a target that fails at once looked fast and free and drew calls; each failed call fails the request above it. Change: the guard measures the part of its target's recent answers that failed and states it in its answers; senders avoid a target whose part is 0.12 above the least of the service. Failures that all targets share come from elsewhere and count for nothing.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -57,7 +57,8 @@
          aItem.inFlight_,
          aItem.limit_,
          aItem.queued_,
-         aItem.level_);
+         aItem.level_,
+         aItem.failedPercent_);
 }
 template<typename A>
 void Fields(A& aVisit, Cancel& aItem)
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -79,6 +79,7 @@
   std::uint32_t limit_ = 0;    ///< Present concurrency limit of the guard.
   std::uint32_t queued_ = 0;
   AdmissionLevel level_;
+  std::uint32_t failedPercent_ = 0; ///< Recent answers of the target that were failures.
   bool operator==(const Answer&) const = default;
 };
 
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -154,6 +154,7 @@
             aAnswer == nullptr ? -1 : ReportedLoad(*aAnswer),
             now);
   if (aAnswer != nullptr && aAnswer->limit_ != 0) {
+    NoteFailedPart(routing_, call.target_, aAnswer->failedPercent_ / 100.0, now);
     const auto [level, isNew] = levels_.try_emplace(call.target_.host_);
     if (isNew) {
       // Each level has its own sequence, so that probes of several guards don't come together.
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -286,6 +286,7 @@
   if (!settings_.naive_) {
     const Duration total = now - running.started_;
     step = FinishCall(admission_, aEnd, { total, total - deeper }, now, running.call_.route_);
+    NoteTargetOutcome(aEnd, aAnswer);
   }
   FillLoad(aAnswer);
   LogEnd(running, aAnswer);
@@ -295,6 +296,17 @@
   Apply(step);
 }
 
+// A cancelled call and a refusal say nothing of what the target does with work that it takes.
+void Guard::NoteTargetOutcome(CallEnd aEnd, const Answer& aAnswer)
+{
+  const bool lost = aAnswer.error_ == static_cast<std::uint16_t>(ErrorCode::kOutcomeUnknown) ||
+                    aAnswer.error_ == static_cast<std::uint16_t>(ErrorCode::kTruncatedAnswer);
+  if (aEnd == CallEnd::kAnswered || aEnd == CallEnd::kTimedOut || lost) {
+    const bool failed = aEnd != CallEnd::kAnswered || aAnswer.status_ >= 500;
+    NoteOutcome(failures_, failed, loop_.Now());
+  }
+}
+
 void Guard::LogEnd(const Running& aRunning, const Answer& aAnswer)
 {
   // The product's own interface names no request in calls to targets.
@@ -338,6 +350,7 @@
   aAnswer.limit_ = static_cast<std::uint32_t>(admission_.limit_);
   aAnswer.queued_ = static_cast<std::uint32_t>(admission_.queued_);
   aAnswer.level_ = CurrentLevel(admission_, loop_.Now());
+  aAnswer.failedPercent_ = FailedPercent(failures_, loop_.Now());
 }
 
 void Guard::WatchQueue()
@@ -497,6 +510,7 @@
   if (isNew) {
     // Connections lead to the target that had the address before.
     client_.DropIdle();
+    failures_ = {};
   }
   SetSlots(aTarget.slots_);
   if (TargetLeaves()) {
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -11,6 +11,7 @@
 #include "peridotquay/process/Settings.h"
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/CallContext.h"
+#include "peridotquay/request/FailureMeter.h"
 #include "peridotquay/version/Config.h"
 #include "peridotquay/version/TargetView.h"
 
@@ -105,6 +106,7 @@
   void Refuse(std::uint64_t aCall, ErrorCode aCode, std::uint32_t aRetryAfterMs);
   /// Ends a started call: frees its slot, closes its context and delivers the answer.
   void Finish(std::uint64_t aCall, CallEnd aEnd, Answer aAnswer);
+  void NoteTargetOutcome(CallEnd aEnd, const Answer& aAnswer);
   void FillLoad(Answer& aAnswer);
   void LogEnd(const Running& aRunning, const Answer& aAnswer);
   void WatchQueue();
@@ -130,6 +132,7 @@
   std::shared_ptr<const Config> config_;
   AdmissionState admission_;
   ContextTable contexts_;
+  FailureMeter failures_; ///< Of the present target.
   std::map<std::uint64_t, Running> calls_;
   std::uint64_t next_ = 1;
   TargetHealth health_;
--- /dev/null
+++ b/peridotquay/request/FailureMeter.cpp
@@ -0,0 +1,39 @@
+// Exponentially decaying counts of answers and failures.
+#include "peridotquay/request/FailureMeter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotquay {
+
+namespace {
+
+constexpr double kHalfLife = 1.0; ///< Seconds.
+
+/// Fewer recent answers than this say nothing: one failure would be a large part of them.
+constexpr double kLeastAnswers = 5;
+
+double Decay(const FailureMeter& aMeter, TimePoint aNow)
+{
+  return std::exp2(-std::max(0.0, ToSeconds(aNow - aMeter.updated_)) / kHalfLife);
+}
+
+} // namespace
+
+void NoteOutcome(FailureMeter& aMeter, bool aFailed, TimePoint aNow)
+{
+  const double decay = Decay(aMeter, aNow);
+  aMeter.failed_ = aMeter.failed_ * decay + (aFailed ? 1 : 0);
+  aMeter.total_ = aMeter.total_ * decay + 1;
+  aMeter.updated_ = aNow;
+}
+
+std::uint32_t FailedPercent(const FailureMeter& aMeter, TimePoint aNow)
+{
+  if (aMeter.total_ * Decay(aMeter, aNow) < kLeastAnswers) {
+    return 0;
+  }
+  return static_cast<std::uint32_t>(std::lround(100 * aMeter.failed_ / aMeter.total_));
+}
+
+} // namespace peridotquay
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -37,6 +37,13 @@
 /// A target that refused is avoided this long.
 constexpr Duration kRefusalPause = milliseconds(20);
 
+/// A target is avoided if the part of its answers that fail is so much larger than that of the
+/// service's best target: a failure that all share comes from elsewhere.
+constexpr double kFailingPart = 0.12;
+
+/// A reported part of failures halves in this time, so that an avoided target is tried again.
+constexpr double kFailedHalfLife = 2.0;
+
 /// A target that takes more than this part of the objective is too slow if a farther one takes less
 /// than kMuchFaster of its time.
 constexpr double kTooSlow = 0.8;
@@ -80,6 +87,16 @@
                                                                          : 0;
 }
 
+/// Part of the target's answers that fail; an old report counts less.
+double RecentFailures(const TargetStats* aStats, TimePoint aNow)
+{
+  if (aStats == nullptr || aStats->failedPart_ <= 0) {
+    return 0;
+  }
+  const double age = std::max(0.0, ToSeconds(aNow - aStats->reported_));
+  return aStats->failedPart_ * std::exp2(-age / kFailedHalfLife);
+}
+
 /// Moving average of the latency; an old one counts less.
 double RecentLatency(const TargetStats& aStats, TimePoint aNow)
 {
@@ -129,6 +146,11 @@
   return hosts;
 }
 
+bool Accepts(const Target& aTarget)
+{
+  return aTarget.state_ == TargetState::kCold || aTarget.state_ == TargetState::kReady;
+}
+
 bool Contains(const std::vector<HostId>& aHosts, const HostId& aHost)
 {
   return std::find(aHosts.begin(), aHosts.end(), aHost) != aHosts.end();
@@ -333,19 +355,27 @@
   }
   const std::vector<HostId> ejected = EjectedHosts(aState, found->second, aNow);
 
+  double leastFailures = 1;
+  for (const Target& target : found->second) {
+    if (Accepts(target)) {
+      leastFailures = std::min(leastFailures, RecentFailures(FindStats(aState, target), aNow));
+    }
+  }
+
   // For each tier: targets without a reason against them, then those that refused lately.
   std::array<Candidates, 3> usable;
   std::array<Candidates, 3> refusing;
+  Candidates failing;
   Candidates lastResort;
   for (const Target& target : found->second) {
-    const bool accepts =
-      target.state_ == TargetState::kCold || target.state_ == TargetState::kReady;
-    if (!accepts || Contains(aExclude, target.host_)) {
+    if (!Accepts(target) || Contains(aExclude, target.host_)) {
       continue;
     }
     const TargetStats* stats = FindStats(aState, target);
     if (Contains(ejected, target.host_)) {
       lastResort.push_back(&target);
+    } else if (RecentFailures(stats, aNow) > leastFailures + kFailingPart) {
+      failing.push_back(&target);
     } else if (stats != nullptr && stats->refusedUntil_ > aNow) {
       refusing[Tier(aState, target)].push_back(&target);
     } else {
@@ -362,6 +392,9 @@
       return *PickOfTwo(aState, candidates, aNow);
     }
   }
+  if (!failing.empty()) {
+    return *PickOfTwo(aState, failing, aNow);
+  }
   // Every other target was tried for this call: an ejected one is better than none.
   if (!lastResort.empty()) {
     return *PickOfTwo(aState, lastResort, aNow);
@@ -419,6 +452,14 @@
   }
 }
 
+void NoteFailedPart(RoutingState& aState, const Target& aTarget, double aPart, TimePoint aNow)
+{
+  if (TargetStats* stats = StatsFor(aState, aTarget)) {
+    stats->failedPart_ = std::clamp(aPart, 0.0, 1.0);
+    stats->reported_ = aNow;
+  }
+}
+
 void ForgetAbsent(RoutingState& aState, const TargetView& aView)
 {
   std::erase_if(aState.stats_, [&aView](const auto& aEntry) {
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -43,6 +43,7 @@
   TimePoint ejectedUntil_{};
   double reportedLoad_ = 0; ///< (running + queued) / limit as its guard reported; 0 if unknown.
   TimePoint reported_{};
+  double failedPart_ = 0; ///< Of the target's recent answers, as its guard reported at reported_.
   TimePoint
     refusedUntil_{}; ///< After a refusal the target is avoided until then if others are there.
   Incarnation incarnation_ = 0; ///< Stats of an earlier incarnation are forgotten.
@@ -90,6 +91,9 @@
                double aLoad,
                TimePoint aNow);
 
+/// Takes the part of a target's recent answers that were failures, as its guard reported it.
+void NoteFailedPart(RoutingState& aState, const Target& aTarget, double aPart, TimePoint aNow);
+
 /// Forgets stats of hosts that aren't in the view and have no call in flight.
 void ForgetAbsent(RoutingState& aState, const TargetView& aView);
 
--- a/tests/request/RouteChoiceTest.cpp
+++ b/tests/request/RouteChoiceTest.cpp
@@ -362,3 +362,35 @@
   fail(CallResult::kFailed, kStart + milliseconds(1001));
   CHECK(ejected(kStart + milliseconds(2900)));
 }
+
+// Guards against a target that fails at once what it is sent: it looks fast and free, so that it
+// would draw more and more calls.
+TEST_CASE("a target that fails more than the others gets hardly any calls", "[route]")
+{
+  RoutingState state;
+  const std::vector<Target> targets{ MakeTarget("a"), MakeTarget("b"), MakeTarget("c") };
+  const TargetView view = MakeView(targets);
+  for (const Target& target : targets) {
+    NoteFailedPart(state, target, target.host_.value_ == "a" ? 0.4 : 0.02, kStart);
+  }
+  CHECK(Draw(state, view, kStart).count("a") == 0);
+  CHECK(Draw(state, view, kStart + seconds(1)).count("a") == 0);
+  // It is tried again without a report, which only calls could bring.
+  CHECK(Draw(state, view, kStart + seconds(4)).count("a") == 1);
+  // With all other targets tried, it is better than none.
+  const auto last = ChooseTarget(state, view, kService, { { "b" }, { "c" } }, kStart);
+  REQUIRE(last);
+  CHECK(last->host_.value_ == "a");
+}
+
+// Guards against targets that are avoided because a deeper service fails all of them.
+TEST_CASE("failures that all targets share are no reason against any", "[route]")
+{
+  RoutingState state;
+  const std::vector<Target> targets{ MakeTarget("a"), MakeTarget("b"), MakeTarget("c") };
+  const TargetView view = MakeView(targets);
+  for (const Target& target : targets) {
+    NoteFailedPart(state, target, target.host_.value_ == "a" ? 0.7 : 0.65, kStart);
+  }
+  CHECK(Draw(state, view, kStart).size() == 3);
+}
