Tell hosts that start the levels of rates; don't count use before their start

Cause: a host that started took the first report of an account by another host for new use, although it named all use since that host's own start. It assumed up to 150 requests a second that weren't there and refused requests below the limit for seconds; with hosts restarted in turn, a quarter of all requests of an account of 60 a second. It also began with empty bursts although others knew what was left. Ruled out: silence of relays (all hosts were heard). Change: the first mention of an account by a host that was running before sets only the count; hosts that have run for 3 s answer the first reports of one that starts with the levels.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -196,6 +196,16 @@
   aVisit(aItem.sender_, aItem.reports_);
 }
 template<typename A>
+void Fields(A& aVisit, AccountLevel& aItem)
+{
+  aVisit(aItem.account_, aItem.tokens_);
+}
+template<typename A>
+void Fields(A& aVisit, RateLevels& aItem)
+{
+  aVisit(aItem.incarnation_, aItem.sequence_, aItem.levels_);
+}
+template<typename A>
 void Fields(A& aVisit, RowVersions& aItem)
 {
   aVisit(aItem.config_, aItem.hosts_);
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -300,6 +300,23 @@
   bool operator==(const RateReports&) const = default;
 };
 
+/// Tokens of one account that all hosts together have left.
+struct AccountLevel
+{
+  ClientAccountId account_;
+  std::uint64_t tokens_ = 0;
+  bool operator==(const AccountLevel&) const = default;
+};
+
+/// What a host that has run for a while tells one that just started (datagram).
+struct RateLevels
+{
+  Incarnation incarnation_ = 0; ///< Of the host that started.
+  std::uint64_t sequence_ = 0;  ///< Last report of it that the levels include.
+  std::vector<AccountLevel> levels_;
+  bool operator==(const RateLevels&) const = default;
+};
+
 /// Newest rows of the platform's store that a host holds, by the store's versions.
 struct RowVersions
 {
@@ -408,6 +425,7 @@
                                  Summary,
                                  RequestHandover,
                                  RateReports,
+                                 RateLevels,
                                  FeedQuestion,
                                  FeedAnswer,
                                  FeedRows>;
--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -48,12 +48,6 @@
          std::max<Duration>(settings.isolation_, 2 * settings.silence_ / hosts);
 }
 
-bool IsSilent(const RateShareState& aState, const HostId& aHost)
-{
-  const auto peer = aState.peers_.find(aHost);
-  return peer == aState.peers_.end() || peer->second.silent_;
-}
-
 /// Part of all hosts that this one hears, itself included. The others keep their equal part.
 double HeardPart(const RateShareState& aState)
 {
@@ -343,6 +337,7 @@
   }
   AccountShare& share = account->second;
   Advance(aState, share, aNow);
+  const bool unknown = !aPeer.complete_ && !aPeer.uses_.contains(aUse.account_);
   PeerUse& known = aPeer.uses_[aUse.account_];
   const double assumed = known.perSecond_ * std::max(0.0, ToSeconds(aNow - known.since_));
   const double more = static_cast<double>(aUse.used_) - known.used_;
@@ -350,7 +345,7 @@
   known.since_ = aNow;
   known.changed_ = aPeer.sequence_;
   // Use before this host heard of the other one is in the past.
-  if (aSeconds <= 0) {
+  if (aSeconds <= 0 || unknown) {
     return;
   }
   share.level_ = std::min(share.level_ - more + assumed, share.burst_);
@@ -416,10 +411,17 @@
   peer.sequence_ = aReport.sequence_;
   peer.heard_ = aNow;
   aState.heard_ = aNow;
+  // The first report of a start names all use since then.
+  peer.complete_ = newStart ? aReport.sequence_ <= 1 : peer.complete_;
   for (const AccountUse& use : aReport.uses_) {
     NoteUse(aState, peer, use, elapsed, wasSilent, aNow);
   }
   NoteUnused(aState, peer, aNow);
+  peer.complete_ = peer.complete_ || aReport.sequence_ % kWholeReports == 0;
+  if (aReport.sequence_ <= aState.settings_.newReports_ &&
+      aState.hosts_.at(aReport.host_) == aState.place_) {
+    aState.newcomers_.insert(aReport.host_);
+  }
   return true;
 }
 
@@ -427,6 +429,9 @@
 
 void SetLimits(RateShareState& aState, const Config& aConfig, TimePoint aNow)
 {
+  if (aState.started_ == TimePoint{}) {
+    aState.started_ = aNow;
+  }
   std::erase_if(aState.accounts_, [&](const auto& aEntry) {
     return !aConfig.clientAccounts_.contains(aEntry.first);
   });
@@ -519,6 +524,48 @@
   return steps;
 }
 
+std::map<HostId, RateLevels> DueLevels(RateShareState& aState, TimePoint aNow)
+{
+  std::map<HostId, RateLevels> due;
+  const std::set<HostId> newcomers = std::move(aState.newcomers_);
+  aState.newcomers_.clear();
+  if (newcomers.empty() || aState.started_ == TimePoint{} ||
+      aNow - aState.started_ < aState.settings_.settled_ || IsIsolated(aState, aNow)) {
+    return due;
+  }
+  AdvanceAll(aState, aNow);
+  std::vector<AccountLevel> levels;
+  for (const auto& [id, share] : aState.accounts_) {
+    levels.push_back({ id, static_cast<std::uint64_t>(std::max(0.0, share.level_)) });
+  }
+  for (const HostId& host : newcomers) {
+    const SharePeer& peer = aState.peers_[host];
+    due[host] = { peer.incarnation_, peer.sequence_, levels };
+  }
+  return due;
+}
+
+void NoteLevels(RateShareState& aState, const RateLevels& aLevels, TimePoint aNow)
+{
+  const bool fresh = aLevels.sequence_ <= aState.settings_.newReports_ &&
+                     aNow - aState.started_ < aState.settings_.settled_;
+  if (aLevels.incarnation_ != aState.incarnation_ || aLevels.sequence_ != aState.sequence_ ||
+      !fresh) {
+    return;
+  }
+  for (const AccountLevel& level : aLevels.levels_) {
+    const auto account = aState.accounts_.find(level.account_);
+    if (account == aState.accounts_.end()) {
+      continue;
+    }
+    AccountShare& share = account->second;
+    Advance(aState, share, aNow);
+    const double unreported = std::max(0.0, share.used_ - share.reported_);
+    share.level_ =
+      std::min(static_cast<double>(level.tokens_) - unreported, share.burst_ * HeardPart(aState));
+  }
+}
+
 std::optional<HostId> DataCentreRelay(const RateShareState& aState, TimePoint aNow)
 {
   for (const auto& [host, place] : aState.hosts_) {
--- a/peridotquay/request/RateShare.h
+++ b/peridotquay/request/RateShare.h
@@ -50,6 +50,11 @@
   /// Credit is earned so long after any host was heard.
   Duration earnTime_ = milliseconds(150);
   Duration grantLifetime_ = milliseconds(1000);
+  /// First reports of a host that just started; each is answered with levels, because it hears the
+  /// other hosts one after the other.
+  std::uint64_t newReports_ = 5;
+  /// A host that has run for so long knows the levels.
+  Duration settled_ = milliseconds(3000);
   bool operator==(const RateShareSettings&) const = default;
 };
 
@@ -70,6 +75,9 @@
   TimePoint heard_{};
   bool silent_ = true; ///< Its use isn't assumed; it is taken to use its equal part.
   std::map<ClientAccountId, PeerUse> uses_;
+  /// An account that isn't in uses_ wasn't used: this host heard the peer from its start on, or
+  /// heard a report of all accounts.
+  bool complete_ = false;
   std::uint64_t relayedNear_ = 0; ///< Sequence of its last report relayed within the region.
   std::uint64_t relayedFar_ = 0;  ///< The same to other regions.
 };
@@ -117,6 +125,8 @@
   std::map<HostId, SharePeer> peers_;
   std::map<std::uint64_t, OpenGrant> grants_;
   std::uint64_t nextGrant_ = 1;
+  TimePoint started_{};        ///< When the first limits came.
+  std::set<HostId> newcomers_; ///< Hosts of the data centre that must be told the levels.
   std::size_t heardHosts_ = 0; ///< Invariant: hosts in peers_ that aren't silent.
   std::uint64_t sequence_ = 0; ///< Of the last own report.
   TimePoint heard_{};          ///< When any other host was heard last.
@@ -150,6 +160,13 @@
 /// other data centres and regions. Call about every 100 ms.
 std::vector<ReportStep> DueReports(RateShareState& aState, TimePoint aNow);
 
+/// Hosts of the data centre that just started, each with what this host must tell it.
+std::map<HostId, RateLevels> DueLevels(RateShareState& aState, TimePoint aNow);
+
+/// Takes the levels after a start. Without them a host begins with empty bursts, as it must when
+/// all hosts started at once and nobody knows what was used.
+void NoteLevels(RateShareState& aState, const RateLevels& aLevels, TimePoint aNow);
+
 /// The host that relays for this data centre; empty if this host does.
 std::optional<HostId> DataCentreRelay(const RateShareState& aState, TimePoint aNow);
 
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -84,6 +84,7 @@
            ShareGrant{ 1, { "acc" }, 3, 10, 1000, 0 },
            Summary{ { "dc1" }, 2, 100, true, { SampleMember() } },
            RateReports{ { "h2" }, { { { "h1" }, 7, 3, { { { "parish" }, 12 } } } } },
+           RateLevels{ 7, 3, { { { "parish" }, 12 } } },
            FeedQuestion{ 4, { 5, 6 } },
            FeedAnswer{ 4, 700, { 8, 9 } },
            FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } } },
--- a/tests/request/RateShareTest.cpp
+++ b/tests/request/RateShareTest.cpp
@@ -116,6 +116,10 @@
       for (const ReportStep& step : NoteReports(hosts_[late.to_], late.reports_, now_)) {
         Send(late.to_, step);
       }
+      for (const auto& [host, levels] : DueLevels(hosts_[late.to_], now_)) {
+        // Within a data centre a datagram takes less than a step.
+        NoteLevels(hosts_[std::stoul(host.value_.substr(1))], levels, now_);
+      }
     }
     if (++steps_ % 10 != 0) {
       return;
@@ -235,6 +239,48 @@
   }
 }
 
+// Guards against refusals below the limit while hosts are restarted one after the other: a host
+// that begins with empty bursts must learn what is left of them.
+TEST_CASE("accounts within their rate are served while hosts restart in turn", "[rate]")
+{
+  for (const std::size_t hosts : { std::size_t{ 16 }, std::size_t{ 73 } }) {
+    for (const double rate : { 20.0, 60.0, 400.0 }) {
+      Fleet fleet(hosts, rate, rate, 1);
+      fleet.Run(0, seconds(8), hosts);
+      fleet.Run(0.6 * rate, seconds(10), hosts);
+      const std::size_t refused = fleet.refused_;
+      const std::size_t taken = fleet.taken_.size();
+      for (std::size_t i = 0; i < 16; ++i) {
+        fleet.hosts_[i] = fleet.Start(i, 2);
+        fleet.Run(0.6 * rate, seconds(1), hosts);
+      }
+      const std::size_t asked = fleet.refused_ - refused + fleet.taken_.size() - taken;
+      INFO("hosts " << hosts << " rate " << rate << " refused " << fleet.refused_ - refused
+                    << " of " << asked);
+      CHECK(static_cast<double>(fleet.refused_ - refused) <= 0.05 * static_cast<double>(asked));
+    }
+  }
+}
+
+// Guards against more than the limit when hosts that know the levels tell them to many that start.
+TEST_CASE("hosts that restart in turn keep the limit", "[rate]")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (const double rate : { 10.0, 51.0, 400.0 }) {
+      Fleet fleet(16, rate, rate, seed);
+      fleet.Run(rate, seconds(8), 16);
+      for (std::size_t i = 0; i < 24; ++i) {
+        for (const std::size_t host : { i % 16, (i + 5) % 16, (i + 10) % 16 }) {
+          fleet.hosts_[host] = fleet.Start(host, 2 + i);
+        }
+        fleet.Run(5 * rate, milliseconds(700), 16);
+      }
+      INFO("seed " << seed << " rate " << rate);
+      CHECK(fleet.Most(seconds(5)) <= Allowed(rate, rate));
+    }
+  }
+}
+
 // Guards against tokens that were given back but count as used.
 TEST_CASE("unused tokens of a grant come back", "[rate]")
 {
@@ -265,6 +311,24 @@
   CHECK(host.accounts_.at(kAccount).level_ == Approx(level));
 }
 
+// Guards against use of the past that counts as new: a host that started hears an account of
+// another host for the first time only when that host uses it again.
+TEST_CASE("what a host used before this one started isn't taken off the level", "[rate]")
+{
+  Fleet fleet(2, 10, 100, 1);
+  fleet.Run(0, seconds(30), 2);
+  RateShareState& host = fleet.hosts_[0];
+  NoteReports(host, { { "h1" }, { { { "h1" }, 2, 50, {} } } }, fleet.now_);
+  const double level = host.accounts_.at(kAccount).level_;
+  fleet.now_ += milliseconds(300);
+  NoteReports(host, { { "h1" }, { { { "h1" }, 2, 51, { { kAccount, 70 } } } } }, fleet.now_);
+  CHECK(host.accounts_.at(kAccount).level_ >= level);
+  CHECK(host.accounts_.at(kAccount).peersPerSecond_ == Approx(0));
+  const double before = host.accounts_.at(kAccount).level_;
+  NoteReports(host, { { "h1" }, { { { "h1" }, 2, 52, { { kAccount, 75 } } } } }, fleet.now_);
+  CHECK(host.accounts_.at(kAccount).level_ == Approx(before - 5));
+}
+
 // Guards against control traffic that grows over the dear links between regions.
 TEST_CASE("few bytes of reports cross between regions", "[rate]")
 {
