Soak: faults of links between hosts, store and targets; clients that keep connections

Cause: the soak injected faults by signals and in the stand-ins only; connections were never cut, silenced, reset or slow, and every client opened a new connection for each request. Change: each host of the soak reaches the store and its target through a link of its own, which delays, cuts both ways or one way, silences or resets. The link learned one-way cuts and resets. Half of the clients keep their connections (HttpSession, which FetchHttp uses too).

--- a/standins/lib/FleetHttp.cpp
+++ b/standins/lib/FleetHttp.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <optional>
 #include <utility>
 
 namespace peridotquay::standins {
@@ -33,52 +32,96 @@
 
 } // namespace
 
-Result<HttpReply> FetchHttp(const Address& aServer, const HttpQuery& aQuery)
+struct HttpSession::State
+{
+  explicit State(const Address& aServer)
+    : server_(aServer)
+    , stream_(context_)
+  {
+  }
+
+  /// Runs one asynchronous operation to its end.
+  template<typename Start>
+  error_code Await(Start aStart)
+  {
+    error_code result;
+    context_.restart();
+    aStart([&](error_code aError, auto...) { result = aError; });
+    context_.run();
+    return result;
+  }
+
+  error_code Exchange(const http::request<http::string_body>& aRequest,
+                      http::response_parser<http::string_body>& aParser,
+                      ErrorCode& aStage)
+  {
+    aStage = ErrorCode::kTargetUnreachable;
+    if (!open_) {
+      buffer_.clear();
+      const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(server_.ip_), server_.port_);
+      const auto connected =
+        Await([&](auto aDone) { stream_.async_connect(endpoint, std::move(aDone)); });
+      if (connected) {
+        return connected;
+      }
+      open_ = true;
+    }
+    const auto written =
+      Await([&](auto aDone) { http::async_write(stream_, aRequest, std::move(aDone)); });
+    if (written) {
+      return written;
+    }
+    aStage = ErrorCode::kTruncatedAnswer;
+    return Await(
+      [&](auto aDone) { http::async_read(stream_, buffer_, aParser, std::move(aDone)); });
+  }
+
+  void Close()
+  {
+    error_code ignored;
+    stream_.socket().close(ignored);
+    open_ = false;
+  }
+
+  Address server_;
+  asio::io_context context_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  bool open_ = false;
+};
+
+HttpSession::HttpSession(const Address& aServer)
+  : state_(std::make_unique<State>(aServer))
+{
+}
+
+HttpSession::~HttpSession() = default;
+
+Result<HttpReply> HttpSession::Fetch(const HttpQuery& aQuery, bool aKeep)
 {
-  asio::io_context context;
-  beast::tcp_stream stream(context);
-  stream.expires_after(aQuery.timeout_);
   http::request<http::string_body> request;
   request.method_string(aQuery.method_);
   request.target(aQuery.target_);
   request.version(11);
-  request.set(http::field::host, aServer.ip_);
+  request.set(http::field::host, state_->server_.ip_);
   for (const auto& [name, value] : aQuery.headers_) {
     request.set(name, value);
   }
   request.body() = aQuery.body_;
   request.prepare_payload();
-  request.keep_alive(false);
-  beast::flat_buffer buffer;
+  request.keep_alive(aKeep);
   http::response_parser<http::string_body> parser;
   parser.body_limit(std::uint64_t{ 1 } << 30U);
-
-  std::optional<ErrorCode> failed = ErrorCode::kTargetUnreachable;
-  error_code last;
-  stream.async_connect(
-    { asio::ip::make_address(aServer.ip_), aServer.port_ }, [&](error_code aConnect) {
-      last = aConnect;
-      if (aConnect) {
-        return;
-      }
-      http::async_write(stream, request, [&](error_code aWrite, std::size_t) {
-        last = aWrite;
-        if (aWrite) {
-          return;
-        }
-        failed = ErrorCode::kTruncatedAnswer;
-        http::async_read(stream, buffer, parser, [&](error_code aRead, std::size_t) {
-          last = aRead;
-          if (!aRead) {
-            failed.reset();
-          }
-        });
-      });
-    });
-  context.run();
-  if (failed) {
-    const auto code = last == beast::error::timeout ? ErrorCode::kDeadlineExceeded : *failed;
-    return Fail(code, aQuery.target_, last.message());
+  state_->stream_.expires_after(aQuery.timeout_);
+  ErrorCode stage = ErrorCode::kTargetUnreachable;
+  const error_code error = state_->Exchange(request, parser, stage);
+  if (error) {
+    state_->Close();
+    const auto code = error == beast::error::timeout ? ErrorCode::kDeadlineExceeded : stage;
+    return Fail(code, aQuery.target_, error.message());
+  }
+  if (!parser.keep_alive() || !aKeep) {
+    state_->Close();
   }
   HttpReply reply;
   reply.status_ = parser.get().result_int();
@@ -89,4 +132,9 @@
   return reply;
 }
 
+Result<HttpReply> FetchHttp(const Address& aServer, const HttpQuery& aQuery)
+{
+  return HttpSession(aServer).Fetch(aQuery, false);
+}
+
 } // namespace peridotquay::standins
--- a/standins/lib/FleetHttp.h
+++ b/standins/lib/FleetHttp.h
@@ -1,4 +1,4 @@
-// Blocking HTTP/1.1 exchange over a fresh connection, for tools and tests.
+// Blocking HTTP/1.1 exchanges, over a fresh or a kept connection, for tools and tests.
 #pragma once
 
 #include "peridotquay/process/Error.h"
@@ -6,6 +6,7 @@
 #include "peridotquay/version/Ids.h"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,8 +30,26 @@
   Duration timeout_ = seconds(2); ///< For the whole exchange.
 };
 
-/// Sends a request and reads the whole answer. Errors: kTargetUnreachable, kTruncatedAnswer,
-/// kDeadlineExceeded.
+/// A client that keeps its connection until one side closes it.
+class HttpSession
+{
+public:
+  explicit HttpSession(const Address& aServer);
+  HttpSession(const HttpSession&) = delete;
+  HttpSession& operator=(const HttpSession&) = delete;
+  ~HttpSession();
+
+  /// Connects if there is no connection, sends a request and reads the whole answer. Errors as
+  /// FetchHttp; after one the connection is closed.
+  Result<HttpReply> Fetch(const HttpQuery& aQuery, bool aKeep = true);
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+/// Sends a request on a fresh connection and reads the whole answer. Errors: kTargetUnreachable,
+/// kTruncatedAnswer, kDeadlineExceeded.
 Result<HttpReply> FetchHttp(const Address& aServer, const HttpQuery& aQuery);
 
 } // namespace peridotquay::standins
--- a/standins/lib/LinkRelay.cpp
+++ b/standins/lib/LinkRelay.cpp
@@ -143,6 +143,11 @@
   return aConnection.silence_ != settings_.faults_.silenceExisting_;
 }
 
+bool LinkRelay::Stalls(std::size_t aSide) const
+{
+  return settings_.faults_.cut_ || (aSide == 1 && settings_.faults_.cutAnswers_);
+}
+
 asio::awaitable<void> LinkRelay::Accept()
 {
   const auto self = shared_from_this();
@@ -157,6 +162,7 @@
     connections_.remove_if([](const auto& aOld) { return aOld.expired(); });
     connections_.push_back(connection);
     connection->silence_ = settings_.faults_.silenceExisting_;
+    connection->reset_ = settings_.faults_.resetExisting_;
     asio::co_spawn(
       context_, [self, connection] { return self->Open(connection); }, asio::detached);
   }
@@ -223,7 +229,7 @@
   Tcp::socket& to = aConnection->sockets_[1 - aSide];
   error_code failure;
   while (to.is_open()) {
-    const bool ready = !flow.chunks_.empty() && !settings_.faults_.cut_;
+    const bool ready = !flow.chunks_.empty() && !Stalls(aSide);
     if (!ready || flow.chunks_.front().due_ > Clock::now()) {
       flow.changed_.expires_at(ready ? flow.chunks_.front().due_ : TimePoint::max());
       co_await flow.changed_.async_wait(asio::redirect_error(asio::use_awaitable, failure));
@@ -255,7 +261,7 @@
                           std::string aBytes,
                           std::function<void(std::string)> aSend)
 {
-  if (settings_.faults_.cut_) {
+  if (Stalls(aDirection)) {
     ++lostDatagrams_;
     return;
   }
@@ -327,10 +333,20 @@
 void LinkRelay::FaultsChanged()
 {
   for (const auto& weak : connections_) {
-    if (const auto connection = weak.lock()) {
-      connection->flows_[0].changed_.cancel();
-      connection->flows_[1].changed_.cancel();
+    const auto connection = weak.lock();
+    if (!connection) {
+      continue;
+    }
+    if (connection->reset_ != settings_.faults_.resetExisting_) {
+      for (auto& socket : connection->sockets_) {
+        // Closing with a linger time of 0 sends a reset.
+        error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+      }
     }
+    connection->flows_[0].changed_.cancel();
+    connection->flows_[1].changed_.cancel();
   }
 }
 
@@ -350,6 +366,7 @@
                                { "bytes_from_remote", bytes_[1] },
                                { "lost_datagrams", lostDatagrams_ },
                                { "cut", settings_.faults_.cut_ },
+                               { "cut_answers", settings_.faults_.cutAnswers_ },
                                { "delay_ms", ToSeconds(settings_.faults_.delay_) * 1000 },
                                { "bandwidth", settings_.faults_.bandwidth_ } };
   return report.dump();
--- a/standins/lib/LinkRelay.h
+++ b/standins/lib/LinkRelay.h
@@ -65,6 +65,7 @@
     std::array<Tcp::socket, 2> sockets_; ///< The caller's and the remote's.
     std::array<Flow, 2> flows_;          ///< flows_[i] is read from sockets_[i].
     std::uint64_t silence_ = 0;          ///< Value of silenceExisting_ when it was opened.
+    std::uint64_t reset_ = 0;            ///< Value of resetExisting_ when it was opened.
   };
 
   /// Return path of datagrams for one sender.
@@ -87,6 +88,8 @@
                  std::string aBytes,
                  std::function<void(std::string)> aSend);
   bool Silent(const Connection& aConnection) const;
+  /// Whether nothing passes that side aSide sends: 0 for the caller, 1 for the remote.
+  bool Stalls(std::size_t aSide) const;
   void FaultsChanged();
   std::string Report() const;
 
--- a/standins/lib/LinkSettings.cpp
+++ b/standins/lib/LinkSettings.cpp
@@ -29,14 +29,20 @@
         next.delay_ =
           std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(number));
       }
-    } else if (name == "cut" || name == "silence_existing") {
+    } else if (name == "cut" || name == "cut_answers" || name == "silence_existing" ||
+               name == "reset_existing") {
       if (!value.is_boolean()) {
         return Fail(ErrorCode::kWrongType, name, "true or false");
       }
+      const bool flag = value.get<bool>();
       if (name == "cut") {
-        next.cut_ = value.get<bool>();
-      } else if (value.get<bool>()) {
-        ++next.silenceExisting_;
+        next.cut_ = flag;
+      } else if (name == "cut_answers") {
+        next.cutAnswers_ = flag;
+      } else if (name == "silence_existing") {
+        next.silenceExisting_ += flag ? 1 : 0;
+      } else {
+        next.resetExisting_ += flag ? 1 : 0;
       }
     } else {
       return Fail(ErrorCode::kUnknownSetting, name);
--- a/standins/lib/LinkSettings.h
+++ b/standins/lib/LinkSettings.h
@@ -16,7 +16,9 @@
   Duration delay_{};                  ///< One way.
   std::uint64_t bandwidth_ = 0;       ///< Bytes a second in each direction; 0: unlimited.
   bool cut_ = false;                  ///< TCP stalls, datagrams are lost.
+  bool cutAnswers_ = false;           ///< Only what the remote sends stalls or is lost.
   std::uint64_t silenceExisting_ = 0; ///< Grows when open connections shall fall silent.
+  std::uint64_t resetExisting_ = 0;   ///< Grows when open connections shall be reset.
   bool operator==(const LinkFaults&) const = default;
 };
 
@@ -28,8 +30,9 @@
   LinkFaults faults_;
 };
 
-/// Applies a JSON object with members delay_ms, bandwidth, cut and silence_existing (true silences
-/// the connections that are open now). Errors: kSyntax, kUnknownSetting, kWrongType, kOutOfRange.
+/// Applies a JSON object with members delay_ms, bandwidth, cut, cut_answers, and silence_existing
+/// and reset_existing (true silences or resets the connections that are open now). Errors: kSyntax,
+/// kUnknownSetting, kWrongType, kOutOfRange.
 Result<void> ApplyLinkFaults(LinkFaults& aFaults, std::string_view aJson);
 
 /// When a chunk that is sent now arrives at the other end. aFreeAt is the time at which the
--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -2,16 +2,20 @@
 #pragma once
 
 #include "standins/lib/FleetHttp.h"
+#include "standins/lib/LinkRelay.h"
 #include "standins/lib/UserStore.h"
 #include "standins/lib/UserTarget.h"
 #include "tests/connection/RawSocket.h"
 #include "tests/failure/Process.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -38,11 +42,66 @@
            { "tenants", { { "t1", { { "api_keys", aKeys }, { "rate_per_s", 0 } } } } } };
 }
 
+/// Links between a host and what it talks to, on a thread of their own.
+class HostLinks
+{
+public:
+  HostLinks(std::uint16_t aStore, std::uint16_t aTarget)
+    : store_(Link(aStore))
+    , target_(Link(aTarget))
+    , thread_([this] { context_.run(); })
+  {
+  }
+  HostLinks(const HostLinks&) = delete;
+  HostLinks& operator=(const HostLinks&) = delete;
+  ~HostLinks()
+  {
+    boost::asio::post(context_, [this] {
+      store_->Stop();
+      target_->Stop();
+      context_.stop();
+    });
+    thread_.join();
+  }
+
+  std::uint16_t StorePort() const { return store_->Port(); }
+  std::uint16_t TargetPort() const { return target_->Port(); }
+  /// Changes the faults of the link to the store or to the target (LinkSettings.h).
+  void Set(bool aStore, const std::string& aJson)
+  {
+    const std::uint16_t control = (aStore ? store_ : target_)->ControlPort();
+    const auto reply =
+      standins::FetchHttp({ "127.0.0.1", control }, { "POST", "/link", {}, aJson });
+    if (reply.has_error() || reply.assume_value().status_ != 200) {
+      throw std::runtime_error("a link doesn't take its faults");
+    }
+  }
+
+private:
+  std::shared_ptr<standins::LinkRelay> Link(std::uint16_t aRemote)
+  {
+    standins::LinkSettings settings;
+    settings.remote_ = { "127.0.0.1", aRemote };
+    auto link = std::make_shared<standins::LinkRelay>(context_, settings);
+    if (link->Start().has_error()) {
+      throw std::runtime_error("a link can't listen");
+    }
+    return link;
+  }
+
+  boost::asio::io_context context_{ 1 };
+  std::shared_ptr<standins::LinkRelay> store_;
+  std::shared_ptr<standins::LinkRelay> target_;
+  std::thread thread_;
+};
+
 /// Host i serves service i modulo 2, in data centre i modulo 4 of region i modulo 2.
 class UserFleet
 {
 public:
-  explicit UserFleet(std::size_t aHosts)
+  /// With links, each host reaches the store and its target through a link of its own.
+  explicit UserFleet(std::size_t aHosts, bool aLinks = false)
+    : links_(aLinks)
   {
     store_.Put("op", "config", UserDocument(1, { "k1", "k2" }).dump());
     for (std::size_t i = 0; i < aHosts; ++i) {
@@ -80,6 +139,16 @@
                           const std::string& aPath,
                           const std::string& aId,
                           const std::string& aKey = "k1")
+  {
+    auto reply = standins::FetchHttp(CallersOf(aHost), Query(aPath, aId, aKey));
+    return reply.has_value() ? reply.assume_value() : standins::HttpReply{};
+  }
+
+  Address CallersOf(std::size_t aHost) const { return { "127.0.0.1", hosts_[aHost]->callers_ }; }
+
+  static standins::HttpQuery Query(const std::string& aPath,
+                                   const std::string& aId,
+                                   const std::string& aKey = "k1")
   {
     standins::HttpQuery query;
     query.method_ = aPath.starts_with("/write/") ? "POST" : "GET";
@@ -93,8 +162,7 @@
       query.headers_.emplace_back("Authorization", "Token " + aKey);
     }
     query.timeout_ = seconds(3);
-    auto reply = standins::FetchHttp({ "127.0.0.1", hosts_[aHost]->callers_ }, query);
-    return reply.has_value() ? reply.assume_value() : standins::HttpReply{};
+    return query;
   }
 
   /// How often each request id ran, over all targets.
@@ -112,6 +180,8 @@
   std::size_t Size() const { return hosts_.size(); }
   standins::UserStore& Store() { return store_; }
   standins::UserTarget& TargetOf(std::size_t aHost) { return *hosts_[aHost]->target_; }
+  /// Only of a fleet with links.
+  HostLinks& LinksOf(std::size_t aHost) { return *hosts_[aHost]->links_; }
   Process& ProcessOf(std::size_t aHost) { return *hosts_[aHost]->process_; }
   std::string Log(std::size_t aHost) { return ReadFile(hosts_[aHost]->output_); }
 
@@ -134,6 +204,7 @@
     std::string output_;
     std::string settings_;
     std::unique_ptr<standins::UserTarget> target_;
+    std::unique_ptr<HostLinks> links_; ///< Null in a fleet without links.
     std::unique_ptr<Process> process_;
   };
 
@@ -151,6 +222,11 @@
     host->ready_ = FreePort();
     host->reports_ = FreePort();
     host->target_ = std::make_unique<standins::UserTarget>("i-" + name, service, host->reports_);
+    if (links_) {
+      host->links_ = std::make_unique<HostLinks>(store_.Port(), host->target_->Port());
+    }
+    const std::uint16_t store = links_ ? host->links_->StorePort() : store_.Port();
+    const std::uint16_t target = links_ ? host->links_->TargetPort() : host->target_->Port();
     host->ports_ = directory_.File(name + ".ports");
     directory_.File(name + ".ports.tmp");
     host->output_ = directory_.File(name + ".log");
@@ -161,9 +237,9 @@
       name + ".toml",
       "host = \"" + name + "\"\ndata_centre = \"d" + std::to_string(aIndex % 4) +
         "\"\nregion = \"r" + std::to_string(aIndex % 2) + "\"\nservice = \"" + service +
-        "\"\nport_file = \"" + host->ports_ + "\"\ntarget = " + address(host->target_->Port()) +
+        "\"\nport_file = \"" + host->ports_ + "\"\ntarget = " + address(target) +
         "drain_timeout_ms = 5000\naccept_while_draining_ms = 1000\n[adapter]\nstore = " +
-        address(store_.Port()) + "ready = " + address(host->ready_) + "heartbeats = " +
+        address(store) + "ready = " + address(host->ready_) + "heartbeats = " +
         address(host->reports_) + "heartbeat_ms = 500\nkey_freshness_ms = 5000\n");
     StartProcess(*host);
     hosts_.push_back(std::move(host));
@@ -180,6 +256,7 @@
     aHost.callers_ = nlohmann::json::parse(ReadFile(aHost.ports_))["callers"];
   }
 
+  bool links_;
   standins::UserStore store_;
   Directory directory_;
   std::vector<std::unique_ptr<Host>> hosts_;
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -1,6 +1,6 @@
 // Randomized soak: real quayd processes on the stand-ins of the users' platform, with faults
-// injected from outside while clients send requests. SOAK_SEEDS=first-last runs other seeds by
-// hand.
+// injected from outside while clients send requests: signals, links that delay, cut, silence or
+// reset, a store and targets that misbehave. SOAK_SEEDS=first-last runs other seeds by hand.
 #include "tests/failure/UserFleet.h"
 
 #include <catch2/catch.hpp>
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::size_t kHosts = 6;
-constexpr int kFaults = 10;
+constexpr int kFaults = 12;
 constexpr Duration kFaultTime = milliseconds(700);
 
 /// What a client saw of one request.
@@ -57,11 +57,24 @@
   void Send(std::size_t aClient, std::uint64_t aSeed)
   {
     std::mt19937_64 random(aSeed);
+    // Half of the clients keep their connection for as long as it lives.
+    std::vector<std::unique_ptr<standins::HttpSession>> sessions(kHosts);
     for (int i = 0; !ending_; ++i) {
       const bool write = random() % 2 == 0;
       const std::string id =
         (write ? "w" : "r") + std::to_string(aClient) + "-" + std::to_string(i);
-      const auto reply = fleet_.Ask(random() % kHosts, write ? "/write/1" : "/read/1", id);
+      const std::size_t host = random() % kHosts;
+      const auto query = UserFleet::Query(write ? "/write/1" : "/read/1", id);
+      auto& session = sessions[host];
+      if (!session || aClient % 2 == 0) {
+        session = std::make_unique<standins::HttpSession>(fleet_.CallersOf(host));
+      }
+      const auto result = session->Fetch(query);
+      if (result.has_error()) {
+        // The process may have come back on other ports.
+        session.reset();
+      }
+      const auto reply = result.has_value() ? result.assume_value() : standins::HttpReply{};
       const std::lock_guard lock(mutex_);
       seen_[id] = { reply.status_, reply.body_ };
     }
@@ -74,11 +87,24 @@
   std::vector<std::thread> threads_;
 };
 
+std::string LinkFault(std::mt19937_64& aRandom)
+{
+  static const std::vector<std::string> kFaults = {
+    R"({"cut":true})",
+    R"({"cut_answers":true})",
+    R"({"silence_existing":true})",
+    R"({"reset_existing":true})",
+    R"({"delay_ms":60})",
+    R"({"cut":false,"cut_answers":false,"delay_ms":0})"
+  };
+  return kFaults[aRandom() % kFaults.size()];
+}
+
 /// Injects one fault, lets it last, and ends it. Faults follow one another without a pause.
 void Inject(UserFleet& aFleet, std::mt19937_64& aRandom, std::vector<bool>& aDown)
 {
   const std::size_t host = aRandom() % kHosts;
-  switch (aRandom() % 8) {
+  switch (aRandom() % 10) {
     case 0:
       aFleet.ProcessOf(host).Signal(SIGKILL);
       aDown[host] = true;
@@ -105,9 +131,13 @@
     case 6:
       aFleet.TargetOf(host).LoseOneIn(static_cast<unsigned>(aRandom() % 5));
       break;
-    default:
+    case 7:
       aFleet.TargetOf(host).SetWork(milliseconds(5 + aRandom() % 400));
       break;
+    default:
+      // Links misbehave until the end of the next fault of the same link, or of the run.
+      aFleet.LinksOf(host).Set(aRandom() % 2 == 0, LinkFault(aRandom));
+      break;
   }
   std::this_thread::sleep_for(kFaultTime);
   // Processes come back while other faults go on.
@@ -123,6 +153,9 @@
 {
   aFleet.Store().SetFault(UserStoreFault::kNone);
   for (std::size_t host = 0; host < kHosts; ++host) {
+    for (const bool store : { true, false }) {
+      aFleet.LinksOf(host).Set(store, R"({"cut":false,"cut_answers":false,"delay_ms":0})");
+    }
     aFleet.TargetOf(host).LoseOneIn(0);
     aFleet.TargetOf(host).SetWork(milliseconds(5));
     if (aDown[host]) {
@@ -148,7 +181,7 @@
 void RunSeed(std::uint64_t aSeed)
 {
   INFO("seed " << aSeed);
-  UserFleet fleet(kHosts);
+  UserFleet fleet(kHosts, true);
   REQUIRE(fleet.WaitReady());
   std::mt19937_64 random(aSeed);
   std::vector<bool> down(kHosts, false);
--- a/tests/standins/LinkTest.cpp
+++ b/tests/standins/LinkTest.cpp
@@ -104,6 +104,28 @@
   CHECK(linked.Get("/a").has_value());
 }
 
+// Guards against a one-way cut that stops both ways, and against one that never heals.
+TEST_CASE("a one-way cut holds back only the answers", "[link]")
+{
+  LinkedTarget linked;
+  linked.Set(R"({"cut_answers":true})");
+  CHECK_FALSE(linked.Get("/a?length=7", milliseconds(200)).has_value());
+  linked.Set(R"({"cut_answers":false})");
+  CHECK(linked.Get("/a").has_value());
+}
+
+// Guards against a reset that misses open connections or hits new ones.
+TEST_CASE("open connections are reset and new ones work", "[link]")
+{
+  LinkedTarget linked;
+  HttpSession session(linked.address_);
+  REQUIRE(session.Fetch({ "GET", "/a", {}, "" }).has_value());
+  REQUIRE(session.Fetch({ "GET", "/b", {}, "" }).has_value());
+  linked.Set(R"({"reset_existing":true})");
+  CHECK_FALSE(session.Fetch({ "GET", "/c", {}, "" }).has_value());
+  CHECK(session.Fetch({ "GET", "/d", {}, "" }).has_value());
+}
+
 // Guards against silence that also hits new connections, or that ends for old ones.
 TEST_CASE("existing connections fall silent and new ones work", "[link]")
 {
