--- a/peridotquay/process/DispatcherEnd.cpp
+++ b/peridotquay/process/DispatcherEnd.cpp
@@ -167,7 +167,9 @@
       break;
   }
   if (call.contextToken_.empty()) {
-    metrics_.Note(Timing::kCaller, loop_.Now() - call.arrived_);
+    const Duration time = loop_.Now() - call.arrived_;
+    metrics_.Note(Timing::kCaller, time);
+    metrics_.NoteRoute(call.call_.route_.value_, time);
   }
   LogEnd(call, aAnswer);
   const Done done = std::move(call.done_);
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -1,4 +1,5 @@
-// Counters and latency statistics of one node, written as text for the admin front.
+// Counters and latency histograms of one node, written in the text exposition format for the admin
+// front.
 #pragma once
 
 #include "peridotquay/process/Time.h"
@@ -53,6 +54,9 @@
 
 inline constexpr std::size_t kTimings = 3;
 
+/// Routes with a histogram of their own; bounds the text that each scrape transfers.
+inline constexpr std::size_t kMaxRoutes = 48;
+
 /// Used on the socket thread only.
 class Metrics
 {
@@ -65,7 +69,10 @@
   void Add(Counter aCounter, std::uint64_t aCount = 1);
   std::uint64_t Get(Counter aCounter) const;
   void Note(Timing aTiming, Duration aDuration);
-  /// One "name value" line for each counter, timing statistic (milliseconds) and gauge.
+  /// Notes a caller's request by its route. Beyond kMaxRoutes, routes are counted as "other".
+  void NoteRoute(std::string_view aRoute, Duration aDuration);
+  /// Counters, histograms by stage and by route (seconds), quantiles by stage (milliseconds) and
+  /// gauges.
   std::string Text(const std::vector<std::pair<std::string_view, double>>& aGauges) const;
 
 private:
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -508,7 +508,12 @@
   std::vector<std::pair<std::string_view, double>> Gauges() const
   {
     const AdmissionState& admission = guard_->Admission();
-    return { { "version", static_cast<double>(dispatcher_->ConfigVersion()) },
+    const ControlStatus status = control_->Status();
+    return { { "freshness_ms", static_cast<double>(status.freshnessAgeMs_) },
+             { "platform_reachable", status.platformReachable_ ? 1.0 : 0.0 },
+             { "hosts", static_cast<double>(status.membersAlive_) },
+             { "targets", static_cast<double>(dispatcher_->Targets()) },
+             { "version", static_cast<double>(dispatcher_->ConfigVersion()) },
              { "calls", static_cast<double>(dispatcher_->Calls()) },
              { "guard_calls", static_cast<double>(guard_->Calls()) },
              { "admission_limit", admission.limit_ },
