Don't transfer the document with every proof while other rows change

Change: a proof younger than 2 s is left as it is; followers judge their reader by when the store answered it last, and take its proof with its true age. Measured: UserFleetTest "rows of other tables cause no transfer ..."; StoreFeedTest.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -218,7 +218,7 @@
 template<typename A>
 void Fields(A& aVisit, FeedAnswer& aItem)
 {
-  aVisit(aItem.nonce_, aItem.proofAgeMs_, aItem.newest_);
+  aVisit(aItem.nonce_, aItem.proofAgeMs_, aItem.answerAgeMs_, aItem.newest_);
 }
 template<typename A>
 void Fields(A& aVisit, FeedRow& aItem)
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -340,8 +340,9 @@
 struct FeedAnswer
 {
   std::uint64_t nonce_ = 0;
-  std::uint64_t proofAgeMs_ = 0; ///< Time since newest_.config_ is known to have been the newest.
-  RowVersions newest_;           ///< What the answering host holds.
+  std::uint64_t proofAgeMs_ = 0;  ///< Time since newest_.config_ is known to have been the newest.
+  std::uint64_t answerAgeMs_ = 0; ///< Time since the store answered the host; it watches meanwhile.
+  RowVersions newest_;            ///< What the answering host holds.
   bool operator==(const FeedAnswer&) const = default;
 };
 
--- a/peridotquay/version/StoreFeed.cpp
+++ b/peridotquay/version/StoreFeed.cpp
@@ -1,6 +1,8 @@
 // Questions to the host that reads the store, and when to do without it.
 #include "peridotquay/version/StoreFeed.h"
 
+#include <algorithm>
+
 namespace peridotquay {
 
 namespace {
@@ -58,10 +60,11 @@
   aState.unanswered_ = 0;
   // Counted from before the question was sent, so that the way of the answer and a suspension make
   // the proof look older, never younger.
-  const Duration age = (aNow - aState.asked_) + (aSuspended - aState.suspended_) +
-                       milliseconds(static_cast<std::int64_t>(aAnswer.proofAgeMs_));
-  const bool young =
-    aAnswer.proofAgeMs_ <= kLongestProofAgeMs && age <= aState.settings_.oldestProof_;
+  const Duration way = (aNow - aState.asked_) + (aSuspended - aState.suspended_);
+  const auto age = [&](std::uint64_t aMs) {
+    return way + milliseconds(static_cast<std::int64_t>(std::min(aMs, kLongestProofAgeMs + 1)));
+  };
+  const bool isSource = age(aAnswer.answerAgeMs_) <= aState.settings_.oldestAnswer_;
   const bool lacksConfig = aAnswer.newest_.config_ > aOwn.config_;
   const bool lacksHosts = aAnswer.newest_.hosts_ > aOwn.hosts_;
   aState.missed_ = lacksConfig || lacksHosts ? aState.missed_ + 1 : 0;
@@ -70,13 +73,9 @@
     step.readConfig_ = lacksConfig;
     step.readHosts_ = lacksHosts;
   }
-  if (!young) {
-    aState.following_ = false;
-    return step;
-  }
-  if (!lacksConfig) {
-    aState.following_ = true;
-    step.proved_ = aNow - age;
+  aState.following_ = isSource && (aState.following_ || !lacksConfig);
+  if (!lacksConfig && aAnswer.proofAgeMs_ <= kLongestProofAgeMs) {
+    step.proved_ = aNow - age(aAnswer.proofAgeMs_);
   }
   return step;
 }
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -22,8 +22,9 @@
   Duration answerTime_ = milliseconds(250);
   /// Questions in a row without an answer after which the host reads for itself.
   std::uint32_t unanswered_ = 2;
-  /// Oldest proof that still counts. The source reads every proofInterval_.
-  Duration oldestProof_ = milliseconds(1500);
+  /// A source that the store hasn't answered for this long is no source. It asks the store every
+  /// proofInterval_.
+  Duration oldestAnswer_ = milliseconds(1500);
   /// Time between two proofs of a host that others ask.
   Duration proofInterval_ = milliseconds(700);
   /// A host that wasn't asked for this long reads for itself alone.
@@ -38,7 +39,7 @@
 {
   StoreFeedSettings settings_;
   std::optional<HostId> source_; ///< The host that is asked; empty: none is known.
-  bool following_ = false;       ///< The last proof came from source_ and was young enough.
+  bool following_ = false;       ///< source_ answered, and the store answered it lately.
   std::uint64_t nonce_ = 0;      ///< Of the last question.
   bool open_ = false;            ///< It has no answer yet.
   TimePoint asked_{};            ///< When it was sent.
--- a/standins/lib/UserStore.cpp
+++ b/standins/lib/UserStore.cpp
@@ -103,6 +103,7 @@
   const std::string& path = aExchange->request_.path_;
   const std::string from = QueryValue(path, "from");
   const std::string end = QueryValue(path, "target");
+  documentReads_ += QueryValue(path, "table") == "op" && end.empty() ? 1 : 0;
   const std::lock_guard lock(mutex_);
   nlohmann::json rows = nlohmann::json::array();
   for (const auto& [key, row] : rows_) {
--- a/standins/lib/UserStore.h
+++ b/standins/lib/UserStore.h
@@ -43,6 +43,8 @@
   void Compact();
   /// Calls so far.
   std::uint64_t Calls() const { return calls_; }
+  /// Reads of the operator's document so far.
+  std::uint64_t DocumentReads() const { return documentReads_; }
   /// Rows of a table that exist.
   std::size_t Rows(const std::string& aTable);
 
@@ -77,6 +79,7 @@
   std::list<std::shared_ptr<HttpExchange>> unanswered_;
   std::atomic<UserStoreFault> fault_{ UserStoreFault::kNone };
   std::atomic<std::uint64_t> calls_{ 0 };
+  std::atomic<std::uint64_t> documentReads_{ 0 };
   std::thread thread_;
 };
 
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -309,6 +309,25 @@
   }
 }
 
+// Guards against transfers of the document with every proof while other rows of the store change:
+// documents of many routes fill the link between regions, and changes come too late.
+TEST_CASE("rows of other tables cause no transfer of the document with each proof", "[users]")
+{
+  UserFleet fleet(8);
+  REQUIRE(fleet.WaitReady());
+  std::this_thread::sleep_for(seconds(2));
+  const std::uint64_t reads = fleet.Store().DocumentReads();
+  for (int i = 0; i < 80; ++i) {
+    fleet.Store().Put("other", "row", std::to_string(i));
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  // Four readers prove every 0.7 s; each transfers the document about every 2.1 s.
+  CHECK(fleet.Store().DocumentReads() - reads <= 4 * 3);
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(fleet.Ask(host, "/read/1", "a").status_ == 200);
+  }
+}
+
 // Guards against hosts that don't come back when all of them lost everything at once, and against a
 // second row for one host when the store loses answers.
 TEST_CASE("all hosts restart at once while answers of the store are lost", "[users]")
