--- a/peridotquay/process/Metrics.cpp
+++ b/peridotquay/process/Metrics.cpp
@@ -106,12 +106,14 @@
     total += static_cast<std::uint64_t>(aHistogram.counts_.at(static_cast<int>(i)));
     const bool last = i == kBounds.size();
     std::snprintf(bound.data(), bound.size(), "%g", last ? 0 : kBounds[i]);
-    aText += aName + "_bucket{" + aLabel + ",le=\"" + (last ? "+Inf" : bound.data()) + "\"} " +
-             std::to_string(total) + "\n";
+    aText.append(aName).append("_bucket{").append(aLabel).append(",le=\"");
+    aText.append(last ? "+Inf" : bound.data()).append("\"} ");
+    aText.append(std::to_string(total)).append("\n");
   }
   std::snprintf(bound.data(), bound.size(), "%.6g", aHistogram.sum_);
-  aText += aName + "_sum{" + aLabel + "} " + bound.data() + "\n";
-  aText += aName + "_count{" + aLabel + "} " + std::to_string(total) + "\n";
+  aText.append(aName).append("_sum{").append(aLabel).append("} ").append(bound.data()).append("\n");
+  aText.append(aName).append("_count{").append(aLabel).append("} ");
+  aText.append(std::to_string(total)).append("\n");
 }
 
 void AppendLine(std::string& aText, const std::string& aName, double aValue)
