--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -309,6 +309,35 @@
   }
 }
 
+// Guards against hosts that begin to read for themselves without a watch: they would find a change
+// only with their next proof, up to 2.8 s later.
+TEST_CASE("hosts that lost their reader learn of changes at once", "[users]")
+{
+  UserFleet fleet(16);
+  REQUIRE(fleet.WaitReady());
+  // By name, h0, h1, h10 and h11 are the first hosts of the four data centres.
+  const std::vector<std::size_t> readers{ 0, 1, 10, 11 };
+  std::this_thread::sleep_for(seconds(2));
+  for (const std::size_t reader : readers) {
+    fleet.ProcessOf(reader).Signal(SIGSTOP);
+  }
+  // The watches that are still open end with this change, before the hosts read for themselves.
+  fleet.Store().Put("op", "config", UserDocument(2, { "k1", "k2" }).dump());
+  std::this_thread::sleep_for(milliseconds(1900));
+  fleet.Store().Put("op", "config", UserDocument(3, {}).dump());
+  const TimePoint changed = Clock::now();
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    const bool reader = std::find(readers.begin(), readers.end(), host) != readers.end();
+    INFO("host " << host);
+    CHECK((reader || Eventually([&] { return fleet.Ask(host, "/read/1", "a").status_ == 401; },
+                                milliseconds(1000))));
+  }
+  CHECK(Clock::now() - changed < milliseconds(1500));
+  for (const std::size_t reader : readers) {
+    fleet.ProcessOf(reader).Signal(SIGCONT);
+  }
+}
+
 // Guards against transfers of the document with every proof while other rows of the store change:
 // documents of many routes fill the link between regions, and changes come too late.
 TEST_CASE("rows of other tables cause no transfer of the document with each proof", "[users]")
