Let another host read the store when a data centre's reader fails

Its followers then all read the store themselves. When version 29 came at 12.6 s, 24 hosts behind the link between regions transferred the same document of 1,208 routes at once.

Ruled out: an older document taken for the newest (ConfigWatch keeps the newer version), lost rows between followers (each had the row 0.2 s after its reader).

Change: a host whose source fails asks the next host of its data centre. Being asked makes a host a reader, so one more host reads instead of all; a host that the store refuses follows any host that it answers.

The test of a source that the store doesn't answer holds unchanged for a host without another source to ask.

--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -594,6 +594,15 @@
   return std::nullopt;
 }
 
+std::vector<HostId> ReportingHostsOfDataCentre(const RateShareState& aState, TimePoint aNow)
+{
+  std::vector<HostId> hosts = HostsOfDataCentre(aState);
+  std::erase_if(hosts, [&](const HostId& aHost) {
+    return aHost == aState.host_ || !MayRelay(aState, aHost, aNow);
+  });
+  return hosts;
+}
+
 std::set<HostId> FindSilentHosts(const RateShareState& aState,
                                  Duration aTime,
                                  TimePoint aSince,
--- a/peridotquay/request/RateShare.h
+++ b/peridotquay/request/RateShare.h
@@ -179,6 +179,9 @@
 /// The host that relays for this data centre; empty if this host does.
 std::optional<HostId> DataCentreRelay(const RateShareState& aState, TimePoint aNow);
 
+/// The other hosts of the data centre that sent a report recently, in the order of their ids.
+std::vector<HostId> ReportingHostsOfDataCentre(const RateShareState& aState, TimePoint aNow);
+
 /// Other hosts that sent no report for aTime although others of their region did: they are down or
 /// cut off. aSince counts as the last report of a host that sent none.
 std::set<HostId> FindSilentHosts(const RateShareState& aState,
--- a/peridotquay/version/StoreFeed.cpp
+++ b/peridotquay/version/StoreFeed.cpp
@@ -1,4 +1,5 @@
-// Decides when to ask the source and when to follow it instead of reading the store.
+// Chooses the source, and decides when to ask it and when to follow it instead of reading the
+// store.
 #include "peridotquay/version/StoreFeed.h"
 
 #include <algorithm>
@@ -7,36 +8,119 @@
 
 namespace {
 
-void RecordUnansweredQuery(StoreFeedState& aState)
+bool IsPaused(const StoreFeedState& aState, const HostId& aHost, TimePoint aNow)
 {
-  aState.queryPending_ = false;
-  if (++aState.unanswered_ >= aState.settings_.maxUnanswered_) {
-    aState.followingSource_ = false;
+  const auto failures = aState.failures_.find(aHost);
+  return failures != aState.failures_.end() && aNow < failures->second.pausedUntil_;
+}
+
+/// Hosts that this one may ask, in the order of preference.
+std::vector<HostId> EligibleSources(const FeedCandidates& aCandidates)
+{
+  std::vector<HostId> hosts = aCandidates.others_;
+  if (aCandidates.storeAnswersSelf_) {
+    std::erase_if(hosts, [&](const HostId& aHost) { return aCandidates.self_ < aHost; });
+  }
+  return hosts;
+}
+
+/// The first eligible host that isn't paused; the first one if all are paused.
+std::optional<HostId> ChooseSource(const StoreFeedState& aState,
+                                   const std::vector<HostId>& aEligible,
+                                   TimePoint aNow)
+{
+  const auto usable = std::find_if(aEligible.begin(), aEligible.end(), [&](const HostId& aHost) {
+    return !IsPaused(aState, aHost, aNow);
+  });
+  if (usable != aEligible.end()) {
+    return *usable;
+  }
+  return aEligible.empty() ? std::nullopt : std::optional(aEligible.front());
+}
+
+/// Excludes the source from the choice for a while, unless it is excluded already.
+void PauseSource(StoreFeedState& aState, TimePoint aNow)
+{
+  const StoreFeedSettings& settings = aState.settings_;
+  if (IsPaused(aState, *aState.source_, aNow)) {
+    return;
+  }
+  SourceFailures& failures = aState.failures_[*aState.source_];
+  Duration pause = settings.firstSourcePause_;
+  for (std::uint32_t i = 0; i < failures.count_ && pause < settings.maxSourcePause_; ++i) {
+    pause *= 2;
+  }
+  ++failures.count_;
+  failures.pausedUntil_ = aNow + std::min(pause, settings.maxSourcePause_);
+}
+
+void BeginSearch(StoreFeedState& aState, TimePoint aNow)
+{
+  if (!aState.searchingSince_) {
+    aState.searchingSince_ = aNow;
   }
 }
 
+/// Finds failures of the source since the last tick.
+void CheckSource(StoreFeedState& aState, TimePoint aNow)
+{
+  const StoreFeedSettings& settings = aState.settings_;
+  if (aState.queryPending_ && aNow - aState.querySentAt_ >= settings.answerTimeout_) {
+    aState.queryPending_ = false;
+    ++aState.unanswered_;
+  }
+  const bool isSilent = aState.unanswered_ >= settings.maxUnanswered_;
+  const Duration patience =
+    aState.source_ == aState.lastUsableSource_ ? Duration::zero() : settings.sourceStartTimeout_;
+  const bool isUnusable =
+    aState.sourceUnusableSince_ && aNow - *aState.sourceUnusableSince_ >= patience;
+  if (aState.source_ && (isSilent || isUnusable)) {
+    PauseSource(aState, aNow);
+    BeginSearch(aState, aNow);
+  }
+}
+
+void SetSource(StoreFeedState& aState, const std::optional<HostId>& aSource)
+{
+  if (aSource == aState.source_) {
+    return;
+  }
+  aState.source_ = aSource;
+  aState.queryPending_ = false;
+  // A new source is asked at once.
+  aState.querySentAt_ = {};
+  aState.unanswered_ = 0;
+  aState.answersWithMissingRows_ = 0;
+  aState.sourceUnusableSince_.reset();
+}
+
 } // namespace
 
 std::optional<FeedQuery> CollectDueQuery(StoreFeedState& aState,
-                                         const std::optional<HostId>& aSource,
+                                         const FeedCandidates& aCandidates,
                                          const RowVersions& aHeld,
                                          TimePoint aNow,
                                          Duration aSuspended)
 {
   const StoreFeedSettings& settings = aState.settings_;
-  if (aSource != aState.source_) {
-    aState.source_ = aSource;
-    aState.queryPending_ = false;
-    aState.unanswered_ = 0;
-    aState.answersWithMissingRows_ = 0;
-    aState.followingSource_ = aState.followingSource_ && aSource.has_value();
+  CheckSource(aState, aNow);
+  const std::vector<HostId> eligible = EligibleSources(aCandidates);
+  SetSource(aState, ChooseSource(aState, eligible, aNow));
+  aState.hasOtherSource_ = std::any_of(eligible.begin(), eligible.end(), [&](const HostId& aHost) {
+    return aHost != aState.source_ && !IsPaused(aState, aHost, aNow);
+  });
+  const bool searchFailed =
+    aState.searchingSince_ && aNow - *aState.searchingSince_ >= settings.searchTimeout_;
+  if (!aState.source_ || searchFailed || IsPaused(aState, *aState.source_, aNow)) {
+    aState.followingSource_ = false;
   }
-  if (!aSource) {
+  if (!aState.source_ || aState.queryPending_) {
     return std::nullopt;
   }
-  if (aState.queryPending_ && aNow - aState.querySentAt_ >= settings.answerTimeout_) {
-    RecordUnansweredQuery(aState);
-  } else if (aState.queryPending_ || aNow - aState.querySentAt_ < settings.queryInterval_) {
+  const bool isFailing = aState.sourceUnusableSince_.has_value() || aState.unanswered_ > 0;
+  const bool asksAgainSoon = isFailing && !IsPaused(aState, *aState.source_, aNow);
+  if (!asksAgainSoon && aState.querySentAt_ != TimePoint{} &&
+      aNow - aState.querySentAt_ < settings.queryInterval_) {
     return std::nullopt;
   }
   ++aState.nonce_;
@@ -74,7 +158,24 @@
     result.readConfig_ = lacksConfig;
     result.readHosts_ = lacksHosts;
   }
-  aState.followingSource_ = storeAnsweredSource && (aState.followingSource_ || !lacksConfig);
+  if (storeAnsweredSource) {
+    aState.lastUsableSource_ = aState.source_;
+    aState.sourceUnusableSince_.reset();
+    aState.searchingSince_.reset();
+    aState.failures_.erase(*aState.source_);
+    aState.followingSource_ = aState.followingSource_ || !lacksConfig;
+  } else {
+    if (!aState.sourceUnusableSince_) {
+      aState.sourceUnusableSince_ = aNow;
+    }
+    BeginSearch(aState, aNow);
+    // After a long suspension nothing is known of the source, so its followers don't wait.
+    const bool hasAlternative =
+      aState.hasOtherSource_ || aState.source_ != aState.lastUsableSource_;
+    if (!hasAlternative || elapsed > aState.settings_.maxStoreAnswerAge_) {
+      aState.followingSource_ = false;
+    }
+  }
   if (!lacksConfig && aAnswer.freshnessAgeMs_ <= kMaxFreshnessAgeMs) {
     result.freshAt_ = aNow - age(aAnswer.freshnessAgeMs_);
   }
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -1,5 +1,6 @@
 // Lets the hosts of a data centre share one reader of the platform's store, the source. Followers
 // ask the source whether what they hold is the newest and receive changed rows from it. A host
+// whose source fails, or isn't answered by the store, asks the next host of the data centre. A host
 // without a working source reads the store itself.
 #pragma once
 
@@ -8,7 +9,9 @@
 #include "peridotquay/version/Ids.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <vector>
 
 namespace peridotquay {
 
@@ -22,13 +25,23 @@
   /// A query without an answer after this time counts as unanswered. An answer within the data
   /// centre takes a few milliseconds.
   Duration answerTimeout_ = milliseconds(250);
-  /// Consecutive unanswered queries after which the host reads the store itself.
+  /// Consecutive unanswered queries after which the next host is asked.
   std::uint32_t maxUnanswered_ = 2;
   /// The source is not followed if the store's last answer to it is older than this. The source
   /// asks the store every freshnessInterval_.
-  Duration maxStoreAnswerAge_ = milliseconds(1500);
+  Duration maxStoreAnswerAge_ = milliseconds(1300);
   /// Time between two freshness checks of a source.
   Duration freshnessInterval_ = milliseconds(700);
+  /// A host that is asked begins to read the store. If the store hasn't answered it after this
+  /// time, the next host is asked.
+  Duration sourceStartTimeout_ = milliseconds(200);
+  /// A host that has followed a source reads the store itself if it finds no other source within
+  /// this time after the first failure.
+  Duration searchTimeout_ = milliseconds(300);
+  /// A host that failed as source isn't asked again for this long if there are others. The time
+  /// doubles with each consecutive failure, up to maxSourcePause_.
+  Duration firstSourcePause_ = seconds(10);
+  Duration maxSourcePause_ = seconds(80);
   /// A host counts as a source for this long after it received a query.
   Duration sourceLifetime_ = milliseconds(2000);
   /// Consecutive answers that name newer rows than the host holds after which it reads these rows
@@ -37,6 +50,14 @@
   bool operator==(const StoreFeedSettings&) const = default;
 };
 
+/// Consecutive failures of one host as a source.
+struct SourceFailures
+{
+  std::uint32_t count_ = 0;
+  TimePoint pausedUntil_{}; ///< Not asked before this time.
+  bool operator==(const SourceFailures&) const = default;
+};
+
 /// Feed state of one host. Changed only by the functions below.
 struct StoreFeedState
 {
@@ -51,13 +72,32 @@
   std::uint32_t unanswered_ = 0; ///< Consecutive unanswered queries.
   /// Consecutive answers that name rows this host lacks.
   std::uint32_t answersWithMissingRows_ = 0;
-  TimePoint lastQueryReceivedAt_{}; ///< When another host last asked this one.
+  /// The host that sent the last usable answer. If it fails, it isn't given time to start reading.
+  std::optional<HostId> lastUsableSource_;
+  /// When source_ first answered that the store doesn't answer it; empty if its last answer was
+  /// usable.
+  std::optional<TimePoint> sourceUnusableSince_;
+  /// When the search for a usable source began; empty while there is one.
+  std::optional<TimePoint> searchingSince_;
+  bool hasOtherSource_ = false;               ///< Another host could be asked if source_ fails.
+  std::map<HostId, SourceFailures> failures_; ///< Only hosts that failed since their last success.
+  TimePoint lastQueryReceivedAt_{};           ///< When another host last asked this one.
+};
+
+/// Hosts that could read the store for this one.
+struct FeedCandidates
+{
+  HostId self_;
+  std::vector<HostId> others_;   ///< Live hosts of the data centre, in the order of their ids.
+  bool storeAnswersSelf_ = true; ///< False if the store failed this host's last call.
 };
 
-/// Sets the host to ask and returns a query if one is due. Called every 100 ms.
-/// aSuspended: total time that this host was suspended since it started.
+/// Chooses the host to ask and returns a query if one is due. Called every 100 ms. The first host
+/// of the data centre that the store answers reads for all, so this host asks a host after itself
+/// only if the store doesn't answer it. aSuspended: total time that this host was suspended since
+/// it started.
 std::optional<FeedQuery> CollectDueQuery(StoreFeedState& aState,
-                                         const std::optional<HostId>& aSource,
+                                         const FeedCandidates& aCandidates,
                                          const RowVersions& aHeld,
                                          TimePoint aNow,
                                          Duration aSuspended);
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -349,6 +349,69 @@
   }
 }
 
+// Guards against a data centre whose hosts all read the store because its reader is cut off from
+// it: the calls to the store then grow with the hosts, and their transfers of one document fill the
+// link to the store.
+TEST_CASE("another host reads the store for a data centre whose reader is cut off", "[users]")
+{
+  UserFleet fleet(16, /*aHasLinks=*/true);
+  REQUIRE(fleet.WaitReady());
+  const auto count = [&](std::size_t aHost, const std::string& aEvent) {
+    const std::string log = fleet.Log(aHost);
+    std::size_t lines = 0;
+    for (auto at = log.find(aEvent); at != std::string::npos; at = log.find(aEvent, at + 1)) {
+      ++lines;
+    }
+    return lines;
+  };
+  // h0 reads for its data centre; names sort as text, so h12 is the next one.
+  const std::vector<std::size_t> followers{ 12, 4, 8 };
+  REQUIRE(Eventually(
+    [&] {
+      return std::all_of(followers.begin(), followers.end(), [&](std::size_t aHost) {
+        return count(aHost, "StoreFeedFollowed") > 0;
+      });
+    },
+    seconds(5)));
+  std::this_thread::sleep_for(seconds(1));
+  const std::size_t readsAlone = count(4, "StoreReadAlone") + count(8, "StoreReadAlone");
+  fleet.LinksOf(0).SetFaults(true, R"({"cut": true})");
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet.Store().Put("op", "config", UserDocument(2, {}).dump());
+  for (const std::size_t host : followers) {
+    INFO("host " << host);
+    CHECK(Eventually([&] { return fleet.SendRequest(host, "/read/1", "a").status_ == 401; },
+                     milliseconds(2500)));
+  }
+  // The host that is cut off learns of the change from the new reader.
+  CHECK(Eventually([&] { return fleet.SendRequest(0, "/read/1", "a").status_ == 401; },
+                   milliseconds(4000)));
+  std::this_thread::sleep_for(seconds(2));
+  CHECK(count(4, "StoreReadAlone") + count(8, "StoreReadAlone") == readsAlone);
+}
+
+// Guards against a host that never gets a large document, because each transfer of it takes longer
+// than the timeout of a call to the store.
+TEST_CASE("a large document arrives over a narrow link", "[users]")
+{
+  UserFleet fleet(4, /*aHasLinks=*/true);
+  REQUIRE(fleet.WaitReady());
+  auto document = UserDocument(2, {});
+  for (int i = 0; i < 1500; ++i) {
+    auto route = document["routes"]["read"];
+    route["prefix"] = "/many/" + std::to_string(i) + "/";
+    document["routes"]["many-" + std::to_string(i)] = route;
+  }
+  // The transfer takes 2 s.
+  const std::size_t bytes = document.dump().size() * 4 / 3;
+  fleet.LinksOf(1).SetFaults(true, R"({"bandwidth": )" + std::to_string(bytes / 2) + "}");
+  fleet.Store().Put("op", "config", document.dump());
+  // A host that starts has no watch yet, whose answers have more time.
+  fleet.Restart(1);
+  CHECK(
+    Eventually([&] { return fleet.SendRequest(1, "/read/1", "a").status_ == 401; }, seconds(12)));
+}
+
 // Guards against a transfer of the document with every freshness check while other rows of the
 // store change. Documents with many routes would fill the link between regions and delay changes.
 TEST_CASE("rows of other tables cause no transfer of the document with each freshness check",
--- a/tests/version/StoreFeedTest.cpp
+++ b/tests/version/StoreFeedTest.cpp
@@ -10,7 +10,8 @@
 const HostId kSource{ "h1" };
 const RowVersions kHeld{ 40, 70 };
 
-/// A host that asks h1 how fresh its rows are, with a simulated clock that advances by 100 ms.
+/// Host h5, which asks other hosts how fresh its rows are, with a simulated clock that advances by
+/// 100 ms.
 struct Follower
 {
   StoreFeedState state_;
@@ -18,10 +19,14 @@
   Duration suspended_{};
   RowVersions held_ = kHeld;
 
-  std::optional<FeedQuery> Tick(const std::optional<HostId>& aSource = kSource)
+  std::vector<HostId> others_{ kSource };
+  bool storeAnswersSelf_ = true;
+
+  std::optional<FeedQuery> Tick()
   {
     now_ += milliseconds(100);
-    return CollectDueQuery(state_, aSource, held_, now_, suspended_);
+    return CollectDueQuery(
+      state_, { HostId{ "h5" }, others_, storeAnswersSelf_ }, held_, now_, suspended_);
   }
 
   FeedQuery NextQuery()
@@ -159,14 +164,88 @@
 {
   Follower follower;
   follower.ReceiveAnswer(follower.NextQuery(), 10);
-  CHECK_FALSE(follower.Tick(std::nullopt));
+  follower.others_.clear();
+  CHECK_FALSE(follower.Tick());
   CHECK_FALSE(follower.state_.followingSource_);
   // After a change of source the host follows the new one before its first answer.
+  follower.others_ = { kSource };
+  follower.ReceiveAnswer(follower.NextQuery(), 10);
+  follower.others_ = { HostId{ "h2" } };
+  follower.Tick();
+  CHECK(follower.state_.followingSource_);
+}
+
+// Guards against a data centre whose hosts all read the store because it refuses the one host that
+// reads for them. Their transfers of the same document fill the link to the store.
+TEST_CASE("a follower asks the next host if the store doesn't answer its source", "[feed]")
+{
+  Follower follower;
+  follower.others_ = { kSource, HostId{ "h2" }, HostId{ "h7" } };
+  follower.ReceiveAnswer(follower.NextQuery(), 10);
+  REQUIRE(follower.state_.followingSource_);
+  const TimePoint failedAt = follower.now_;
+  while (follower.state_.source_ == kSource) {
+    if (const auto query = follower.Tick(); query && follower.state_.source_ == kSource) {
+      follower.ReceiveAnswer(*query, 10, kHeld, 1600);
+    }
+    REQUIRE(follower.now_ - failedAt <= milliseconds(900));
+  }
+  CHECK(follower.state_.source_ == HostId{ "h2" });
+  CHECK(follower.state_.followingSource_);
+  // The next host isn't a reader yet; the query makes it one.
+  follower.ReceiveAnswer({ follower.state_.nonce_, kHeld }, 10, kHeld, 3500);
+  follower.ReceiveAnswer(follower.NextQuery(), 10);
+  CHECK(follower.state_.followingSource_);
+  for (int i = 0; i < 50; ++i) {
+    if (const auto query = follower.Tick()) {
+      follower.ReceiveAnswer(*query, 10);
+    }
+    REQUIRE(follower.state_.source_ == HostId{ "h2" });
+    REQUIRE(follower.state_.followingSource_);
+  }
+  // The preferred host is asked again after its pause.
+  follower.now_ += follower.state_.settings_.firstSourcePause_;
+  follower.Tick();
+  CHECK(follower.state_.source_ == kSource);
+}
+
+// Guards against a search for a source that goes on while no host learns of changes.
+TEST_CASE("a host that finds no other source reads the store itself within 0.4 s", "[feed]")
+{
+  Follower follower;
+  follower.others_ = { kSource, HostId{ "h2" }, HostId{ "h3" }, HostId{ "h4" } };
   follower.ReceiveAnswer(follower.NextQuery(), 10);
-  follower.Tick(HostId{ "h2" });
+  const FeedQuery query = follower.NextQuery();
+  const TimePoint failedAt = follower.now_;
+  follower.ReceiveAnswer(query, 10, kHeld, 1600);
+  while (follower.state_.followingSource_) {
+    if (const auto next = follower.Tick()) {
+      follower.ReceiveAnswer(*next, 10, kHeld, 60'000);
+    }
+    REQUIRE(follower.now_ - failedAt <= milliseconds(400));
+  }
+  // When a host is usable again, it is followed again.
+  for (int i = 0; i < 10 && !follower.state_.followingSource_; ++i) {
+    if (const auto next = follower.Tick()) {
+      follower.ReceiveAnswer(*next, 10);
+    }
+  }
   CHECK(follower.state_.followingSource_);
 }
 
+// Guards against a host that the store refuses and that therefore learns of no change, although
+// hosts after it in the order read the store.
+TEST_CASE("a host asks hosts after itself only if the store doesn't answer it", "[feed]")
+{
+  Follower follower;
+  follower.others_ = { HostId{ "h7" } };
+  CHECK_FALSE(follower.Tick());
+  CHECK_FALSE(follower.state_.source_);
+  follower.storeAnswersSelf_ = false;
+  CHECK(follower.Tick());
+  CHECK(follower.state_.source_ == HostId{ "h7" });
+}
+
 // Guards against a host that checks freshness every 0.7 s although no other host asks
 // it. The platform charges for each of these reads.
 TEST_CASE("a host is a source only while other hosts ask it", "[feed]")
