Refuse requests that would fail in a deeper call before a target works on them

Requests were still admitted at the first services up to their own slots; their runs made five calls in turn there and failed at one of them (5,118 tries ended with 500), or came late. The state outlived its trigger.

Change: RunLimit, a pure module, limits the runs of a route that a guard lets execute while its target's deeper calls are overloaded. The overload is passed up the call graph in the level that each answer carries (values above 1, which older nodes take for 1, so that mixed fleets work). Only requests of callers on routes that are seen to need deeper calls are limited. At the overloaded service its own requests keep a quarter of the starts: deeper calls took every slot before.

AdmissionTest: lower classes keep their share of the starts.

--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -6,6 +6,7 @@
 #include "peridotquay/version/Ids.h"
 #include "peridotquay/version/TargetView.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -60,15 +61,24 @@
   bool operator==(const Call&) const = default;
 };
 
-/// Which calls a guard currently admits. Sent with each answer, so that the calling hosts shed load
-/// before they send it.
+/// Which calls a guard currently admits, and how much room its target finds in deeper services.
+/// Sent with each answer, so that the calling hosts shed load before they send it.
 struct AdmissionLevel
 {
   Importance minAdmittedImportance_ = Importance::kLow; ///< Calls of lower importance are refused.
-  double admittedFraction_ = 1.0; ///< Fraction of calls of minAdmittedImportance_ admitted, 0 to 1.
+  /// Fraction of calls of minAdmittedImportance_ admitted, 0 to 1. Above 1, all are admitted and
+  /// the excess is the overload of the target's recent deeper calls: older nodes, whose messages
+  /// have the same fields, take that for 1.
+  double admittedFraction_ = 1.0;
   bool operator==(const AdmissionLevel&) const = default;
 };
 
+/// Overload of the target's recent deeper calls that an answer states, from 0 to 1.
+inline double StatedDeeperOverload(const AdmissionLevel& aLevel)
+{
+  return std::clamp(aLevel.admittedFraction_ - 1, 0.0, 1.0);
+}
+
 /// Answer to a Call.
 struct Answer
 {
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -637,7 +637,8 @@
       if (level != admissionLevels_.end() &&
           now - level->second.receivedAt_ < kAdmissionLevelLifetime) {
         entry["lowest_admitted"] = ImportanceName(level->second.level_.minAdmittedImportance_);
-        entry["admitted_fraction"] = level->second.level_.admittedFraction_;
+        entry["admitted_fraction"] = std::min(1.0, level->second.level_.admittedFraction_);
+        entry["deeper_overload"] = StatedDeeperOverload(level->second.level_);
       }
       json["targets"].push_back(entry);
     }
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -164,6 +164,7 @@
   void BeginWithId(const CallPointer& aCall);
   void BeginRecord(const CallPointer& aCall, RequestLedger& aLedger, std::uint64_t aSequence);
   void SendToOwner(const CallPointer& aCall, const Address& aOwner);
+  bool IsDeeperCall(const ActiveCall& aCall) const;
   void FinishRecord(const CallPointer& aCall, const Answer& aAnswer);
 
   // Attempts.
--- a/peridotquay/process/DispatcherEnd.cpp
+++ b/peridotquay/process/DispatcherEnd.cpp
@@ -72,8 +72,30 @@
                              : std::string(ErrorName(static_cast<ErrorCode>(aAnswer.error_)));
 }
 
+/// How overloaded the end of a deeper call shows the services below the local target to be.
+double OverloadShownBy(const Answer& aAnswer)
+{
+  switch (static_cast<ErrorCode>(aAnswer.error_)) {
+    case ErrorCode::kShed:
+    case ErrorCode::kDeadlineExceeded:
+    case ErrorCode::kLimitReached:
+    case ErrorCode::kNoTarget:
+      return 1;
+    default:
+      // Guards keep their targets within their slots, so a target that refuses a call itself
+      // doesn't do so for lack of room, and fewer runs wouldn't help.
+      return CallOverload(aAnswer.queued_, aAnswer.limit_, StatedDeeperOverload(aAnswer.level_));
+  }
+}
+
 } // namespace
 
+bool Dispatcher::IsDeeperCall(const ActiveCall& aCall) const
+{
+  return dialect_.hasContexts_ ? !aCall.contextToken_.empty()
+                               : aCall.call_.clientAccount_.value_.empty();
+}
+
 void Dispatcher::OnDeadline(const CallPointer& aCall)
 {
   if (!calls_.contains(aCall.get())) {
@@ -141,6 +163,9 @@
     aAnswer.outcome_ = Outcome::kUnknown;
   }
   aAnswer.retriesUnused_ = call.budget_.left_;
+  if (IsDeeperCall(call) && static_cast<ErrorCode>(aAnswer.error_) != ErrorCode::kCancelled) {
+    guard_.RecordDeeperCall(OverloadShownBy(aAnswer));
+  }
   if (!call.contextToken_.empty()) {
     const auto deeper = deeperCalls_.find(call.contextToken_);
     if (deeper != deeperCalls_.end()) {
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -26,6 +26,12 @@
 constexpr Duration kSilenceTimeout = milliseconds(300);
 constexpr Duration kSilenceCheckInterval = milliseconds(100);
 
+// Share of the requests that a target serves itself, if it is called by others too. Without
+// contexts these deeper calls are critical, so that a steady stream of them would leave the
+// requests nothing. With contexts, `critical` is a class of requests, before which no other class
+// is served.
+constexpr double kRequestShare = 0.25;
+
 // Timeout of these two probes.
 constexpr Duration kProbeTimeout = milliseconds(250);
 
@@ -66,6 +72,18 @@
   return answer;
 }
 
+RunResult RunResultOf(ExecutionResult aExecutionResult, const Answer& aAnswer)
+{
+  switch (aExecutionResult) {
+    case ExecutionResult::kAnswered:
+      return aAnswer.status_ >= 500 ? RunResult::kFailed : RunResult::kSucceeded;
+    case ExecutionResult::kTimedOut:
+      return RunResult::kFailed;
+    default:
+      return RunResult::kNoResult;
+  }
+}
+
 } // namespace
 
 Guard::Guard(EventLoop& aLoop,
@@ -88,6 +106,7 @@
   , pollClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
 {
   admission_.settings_.adaptive_ = !aDialect.slotsAreLimit_;
+  admission_.settings_.lowerClassShare_ = aDialect.hasContexts_ ? 0 : kRequestShare;
   admission_.settings_.maxLimit_ =
     std::min(admission_.settings_.maxLimit_, aSettings.maxTargetConnections_);
 }
@@ -125,6 +144,9 @@
     Start(number);
     return;
   }
+  if (IsRequest(aCall) && !BeginLimitedRun(number, guardedCall)) {
+    return;
+  }
   WaitingCall waiting;
   waiting.id_ = number;
   waiting.importance_ = aCall.importance_;
@@ -141,6 +163,56 @@
   ScheduleQueueCheck();
 }
 
+bool Guard::IsRequest(const Call& aCall) const
+{
+  return dialect_.hasContexts_ ? aCall.depth_ == 0 : !aCall.clientAccount_.value_.empty();
+}
+
+bool Guard::BeginLimitedRun(std::uint64_t aCallNumber, GuardedCall& aGuardedCall)
+{
+  const RouteId& route = aGuardedCall.call_.route_;
+  const TimePoint now = loop_.Now();
+  if (TryBeginRun(runLimits_, route, now)) {
+    aGuardedCall.isLimitedRun_ = true;
+    return true;
+  }
+  Duration objective{};
+  if (config_) {
+    const auto found = std::find_if(config_->routes_.begin(),
+                                    config_->routes_.end(),
+                                    [&](const Route& aRoute) { return aRoute.id_ == route; });
+    objective = found == config_->routes_.end() ? Duration::zero() : found->latencyObjective_;
+  }
+  const std::uint32_t retryAfterMs = RunRetryAfterMs(runLimits_, route, objective);
+  metrics_.Add(Counter::kRunsRefused);
+  std::uint64_t skipped = 0;
+  if (runLimitThrottle_.Allow(now, skipped)) {
+    const RouteRuns& runs = runLimits_.routes_.at(route);
+    LogEvent(Event::kRunsLimited,
+             { { "route", route.value_ },
+               { "running", std::to_string(runs.running_) },
+               { "limit", std::to_string(static_cast<std::uint64_t>(runs.limit_.value_or(0))) },
+               { "deeper_overload", std::to_string(DeeperOverload(runLimits_, now)) },
+               { "retry_after_ms", std::to_string(retryAfterMs) },
+               { "skipped", std::to_string(skipped) } });
+  }
+  Refuse(aCallNumber, ErrorCode::kShed, retryAfterMs);
+  return false;
+}
+
+void Guard::EndLimitedRun(const GuardedCall& aGuardedCall, RunResult aResult)
+{
+  if (aGuardedCall.isLimitedRun_) {
+    const TimePoint now = loop_.Now();
+    EndRun(runLimits_, aGuardedCall.call_.route_, aResult, now - aGuardedCall.startedAt_, now);
+  }
+}
+
+void Guard::RecordDeeperCall(double aOverload)
+{
+  peridotquay::RecordDeeperCall(runLimits_, aOverload, loop_.Now());
+}
+
 void Guard::Apply(const AdmissionActions& aActions)
 {
   for (const auto& refused : aActions.refuse_) {
@@ -273,6 +345,7 @@
   }
   metrics_.Add(Counter::kGuardRefused);
   loop_.CancelTimer(entry->second.deadlineTimer_);
+  EndLimitedRun(entry->second, RunResult::kNoResult);
   Answer answer = RefusedAnswer(entry->second.call_, aCode, aRetryAfterMs);
   FillLoad(answer);
   LogEnd(entry->second, answer);
@@ -304,6 +377,7 @@
     actions = FinishCall(
       admission_, aExecutionResult, { total, total - deeperTime }, now, guardedCall.call_.route_);
     RecordTargetOutcome(aExecutionResult, aAnswer);
+    EndLimitedRun(guardedCall, RunResultOf(aExecutionResult, aAnswer));
   }
   FillLoad(aAnswer);
   LogEnd(guardedCall, aAnswer);
@@ -369,6 +443,9 @@
   aAnswer.limit_ = static_cast<std::uint32_t>(admission_.limit_);
   aAnswer.queued_ = static_cast<std::uint32_t>(admission_.queued_);
   aAnswer.level_ = CurrentAdmissionLevel(admission_, loop_.Now());
+  if (aAnswer.level_.admittedFraction_ >= 1) {
+    aAnswer.level_.admittedFraction_ = 1 + DeeperOverload(runLimits_, loop_.Now());
+  }
   aAnswer.failurePercent_ = FailurePercent(failures_, loop_.Now());
 }
 
@@ -482,6 +559,7 @@
   if (guardedCall.targetRequest_ == 0) {
     CancelWaiting(admission_, aCallNumber);
     loop_.CancelTimer(guardedCall.deadlineTimer_);
+    EndLimitedRun(guardedCall, RunResult::kNoResult);
     calls_.erase(entry);
     return;
   }
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -13,6 +13,7 @@
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/CallContext.h"
 #include "peridotquay/request/FailureMeter.h"
+#include "peridotquay/request/RunLimit.h"
 #include "peridotquay/version/Config.h"
 #include "peridotquay/version/TargetView.h"
 
@@ -81,6 +82,9 @@
 
   /// The context of a running call; null if the token is unknown.
   CallContext* Context(std::string_view aToken);
+  /// Records the end of a deeper call of the local target; aOverload as for the function of this
+  /// name in RunLimit.h.
+  void RecordDeeperCall(double aOverload);
   /// Number of calls that wait or run.
   std::size_t ActiveCalls() const;
   const AdmissionState& Admission() const;
@@ -102,6 +106,7 @@
     std::string contextToken_;        ///< Empty while the call waits.
     std::uint64_t targetRequest_ = 0; ///< Request number at client_; 0 while the call waits.
     std::uint64_t deadlineTimer_ = 0;
+    bool isLimitedRun_ = false; ///< Began in runLimits_ and must end there.
   };
 
   void Apply(const AdmissionActions& aActions);
@@ -111,6 +116,11 @@
   void Refuse(std::uint64_t aCallNumber, ErrorCode aCode, std::uint32_t aRetryAfterMs);
   /// Ends a started call: frees its slot, closes its context and passes the answer on.
   void Finish(std::uint64_t aCallNumber, ExecutionResult aExecutionResult, Answer aAnswer);
+  /// Whether the call is a caller's request and not a deeper call, which serves a run that began.
+  bool IsRequest(const Call& aCall) const;
+  /// Begins a run of a request, or refuses it if deeper services have no room for it.
+  bool BeginLimitedRun(std::uint64_t aCallNumber, GuardedCall& aGuardedCall);
+  void EndLimitedRun(const GuardedCall& aGuardedCall, RunResult aResult);
   void RecordTargetOutcome(ExecutionResult aExecutionResult, const Answer& aAnswer);
   void FillLoad(Answer& aAnswer);
   void LogEnd(const GuardedCall& aGuardedCall, const Answer& aAnswer);
@@ -136,12 +146,14 @@
   TargetClient pollClient_;  ///< Separate, so that polls work while client_ is at its limit.
   std::shared_ptr<const Config> config_;
   AdmissionState admission_;
+  RunLimitState runLimits_;
   ContextTable contexts_;
   FailureMeter failures_; ///< Failures of the current target.
   std::map<std::uint64_t, GuardedCall> calls_;
   std::uint64_t nextCallNumber_ = 1;
   TargetHealth health_;
   LogThrottle refusalThrottle_;
+  LogThrottle runLimitThrottle_;
   RequestLogState requestLog_;
   bool draining_ = false;
   bool queueCheckScheduled_ = false;
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -32,6 +32,7 @@
   kRetriesDenied,      ///< Retries not made, because a retry budget or ratio was used up.
   kGuardCalls,         ///< Calls that reached the local guard.
   kGuardRefused,       ///< Calls that the local guard refused.
+  kRunsRefused,        ///< Of these, requests that would fail in a deeper call.
   kTargetCalls,        ///< Calls sent to the local target.
   kTargetRefusals,     ///< Calls that the local target refused by itself.
   kTargetAnswersTruncated, ///< Answers of the local target that ended too early.
@@ -42,7 +43,7 @@
   kDuplicatesAnswered      ///< Repeated requests that got the answer of the first one.
 };
 
-inline constexpr std::size_t kCounterCount = 24;
+inline constexpr std::size_t kCounterCount = 25;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <iterator>
 
 namespace peridotquay {
 
@@ -243,25 +244,57 @@
   return next;
 }
 
+/// The queue whose next call starts: the most important one that isn't empty, but for the share of
+/// the lower classes. Null if all are empty.
+ClassQueue* NextQueue(AdmissionState& aState)
+{
+  const auto isWaiting = [](const ClassQueue& aQueue) { return aQueue.size_ > 0; };
+  auto& queues = aState.queues_;
+  const auto first = std::find_if(queues.begin(), queues.end(), isWaiting);
+  if (first == queues.end()) {
+    return nullptr;
+  }
+  const auto lower = std::find_if(std::next(first), queues.end(), isWaiting);
+  if (first != queues.begin() || lower == queues.end()) {
+    return &*first;
+  }
+  aState.lowerClassCredit_ += aState.settings_.lowerClassShare_;
+  if (aState.lowerClassCredit_ < 1) {
+    return &*first;
+  }
+  aState.lowerClassCredit_ -= 1;
+  return &*lower;
+}
+
+/// Starts or drops the next call of a queue that isn't empty.
+void StartNext(AdmissionState& aState,
+               AdmissionActions& aActions,
+               ClassQueue& aQueue,
+               TimePoint aNow)
+{
+  ClassQueue::AccountQueue& account = NextAccount(aQueue)->second;
+  const WaitingCall call = account.calls_.front();
+  account.calls_.pop_front();
+  // A dropped call doesn't use the target, so its account isn't charged for it.
+  if (MustDrop(aState, call, aNow)) {
+    RefuseCall(aState, aActions, call, ErrorCode::kDeadlineExceeded, aNow);
+  } else {
+    aQueue.virtualTime_ = account.finishTag_;
+    account.finishTag_ += 1 / Weight(call);
+    StartCall(aState, aActions, call);
+  }
+  RecordRemovedCalls(aState, aQueue, 1);
+}
+
 /// Starts waiting calls while slots are free.
 void StartWaiting(AdmissionState& aState, AdmissionActions& aActions, TimePoint aNow)
 {
-  for (ClassQueue& queue : aState.queues_) {
-    while (queue.size_ > 0 && HasSlot(aState)) {
-      const auto entry = NextAccount(queue);
-      ClassQueue::AccountQueue& account = entry->second;
-      const WaitingCall call = account.calls_.front();
-      account.calls_.pop_front();
-      // A dropped call doesn't use the target, so its account isn't charged for it.
-      if (MustDrop(aState, call, aNow)) {
-        RefuseCall(aState, aActions, call, ErrorCode::kDeadlineExceeded, aNow);
-      } else {
-        queue.virtualTime_ = account.finishTag_;
-        account.finishTag_ += 1 / Weight(call);
-        StartCall(aState, aActions, call);
-      }
-      RecordRemovedCalls(aState, queue, 1);
+  while (HasSlot(aState)) {
+    ClassQueue* queue = NextQueue(aState);
+    if (queue == nullptr) {
+      return;
     }
+    StartNext(aState, aActions, *queue, aNow);
   }
 }
 
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -27,7 +27,9 @@
   std::uint32_t maxLimit_ = 1000;
   std::uint32_t queueCapacity_ = 1024; ///< Waiting calls of all classes.
   double queueDeadlineFraction_ = 0.5; ///< Fraction of its remaining time that a call may wait.
-  bool adaptive_ = true;               ///< If false, the limit stays at the announced slots.
+  /// Part of the starts that waiting calls below `critical` get while critical ones wait too.
+  double lowerClassShare_ = 0;
+  bool adaptive_ = true; ///< If false, the limit stays at the announced slots.
   bool operator==(const AdmissionSettings&) const = default;
 };
 
@@ -112,9 +114,10 @@
   bool slotsContradicted_ = false;
   std::uint32_t running_ = 0;
   std::array<ClassQueue, kImportanceClassCount> queues_;
-  std::size_t queued_ = 0;    ///< Invariant: sum of queues_ sizes.
-  double serviceSeconds_ = 0; ///< Moving average of the service times of all routes.
-  TimePoint lastSampleAt_{};  ///< Time of the latest sample in serviceSeconds_.
+  std::size_t queued_ = 0;      ///< Invariant: sum of queues_ sizes.
+  double lowerClassCredit_ = 0; ///< Starts that the lower classes have earned, below 1 + the share.
+  double serviceSeconds_ = 0;   ///< Moving average of the service times of all routes.
+  TimePoint lastSampleAt_{};    ///< Time of the latest sample in serviceSeconds_.
   std::map<RouteId, RouteServiceTime> routes_; ///< At most kMaxServiceRoutes.
   double floorSeconds_ = 0;      ///< Lowest mean service time of a window; rises after trials.
   TimePoint floorConfirmedAt_{}; ///< When the floor was last confirmed or raised by a trial.
--- a/tests/request/AdmissionTest.cpp
+++ b/tests/request/AdmissionTest.cpp
@@ -645,3 +645,35 @@
   CHECK(OfferCall(state, call(32, "slow", milliseconds(100)), now).refuse_.size() == 1);
   CHECK(OfferCall(state, call(33, "unseen", milliseconds(100)), now).refuse_.size() == 1);
 }
+
+// Guards against a target that serves only the calls of other targets, because they are critical
+// and always wait.
+TEST_CASE("lower classes keep their share of the starts", "[admission]")
+{
+  for (const double share : { 0.0, 0.25 }) {
+    AdmissionState state;
+    state.settings_.adaptive_ = false;
+    state.settings_.lowerClassShare_ = share;
+    state.limit_ = 1;
+    std::uint64_t id = 0;
+    std::map<std::uint64_t, Importance> classes;
+    std::map<Importance, int> started;
+    const auto record = [&](const AdmissionActions& aActions) {
+      for (const std::uint64_t call : aActions.start_) {
+        ++started[classes.at(call)];
+      }
+    };
+    TimePoint now = kStart;
+    for (int i = 0; i < 400; ++i) {
+      for (const Importance importance : { Importance::kCritical, Importance::kLow }) {
+        classes[++id] = importance;
+        record(OfferCall(state, MakeCall(id, "a", now, importance, 1, seconds(100)), now));
+      }
+      now += milliseconds(10);
+      record(FinishCall(state, ExecutionResult::kAnswered, milliseconds(10), now));
+    }
+    const int lower = started[Importance::kLow];
+    CHECK(lower == Approx(share * 400).margin(2));
+    CHECK(started[Importance::kCritical] == Approx((1 - share) * 400).margin(2));
+  }
+}
