--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -107,11 +107,14 @@
 class UserFleet
 {
 public:
-  /// With aHasLinks, each host reaches the store and its target through its own HostLinks.
-  explicit UserFleet(std::size_t aHosts, bool aHasLinks = false)
+  /// With aHasLinks, each host reaches the store and its target through its own HostLinks. Without
+  /// aHasDocument, the store has no configuration document at first.
+  explicit UserFleet(std::size_t aHosts, bool aHasLinks = false, bool aHasDocument = true)
     : hasLinks_(aHasLinks)
   {
-    store_.Put("op", "config", UserDocument(1, { "k1", "k2" }).dump());
+    if (aHasDocument) {
+      store_.Put("op", "config", UserDocument(1, { "k1", "k2" }).dump());
+    }
     for (std::size_t i = 0; i < aHosts; ++i) {
       AddHost(i);
     }
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -390,6 +390,23 @@
   CHECK(count(4, "StoreReadAlone") + count(8, "StoreReadAlone") == readsAlone);
 }
 
+// Guards against a rush of calls when all hosts start before the operator has written a document:
+// each host polled for it, and then watched the rows of all others as they came one by one.
+TEST_CASE("a start of all hosts costs each host few calls to the store", "[users]")
+{
+  UserFleet fleet(24, /*aHasLinks=*/false, /*aHasDocument=*/false);
+  std::this_thread::sleep_for(milliseconds(500));
+  fleet.Store().Put("op", "config", UserDocument(1, { "k1", "k2" }).dump());
+  REQUIRE(fleet.WaitReady());
+  std::this_thread::sleep_for(seconds(2));
+  // Five calls for each host; in the 5.5 s meanwhile, the readers of the four data centres check
+  // their freshness every 0.7 s and watch the rows of hosts every 0.5 s.
+  CHECK(fleet.Store().CallCount() < fleet.Size() * 5 + 4 * (8 + 11));
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    CHECK(fleet.SendRequest(host, "/read/1", "a").status_ == 200);
+  }
+}
+
 // Guards against a host that never gets a large document, because each transfer of it takes longer
 // than the timeout of a call to the store.
 TEST_CASE("a large document arrives over a narrow link", "[users]")
