--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -127,6 +127,7 @@
   }
 
   bool WriteStarted() const { return writeStarted_; }
+  bool HasAnswerBegun() const { return answerBegan_; }
 
   // Time since the last answer. Valid only for an idle connection.
   Duration IdleTime() const { return loop_.Now() - idleSince_; }
@@ -461,6 +462,12 @@
   return writeStarted;
 }
 
+bool TargetClient::HasAnswerBegun(std::uint64_t aRequest) const
+{
+  const auto entry = state_->busyConnections_.find(aRequest);
+  return entry != state_->busyConnections_.end() && entry->second->HasAnswerBegun();
+}
+
 void TargetClient::CloseIdleConnections()
 {
   for (const auto& connection : state_->idleConnections_) {
--- a/peridotquay/connection/TargetClient.h
+++ b/peridotquay/connection/TargetClient.h
@@ -76,6 +76,8 @@
                      ConnectionReuse aReuse = ConnectionReuse::kAny);
   /// Cancels a request by closing its connection. Returns true if a byte of it may have been sent.
   bool Cancel(std::uint64_t aRequest);
+  /// Whether a part of the answer to a running request has arrived.
+  bool HasAnswerBegun(std::uint64_t aRequest) const;
   /// Closes all idle connections.
   void CloseIdleConnections();
   /// Number of idle connections.
