--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -164,7 +164,6 @@
   void BeginWithId(const CallPointer& aCall);
   void BeginRecord(const CallPointer& aCall, RequestLedger& aLedger, std::uint64_t aSequence);
   void SendToOwner(const CallPointer& aCall, const Address& aOwner);
-  bool IsDeeperCall(const ActiveCall& aCall) const;
   void FinishRecord(const CallPointer& aCall, const Answer& aAnswer);
 
   // Attempts.
@@ -184,6 +183,8 @@
   void RetryOrEnd(const CallPointer& aCall, Answer aAnswer, bool aExcludeHost = true);
 
   // End of a call.
+  /// Whether the call was made by the local target while it ran another one.
+  bool IsDeeperCall(const ActiveCall& aCall) const;
   void OnDeadline(const CallPointer& aCall);
   void CancelCall(const CallPointer& aCall);
   void CancelAttempt(const CallPointer& aCall);
