--- a/peridotquay/version/StoreFeed.cpp
+++ b/peridotquay/version/StoreFeed.cpp
@@ -182,6 +182,14 @@
   return result;
 }
 
+std::string_view SourceChangeReason(const StoreFeedState& aState)
+{
+  if (aState.unanswered_ > 0) {
+    return "silent";
+  }
+  return aState.sourceUnusableSince_ ? "stale" : "preferred";
+}
+
 void RecordFeedQuery(StoreFeedState& aState, TimePoint aNow)
 {
   aState.lastQueryReceivedAt_ = aNow;
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace peridotquay {
@@ -118,6 +119,9 @@
                                  TimePoint aNow,
                                  Duration aSuspended);
 
+/// Why the source would be replaced now: "silent", "stale" or "preferred". For the log.
+std::string_view SourceChangeReason(const StoreFeedState& aState);
+
 /// Records that another host asked this one.
 void RecordFeedQuery(StoreFeedState& aState, TimePoint aNow);
 
