--- a/standins/lib/UserStore.cpp
+++ b/standins/lib/UserStore.cpp
@@ -185,7 +185,8 @@
           rows.push_back(std::move(entry));
         }
       }
-      if (rows.empty() && loop_.Now() < aWatch.answerAt_) {
+      const bool isDeaf = fault_ == UserStoreFault::kDeafWatches;
+      if ((rows.empty() || isDeaf) && loop_.Now() < aWatch.answerAt_) {
         return false;
       }
       const nlohmann::json body = { { "rows", rows }, { "ver", version_ } };
--- a/standins/lib/UserStore.h
+++ b/standins/lib/UserStore.h
@@ -23,7 +23,8 @@
   kNone,
   kUnavailable,      ///< Calls get 503 and have no effect.
   kLoseWriteAnswers, ///< Transactions take effect but get no answer.
-  kSilent            ///< Calls have no effect and get no answer.
+  kSilent,           ///< Calls have no effect and get no answer.
+  kDeafWatches       ///< Watches that wait report no change until their time is up.
 };
 
 /// Serves on a free port of 127.0.0.1, on its own thread, from construction to destruction.
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -27,6 +27,24 @@
   return false;
 }
 
+/// Writes a document with the given keys and the added open route /added-VERSION/.
+void AddRoute(UserFleet& aFleet, int aVersion, const std::vector<std::string>& aKeys)
+{
+  nlohmann::json document = UserDocument(aVersion, aKeys);
+  document["routes"]["added"] = document["routes"]["call"];
+  document["routes"]["added"]["prefix"] = "/added-" + std::to_string(aVersion) + "/";
+  aFleet.Store().Put("op", "config", document.dump());
+}
+
+/// Whether all the hosts serve the route that AddRoute added.
+bool ServesAddedRoute(UserFleet& aFleet, const std::vector<std::size_t>& aHosts, int aVersion)
+{
+  return std::all_of(aHosts.begin(), aHosts.end(), [&](std::size_t aHost) {
+    const std::string path = "/added-" + std::to_string(aVersion) + "/1";
+    return aFleet.SendRequest(aHost, path, "a", "").status_ == 200;
+  });
+}
+
 } // namespace
 
 // Guards against hosts that don't discover each other, headers that name the wrong client account
@@ -486,3 +504,52 @@
                      seconds(3)));
   }
 }
+
+// Guards against hosts that find a change which their watch missed only with a later check: they
+// refuse requests on a route that was added more than 2.5 s before.
+TEST_CASE("a change that a watch misses is in force within 2.5 s", "[users]")
+{
+  // Each host is alone in its data centre, so that it checks its freshness for itself only.
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  fleet.Store().SetFault(UserStoreFault::kDeafWatches);
+  for (int version = 2; version < 6; ++version) {
+    // A change right after a check waits longest for the next one.
+    const std::uint64_t calls = fleet.Store().CallCount();
+    REQUIRE(Eventually([&] { return fleet.Store().CallCount() > calls; }, seconds(4)));
+    AddRoute(fleet, version, { "k1" });
+    INFO("version " << version);
+    CHECK(Eventually(
+      [&] {
+        return ServesAddedRoute(fleet, { 0, 1, 2, 3 }, version);
+      },
+      milliseconds(2500)));
+  }
+}
+
+// Guards against transfers of a document that hosts already hold: when the readers of all data
+// centres fail, each other host transferred it over the link between regions, and the transfers
+// delayed the next change.
+TEST_CASE("hosts that begin to read the store transfer only what changed", "[users]")
+{
+  UserFleet fleet(16);
+  REQUIRE(fleet.WaitReady());
+  AddRoute(fleet, 2, { "k1" });
+  std::this_thread::sleep_for(seconds(1));
+  const std::uint64_t reads = fleet.Store().DocumentReads();
+  // The first hosts of the four data centres in the order of their names.
+  for (const std::size_t reader : { 0, 1, 10, 11 }) {
+    fleet.ProcessOf(reader).Signal(SIGSTOP);
+  }
+  std::this_thread::sleep_for(seconds(3));
+  CHECK(fleet.Store().DocumentReads() == reads);
+  AddRoute(fleet, 3, { "k1" });
+  CHECK(Eventually(
+    [&] {
+      return ServesAddedRoute(fleet, { 2, 3, 4, 5, 6, 7, 8, 9, 12 }, 3);
+    },
+    milliseconds(2500)));
+  for (const std::size_t reader : { 0, 1, 10, 11 }) {
+    fleet.ProcessOf(reader).Signal(SIGCONT);
+  }
+}
