Ask callers to repeat a request that an unproven configuration refuses

Cause: only requests with a known key needed a configuration that was recently confirmed. An unknown route or key was refused for good however old the configuration was, though the newest one may allow the request. Class: a negative answer from a replica that hasn't proven that it is up to date.

Change: 401, 403 and 404 are given only if the configuration was confirmed within refusal_freshness_ms, on the users' platform the time within which a change must be in force. Otherwise callers get 503 with Retry-After of 0.3 s. The request hasn't run, so the promise of 503 holds.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -120,6 +120,12 @@
   return loop_.Now() - freshAsOf_ + (SuspendedTime() - suspendedTimeAtFreshness_);
 }
 
+bool Dispatcher::IsRefusalProven(ErrorCode aCode) const
+{
+  return settings_.naive_ || aCode == ErrorCode::kConfigurationNotFresh ||
+         FreshnessAge() < config_->policy_.refusalFreshnessBound_;
+}
+
 const ServiceId& Dispatcher::ChooseService(const Route& aRoute)
 {
   double total = 0;
@@ -205,6 +211,9 @@
   if (!refusal) {
     refusal = Authenticate(request, *call);
   }
+  if (refusal && !IsRefusalProven(refusal->code_)) {
+    refusal = Refusal{ ErrorCode::kConfigurationNotFresh, kUnprovenRetryAfterMs };
+  }
   if (!refusal) {
     refusal = ReadCallHeaders(request, *call);
   }
--- a/peridotquay/process/DispatcherInternal.h
+++ b/peridotquay/process/DispatcherInternal.h
@@ -21,6 +21,10 @@
 /// lifetime of an admission level.
 inline constexpr std::uint32_t kShedRetryAfterMs = 1000;
 
+/// Retry hint in milliseconds for callers of a host that doesn't know whether its configuration is
+/// the newest: it then learns that from another host or from the store.
+inline constexpr std::uint32_t kUnprovenRetryAfterMs = 300;
+
 /// Makes an answer without status and body. aRetryAfterMs of 0 means that it has no retry hint.
 inline Answer MakeAnswer(Outcome aOutcome, ErrorCode aCode, std::uint32_t aRetryAfterMs = 0)
 {
--- a/peridotquay/version/Config.h
+++ b/peridotquay/version/Config.h
@@ -68,6 +68,10 @@
   /// Requests with a key are refused if the configuration was last known to be the newest longer
   /// ago than this; 3 s to 3,600 s.
   Duration keyFreshnessBound_ = seconds(10);
+  /// Requests that the configuration doesn't allow (unknown route or key) are refused for good only
+  /// if it was known to be the newest at most this long ago. Otherwise callers are asked to repeat
+  /// them, because a newer configuration may allow them.
+  Duration refusalFreshnessBound_ = seconds(10);
   /// Fraction of each rate that is divided equally among the data centres as floors, which don't
   /// move between them; 0 to 0.9. The rest are elastic shares, which follow the demand.
   double floorFraction_ = 0.25;
--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -287,8 +287,9 @@
         "\"\nregion = \"r" + std::to_string(aIndex % 2) + "\"\nservice = \"" + service +
         "\"\nport_file = \"" + host->portFile_ + "\"\ntarget = " + address(targetPort) +
         "drain_timeout_ms = 5000\naccept_while_draining_ms = 1000\n[adapter]\nstore = " +
-        address(storePort) + "ready = " + address(host->readyPort_) + "heartbeats = " +
-        address(host->heartbeatPort_) + "heartbeat_ms = 500\nkey_freshness_ms = 5000\n");
+        address(storePort) + "ready = " + address(host->readyPort_) +
+        "heartbeats = " + address(host->heartbeatPort_) +
+        "heartbeat_ms = 500\nkey_freshness_ms = 5000\nrefusal_freshness_ms = 2500\n");
     StartProcess(*host);
     hosts_.push_back(std::move(host));
   }
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -553,3 +553,33 @@
     fleet.ProcessOf(reader).Signal(SIGCONT);
   }
 }
+
+// Guards against 404 and 401 from a host that can't know whether its document is the newest:
+// callers don't repeat such requests, though the newest document may allow them.
+TEST_CASE("a host without proof that its document is the newest doesn't refuse for good", "[users]")
+{
+  UserFleet fleet(4, /*aHasLinks=*/true);
+  REQUIRE(fleet.WaitReady());
+  CHECK(fleet.SendRequest(0, "/added-2/1", "a", "").status_ == 404);
+  CHECK(fleet.SendRequest(0, "/read/1", "b", "k9").status_ == 401);
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.LinksOf(host).SetFaults(true, R"({"cut": true})");
+  }
+  std::this_thread::sleep_for(milliseconds(100));
+  AddRoute(fleet, 2, { "k9" });
+  std::this_thread::sleep_for(milliseconds(2500));
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    INFO("host " << host);
+    const auto added = fleet.SendRequest(host, "/added-2/1", "c", "");
+    CHECK(added.status_ == 503);
+    CHECK(added.headers_.contains("retry-after"));
+    CHECK(fleet.SendRequest(host, "/read/1", "d", "k9").status_ == 503);
+    CHECK(fleet.SendRequest(host, "/call/1", "e", "").status_ == 200);
+  }
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.LinksOf(host).SetFaults(true, R"({"cut": false})");
+  }
+  CHECK(Eventually([&] { return ServesAddedRoute(fleet, { 0, 1, 2, 3 }, 2); }, milliseconds(5000)));
+  CHECK(Eventually([&] { return fleet.SendRequest(0, "/gone/1", "g", "").status_ == 404; },
+                   seconds(4)));
+}
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -40,6 +40,7 @@
 heartbeats = "10.0.0.1:8540"
 heartbeat_ms = 1500
 key_freshness_ms = 5000
+refusal_freshness_ms = 2500
 retry_ratio = 0.1
 retry_cap = 1.5
 retry_interval_ms = 8000
@@ -244,6 +245,7 @@
   const PlatformSettings settings = Value(ParsePlatformSettings(kSettings, "node.toml"));
   CHECK(settings.storeAddress_ == Address{ "10.0.0.7", 8545 });
   CHECK(settings.policy_.keyFreshnessBound_ == milliseconds(5000));
+  CHECK(settings.policy_.refusalFreshnessBound_ == milliseconds(2500));
   CHECK(settings.policy_.retryRatio_ == 0.1);
   struct Fault
   {
