Let a data centre that the store doesn't answer learn of changes elsewhere

Cause: a host looked for a source of changes among the hosts of its own data centre only. Class: a single path to the newest state.

Change: if the store answers none of a data centre's hosts, its first two hosts become relays: they ask one live host of each other data centre, nearest first, and the others ask them. The age of the store's answer adds up over the hops, so a chain can't claim more than it knows, and a relay goes on trying the store. At 1,460 hosts a data centre this adds 8 queries a second on the links to other data centres, whatever the number of hosts. For the same size, only five hosts of a data centre read the store on their own when their source isn't answered; the others ask hosts in turn, instead of all calling a slow store at once.

--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -603,6 +603,22 @@
   return hosts;
 }
 
+std::vector<HostId> ReportingHostsElsewhere(const RateShareState& aState, TimePoint aNow)
+{
+  std::vector<HostId> hosts;
+  std::set<DataCentreId> dataCentres{ aState.location_.dataCentre_ };
+  for (const bool ownRegion : { true, false }) {
+    for (const auto& [host, location] : aState.hosts_) {
+      if ((location.region_ == aState.location_.region_) == ownRegion &&
+          !dataCentres.contains(location.dataCentre_) && MayRelay(aState, host, aNow)) {
+        dataCentres.insert(location.dataCentre_);
+        hosts.push_back(host);
+      }
+    }
+  }
+  return hosts;
+}
+
 std::set<HostId> FindSilentHosts(const RateShareState& aState,
                                  Duration aTime,
                                  TimePoint aSince,
--- a/peridotquay/request/RateShare.h
+++ b/peridotquay/request/RateShare.h
@@ -182,6 +182,10 @@
 /// The other hosts of the data centre that sent a report recently, in the order of their ids.
 std::vector<HostId> ReportingHostsOfDataCentre(const RateShareState& aState, TimePoint aNow);
 
+/// The first host of each other data centre that reported recently; those of the own region come
+/// first.
+std::vector<HostId> ReportingHostsElsewhere(const RateShareState& aState, TimePoint aNow);
+
 /// Other hosts that sent no report for aTime although others of their region did: they are down or
 /// cut off. aSince counts as the last report of a host that sent none.
 std::set<HostId> FindSilentHosts(const RateShareState& aState,
--- a/peridotquay/version/StoreFeed.cpp
+++ b/peridotquay/version/StoreFeed.cpp
@@ -14,18 +14,38 @@
   return failures != aState.failures_.end() && aNow < failures->second.pausedUntil_;
 }
 
+/// Number of live hosts of the data centre that come before this one.
+std::size_t HostsBeforeSelf(const FeedCandidates& aCandidates)
+{
+  const auto& hosts = aCandidates.others_;
+  return static_cast<std::size_t>(std::lower_bound(hosts.begin(), hosts.end(), aCandidates.self_) -
+                                  hosts.begin());
+}
+
+bool IsElsewhere(const FeedCandidates& aCandidates, const HostId& aHost)
+{
+  const auto& hosts = aCandidates.elsewhere_;
+  return std::find(hosts.begin(), hosts.end(), aHost) != hosts.end();
+}
+
 /// Hosts that this one may ask, in the order of preference.
-std::vector<HostId> EligibleSources(const FeedCandidates& aCandidates)
+std::vector<HostId> EligibleSources(const StoreFeedState& aState, const FeedCandidates& aCandidates)
 {
   std::vector<HostId> hosts = aCandidates.others_;
   if (aCandidates.storeAnswersSelf_) {
-    std::erase_if(hosts, [&](const HostId& aHost) { return aCandidates.self_ < aHost; });
+    hosts.resize(HostsBeforeSelf(aCandidates));
+    return hosts;
+  }
+  if (HostsBeforeSelf(aCandidates) < aState.settings_.maxRelays_) {
+    hosts.insert(hosts.end(), aCandidates.elsewhere_.begin(), aCandidates.elsewhere_.end());
   }
   return hosts;
 }
 
-/// The first eligible host that isn't paused; the first one if all are paused.
+/// The first eligible host that isn't paused. If all are paused, one of the first ones and of those
+/// elsewhere: the one whose last failure is the oldest.
 std::optional<HostId> ChooseSource(const StoreFeedState& aState,
+                                   const FeedCandidates& aCandidates,
                                    const std::vector<HostId>& aEligible,
                                    TimePoint aNow)
 {
@@ -35,17 +55,27 @@
   if (usable != aEligible.end()) {
     return *usable;
   }
-  return aEligible.empty() ? std::nullopt : std::optional(aEligible.front());
+  std::optional<HostId> oldest;
+  for (std::size_t i = 0; i < aEligible.size(); ++i) {
+    const HostId& host = aEligible[i];
+    const bool isAsked = i < aState.settings_.maxAskedInTurn_ || IsElsewhere(aCandidates, host);
+    if (isAsked &&
+        (!oldest || aState.failures_.at(host).failedAt_ < aState.failures_.at(*oldest).failedAt_)) {
+      oldest = host;
+    }
+  }
+  return oldest;
 }
 
 /// Excludes the source from the choice for a while, unless it is excluded already.
 void PauseSource(StoreFeedState& aState, TimePoint aNow)
 {
   const StoreFeedSettings& settings = aState.settings_;
+  SourceFailures& failures = aState.failures_[*aState.source_];
+  failures.failedAt_ = aNow;
   if (IsPaused(aState, *aState.source_, aNow)) {
     return;
   }
-  SourceFailures& failures = aState.failures_[*aState.source_];
   Duration pause = settings.firstSourcePause_;
   for (std::uint32_t i = 0; i < failures.count_ && pause < settings.maxSourcePause_; ++i) {
     pause *= 2;
@@ -104,13 +134,15 @@
 {
   const StoreFeedSettings& settings = aState.settings_;
   CheckSource(aState, aNow);
-  const std::vector<HostId> eligible = EligibleSources(aCandidates);
-  SetSource(aState, ChooseSource(aState, eligible, aNow));
+  const std::vector<HostId> eligible = EligibleSources(aState, aCandidates);
+  SetSource(aState, ChooseSource(aState, aCandidates, eligible, aNow));
+  aState.sourceIsElsewhere_ = aState.source_ && IsElsewhere(aCandidates, *aState.source_);
   aState.hasOtherSource_ = std::any_of(eligible.begin(), eligible.end(), [&](const HostId& aHost) {
     return aHost != aState.source_ && !IsPaused(aState, aHost, aNow);
   });
-  const bool searchFailed =
-    aState.searchingSince_ && aNow - *aState.searchingSince_ >= settings.searchTimeout_;
+  const bool searchFailed = aState.searchingSince_ &&
+                            aNow - *aState.searchingSince_ >= settings.searchTimeout_ &&
+                            HostsBeforeSelf(aCandidates) < settings.maxSearchingReaders_;
   if (!aState.source_ || searchFailed || IsPaused(aState, *aState.source_, aNow)) {
     aState.followingSource_ = false;
   }
@@ -119,8 +151,10 @@
   }
   const bool isFailing = aState.sourceUnusableSince_.has_value() || aState.unanswered_ > 0;
   const bool asksAgainSoon = isFailing && !IsPaused(aState, *aState.source_, aNow);
+  const Duration interval =
+    aState.sourceIsElsewhere_ ? settings.relayQueryInterval_ : settings.queryInterval_;
   if (!asksAgainSoon && aState.querySentAt_ != TimePoint{} &&
-      aNow - aState.querySentAt_ < settings.queryInterval_) {
+      aNow - aState.querySentAt_ < interval) {
     return std::nullopt;
   }
   ++aState.nonce_;
@@ -164,6 +198,10 @@
     aState.searchingSince_.reset();
     aState.failures_.erase(*aState.source_);
     aState.followingSource_ = aState.followingSource_ || !lacksConfig;
+    if (aState.sourceIsElsewhere_) {
+      aState.relayedAnswerAt_ = aNow - age(aAnswer.answerAgeMs_);
+      aState.suspendedAtRelayedAnswer_ = aSuspended;
+    }
   } else {
     if (!aState.sourceUnusableSince_) {
       aState.sourceUnusableSince_ = aNow;
@@ -190,6 +228,16 @@
   return aState.sourceUnusableSince_ ? "stale" : "preferred";
 }
 
+std::optional<Duration> RelayedAnswerAge(const StoreFeedState& aState,
+                                         TimePoint aNow,
+                                         Duration aSuspended)
+{
+  if (!aState.sourceIsElsewhere_ || !aState.relayedAnswerAt_) {
+    return std::nullopt;
+  }
+  return aNow - *aState.relayedAnswerAt_ + (aSuspended - aState.suspendedAtRelayedAnswer_);
+}
+
 void RecordFeedQuery(StoreFeedState& aState, TimePoint aNow)
 {
   aState.lastQueryReceivedAt_ = aNow;
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -1,7 +1,8 @@
 // Lets the hosts of a data centre share one reader of the platform's store, the source. Followers
 // ask the source whether what they hold is the newest and receive changed rows from it. A host
 // whose source fails, or isn't answered by the store, asks the next host of the data centre. A host
-// without a working source reads the store itself.
+// without a working source reads the store itself. If the store answers no host of a data centre,
+// its first hosts are relays: they ask a host of another data centre, and the others ask them.
 #pragma once
 
 #include "peridotquay/connection/PeerMessage.h"
@@ -23,6 +24,9 @@
   /// if the source fails just before; the unanswered queries, one read of the store and the
   /// intervals between them fit into that time.
   Duration queryInterval_ = milliseconds(500);
+  /// Time between two queries of a relay. Its followers add the age of its answers to that of
+  /// theirs, and the sum must stay below maxStoreAnswerAge_.
+  Duration relayQueryInterval_ = milliseconds(250);
   /// A query without an answer after this time counts as unanswered. An answer within the data
   /// centre takes a few milliseconds.
   Duration answerTimeout_ = milliseconds(250);
@@ -45,6 +49,15 @@
   Duration maxSourcePause_ = seconds(80);
   /// A host counts as a source for this long after it received a query.
   Duration sourceLifetime_ = milliseconds(2000);
+  /// Only this many hosts of a data centre read the store themselves after searchTimeout_. The
+  /// others go on asking hosts in turn, and each host that is asked begins to read. Otherwise all
+  /// hosts of a data centre would call the store at once when it is slow.
+  std::size_t maxSearchingReaders_ = 5;
+  /// Number of hosts of a data centre that may be relays, so that few of them load the links to
+  /// other data centres, but one can fail.
+  std::size_t maxRelays_ = 2;
+  /// If all hosts that could be asked have failed, this many of the first ones are asked in turn.
+  std::size_t maxAskedInTurn_ = 4;
   /// Consecutive answers that name newer rows than the host holds after which it reads these rows
   /// from the store.
   std::uint32_t maxAnswersWithMissingRows_ = 2;
@@ -55,7 +68,8 @@
 struct SourceFailures
 {
   std::uint32_t count_ = 0;
-  TimePoint pausedUntil_{}; ///< Not asked before this time.
+  TimePoint pausedUntil_{}; ///< Not asked before this time, unless all hosts are paused.
+  TimePoint failedAt_{};    ///< Time of the last failure.
   bool operator==(const SourceFailures&) const = default;
 };
 
@@ -63,7 +77,8 @@
 struct StoreFeedState
 {
   StoreFeedSettings settings_;
-  std::optional<HostId> source_; ///< Host to ask; empty if none is known.
+  std::optional<HostId> source_;   ///< Host to ask; empty if none is known.
+  bool sourceIsElsewhere_ = false; ///< source_ is in another data centre: this host is a relay.
   bool followingSource_ = false; ///< The source answers and the store recently answered it, so this
                                  ///< host needn't read the store.
   std::uint64_t nonce_ = 0;      ///< Nonce of the last query.
@@ -83,6 +98,9 @@
   bool hasOtherSource_ = false;               ///< Another host could be asked if source_ fails.
   std::map<HostId, SourceFailures> failures_; ///< Only hosts that failed since their last success.
   TimePoint lastQueryReceivedAt_{};           ///< When another host last asked this one.
+  /// When the store answered a host from whose answers this relay's rows come; empty if never.
+  std::optional<TimePoint> relayedAnswerAt_;
+  Duration suspendedAtRelayedAnswer_{}; ///< Total suspension when relayedAnswerAt_ was set.
 };
 
 /// Hosts that could read the store for this one.
@@ -91,6 +109,8 @@
   HostId self_;
   std::vector<HostId> others_;   ///< Live hosts of the data centre, in the order of their ids.
   bool storeAnswersSelf_ = true; ///< False if the store failed this host's last call.
+  /// One live host of each other data centre, nearest first.
+  std::vector<HostId> elsewhere_{};
 };
 
 /// Chooses the host to ask and returns a query if one is due. Called every 100 ms. The first host
@@ -122,6 +142,12 @@
 /// Why the source would be replaced now: "silent", "stale" or "preferred". For the log.
 std::string_view SourceChangeReason(const StoreFeedState& aState);
 
+/// Time since the store answered the host from which a relay has its rows; empty for a host that
+/// isn't a relay.
+std::optional<Duration> RelayedAnswerAge(const StoreFeedState& aState,
+                                         TimePoint aNow,
+                                         Duration aSuspended);
+
 /// Records that another host asked this one.
 void RecordFeedQuery(StoreFeedState& aState, TimePoint aNow);
 
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -554,6 +554,44 @@
   }
 }
 
+// Guards against a data centre whose hosts keep refusing requests as an older document says because
+// the store answers none of them, although hosts of other data centres know the newest one.
+TEST_CASE("a data centre that the store doesn't answer learns of changes from another one",
+          "[users]")
+{
+  UserFleet fleet(16, /*aHasLinks=*/true);
+  REQUIRE(fleet.WaitReady());
+  const std::vector<std::size_t> cutOff{ 0, 4, 8, 12 };
+  for (const std::size_t host : cutOff) {
+    fleet.LinksOf(host).SetFaults(true, R"({"cut": true})");
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  for (int version = 2; version < 5; ++version) {
+    const std::string key = "k" + std::to_string(version);
+    AddRoute(fleet, version, { key });
+    // Beside the bound of 2.5 s, 5 s more are allowed while the store is disturbed.
+    INFO("version " << version);
+    CHECK(Eventually(
+      [&] {
+        return ServesAddedRoute(fleet, cutOff, version) &&
+               std::all_of(cutOff.begin(), cutOff.end(), [&](std::size_t aHost) {
+                 return fleet.SendRequest(aHost, "/read/1", "b", key).status_ == 200;
+               });
+      },
+      version == 2 ? milliseconds(7500) : milliseconds(2500)));
+  }
+  // They read the store themselves again once it answers them.
+  for (const std::size_t host : cutOff) {
+    fleet.LinksOf(host).SetFaults(true, R"({"cut": false})");
+  }
+  CHECK(Eventually(
+    [&] {
+      const std::string log = fleet.Log(0);
+      return log.rfind("PlatformReachable") > log.rfind("PlatformUnreachable");
+    },
+    seconds(5)));
+}
+
 // Guards against 404 and 401 from a host that can't know whether its document is the newest:
 // callers don't repeat such requests, though the newest document may allow them.
 TEST_CASE("a host without proof that its document is the newest doesn't refuse for good", "[users]")
--- a/tests/version/StoreFeedTest.cpp
+++ b/tests/version/StoreFeedTest.cpp
@@ -20,13 +20,14 @@
   RowVersions held_ = kHeld;
 
   std::vector<HostId> others_{ kSource };
+  std::vector<HostId> elsewhere_{};
   bool storeAnswersSelf_ = true;
 
   std::optional<FeedQuery> Tick()
   {
     now_ += milliseconds(100);
     return CollectDueQuery(
-      state_, { HostId{ "h5" }, others_, storeAnswersSelf_ }, held_, now_, suspended_);
+      state_, { HostId{ "h5" }, others_, storeAnswersSelf_, elsewhere_ }, held_, now_, suspended_);
   }
 
   FeedQuery NextQuery()
@@ -246,6 +247,81 @@
   CHECK(follower.state_.source_ == HostId{ "h7" });
 }
 
+// Guards against a large data centre in which all hosts call the store at once because it doesn't
+// answer their source in time; the calls slow it further.
+TEST_CASE("few hosts of a data centre read the store when it is slow", "[feed]")
+{
+  Follower follower;
+  follower.others_ = { kSource, HostId{ "h2" }, HostId{ "h3" }, HostId{ "h4" } };
+  for (int i = 0; i < 4; ++i) {
+    follower.others_.push_back(HostId{ "h4" + std::to_string(i) });
+  }
+  follower.ReceiveAnswer(follower.NextQuery(), 10);
+  for (int i = 0; i < 15; ++i) {
+    if (const auto query = follower.Tick()) {
+      follower.ReceiveAnswer(*query, 10, kHeld, 1600);
+    }
+    CHECK(follower.state_.followingSource_);
+  }
+  CHECK(follower.state_.source_ > HostId{ "h3" });
+  // When none of them is answered by the store, this host tries it too.
+  for (int i = 0; i < 30; ++i) {
+    if (const auto query = follower.Tick()) {
+      follower.ReceiveAnswer(*query, 10, kHeld, 1600);
+    }
+  }
+  CHECK_FALSE(follower.state_.followingSource_);
+}
+
+// Guards against a data centre that learns of no change because the store answers none of its
+// hosts.
+TEST_CASE("the first hosts of a data centre that the store doesn't answer ask another one",
+          "[feed]")
+{
+  Follower follower;
+  follower.others_ = { kSource, HostId{ "h6" }, HostId{ "h7" } };
+  follower.elsewhere_ = { HostId{ "x1" }, HostId{ "y1" } };
+  follower.storeAnswersSelf_ = false;
+  // Hosts of the own data centre answer that the store doesn't answer them; x1 doesn't answer.
+  const TimePoint startedAt = follower.now_;
+  while (!follower.state_.followingSource_) {
+    if (const auto query = follower.Tick(); query && follower.state_.source_ != HostId{ "x1" }) {
+      const bool isReader = follower.state_.source_ == HostId{ "y1" };
+      follower.ReceiveAnswer(*query, 700, kHeld, isReader ? 700 : 60'000);
+    }
+    REQUIRE(follower.now_ - startedAt <= milliseconds(2500));
+  }
+  CHECK(follower.state_.source_ == HostId{ "y1" });
+  CHECK(follower.state_.sourceIsElsewhere_);
+  // Its own followers count the age of the answer there.
+  follower.now_ += milliseconds(100);
+  CHECK(RelayedAnswerAge(follower.state_, follower.now_, follower.suspended_) >= milliseconds(800));
+  // Once the store answers it, a relay stops asking elsewhere.
+  follower.storeAnswersSelf_ = true;
+  follower.Tick();
+  CHECK(follower.state_.source_ == kSource);
+  CHECK_FALSE(RelayedAnswerAge(follower.state_, follower.now_, follower.suspended_));
+}
+
+// Guards against a link between data centres that all hosts of one load with their queries.
+TEST_CASE("hosts after the first ones of a data centre ask only hosts of their own", "[feed]")
+{
+  Follower follower;
+  follower.others_ = { kSource, HostId{ "h2" }, HostId{ "h3" }, HostId{ "h6" }, HostId{ "h7" } };
+  follower.elsewhere_ = { HostId{ "x1" } };
+  follower.storeAnswersSelf_ = false;
+  for (int i = 0; i < 100; ++i) {
+    if (const auto query = follower.Tick()) {
+      REQUIRE(follower.state_.source_ != HostId{ "x1" });
+      // The second relay finds a source elsewhere after a while.
+      const bool isUsable = i > 30 && follower.state_.source_ == HostId{ "h2" };
+      follower.ReceiveAnswer(*query, 10, kHeld, isUsable ? 900 : 60'000);
+    }
+  }
+  CHECK(follower.state_.followingSource_);
+  CHECK(follower.state_.source_ == HostId{ "h2" });
+}
+
 // Guards against a host that checks freshness every 0.7 s although no other host asks
 // it. The platform charges for each of these reads.
 TEST_CASE("a host is a source only while other hosts ask it", "[feed]")
