Prove the configuration by its row's version, not by an answer to a watch

Cause: took the answer to a read of changes for complete up to the version that it states. While the store loses its history, such an answer can state a version without the row that it includes: in a trial (compaction at 6 s) 12 hosts missed version 9 until the next change at 10.65 s, some of which said that their configuration had been confirmed 1.4 s before.

Change: only linearizable answers count. A check asks for the store's version; if that has moved, no watch is open, or the watch brings nothing for 1 s, a transaction that expects the row's version and writes nothing brings either the proof or the row. No check transfers a document that hasn't changed. A row that a watch or another host brought is known up to its own version only.

The stand-in's deaf watches now state a version that includes what they miss; the test of rows of other tables asks for no transfer at all, before 12 were allowed.

--- a/standins/lib/UserStore.cpp
+++ b/standins/lib/UserStore.cpp
@@ -150,7 +150,9 @@
       JsonResponse(412, nlohmann::json{ { "rows", present }, { "ver", version_ } }.dump()));
     return;
   }
-  ++version_;
+  const bool changesRows = !json.value("writes", nlohmann::json::array()).empty() ||
+                           !json.value("remove", nlohmann::json::array()).empty();
+  version_ += changesRows ? 1 : 0;
   for (const auto& entry : json.value("writes", nlohmann::json::array())) {
     rows_[{ entry.at("table"), entry.at("key") }] = { entry.at("value"), version_, false };
   }
@@ -185,8 +187,10 @@
           rows.push_back(std::move(entry));
         }
       }
-      const bool isDeaf = fault_ == UserStoreFault::kDeafWatches;
-      if ((rows.empty() || isDeaf) && loop_.Now() < aWatch.answerAt_) {
+      if (fault_ == UserStoreFault::kDeafWatches) {
+        rows.clear();
+      }
+      if (rows.empty() && loop_.Now() < aWatch.answerAt_) {
         return false;
       }
       const nlohmann::json body = { { "rows", rows }, { "ver", version_ } };
--- a/standins/lib/UserStore.h
+++ b/standins/lib/UserStore.h
@@ -24,7 +24,7 @@
   kUnavailable,      ///< Calls get 503 and have no effect.
   kLoseWriteAnswers, ///< Transactions take effect but get no answer.
   kSilent,           ///< Calls have no effect and get no answer.
-  kDeafWatches       ///< Watches that wait report no change until their time is up.
+  kDeafWatches       ///< Watches report no change, though their version includes it.
 };
 
 /// Serves on a free port of 127.0.0.1, on its own thread, from construction to destruction.
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -86,7 +86,7 @@
       CHECK(FindHeader(request.headers_, "X-Tenant-Id").value_or("none") == (open ? "none" : "t1"));
     }
   }
-  // An idle host checks its freshness with the store every 2.8 s and opens two watches every 20 s.
+  // An idle host checks its freshness with the store every 2 s and opens two watches every 20 s.
   CHECK(fleet.Store().CallCount() - calls < 16 * 8);
 }
 
@@ -420,7 +420,7 @@
   std::this_thread::sleep_for(seconds(2));
   // Six calls for each host: a read and a watch of the document, a read and two watches of the
   // hosts, and its own row. Meanwhile, the readers of the four data centres check their freshness
-  // every 0.7 s, read the document every 2.1 s and watch the rows of hosts every 0.5 s.
+  // every 0.7 s, may read the document every 2.1 s and watch the rows of hosts every 0.5 s.
   const double elapsed = ToSeconds(Clock::now() - startedAt);
   const double readerCalls = 4 * (elapsed / 0.7 + elapsed / 2.1 + elapsed / 0.5);
   CHECK(static_cast<double>(fleet.Store().CallCount()) <
@@ -467,9 +467,8 @@
     fleet.Store().Put("other", "row", std::to_string(i));
     std::this_thread::sleep_for(milliseconds(50));
   }
-  // Four readers check their freshness every 0.7 s, and each transfers the document about once in
-  // 2.1 s.
-  CHECK(fleet.Store().DocumentReads() - reads <= 4 * 3);
+  // Four readers check their freshness every 0.7 s without a transfer of the document.
+  CHECK(fleet.Store().DocumentReads() == reads);
   for (std::size_t host = 0; host < fleet.Size(); ++host) {
     CHECK(fleet.SendRequest(host, "/read/1", "a").status_ == 200);
   }
