Start no more calls at a target than it says it takes

Cause: nothing read the header. Class: a signal of overload that the receiver ignores. Ruled out: limits applied by each host alone, because every request to a target passes the guard beside it.

Change: the guard keeps a token bucket of the stated rate; bursts are 0.25 s of it. So one place holds the limit for all hosts, at any size, without a message more. Calls that would wait for tokens longer than 15 % of their time are refused at once as "not run" and go to another target; only waiting calls of the same or a higher class count, so a less important one can't displace them. Answers report the concurrency that the rate allows, and callers' hosts route by it. The limit ends with the first answer without one to a call that began after the last statement. A guard that starts knows no limit, so it has three calls outstanding before the first answer, doubled every 0.25 s. 0.5 calls a second go to a target that states less, or nothing would show that it takes calls again.

--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -109,6 +109,7 @@
   admission_.settings_.lowerClassShare_ = aDialect.hasContexts_ ? 0 : kRequestShare;
   admission_.settings_.maxLimit_ =
     std::min(admission_.settings_.maxLimit_, aSettings.maxTargetConnections_);
+  admission_.startRate_.isProven_ = dialect_.notice_ == nullptr;
 }
 
 Guard::~Guard() = default;
@@ -231,6 +232,7 @@
   }
   GuardedCall& guardedCall = entry->second;
   guardedCall.startedAt_ = loop_.Now();
+  guardedCall.targetId_ = target_ ? target_->id_ : std::string();
   metrics_.RecordTime(Stage::kQueue, guardedCall.startedAt_ - guardedCall.arrivedAt_);
   CallContext context;
   context.budget_.left_ = guardedCall.call_.retries_;
@@ -300,6 +302,7 @@
   if (const auto load = dialect_.load_(aResult.response_)) {
     SetSlots(load->slots_);
   }
+  ApplyNotice(guardedCall, aResult.response_.headers_);
   if (const auto hint = dialect_.refusal_(aResult.response_)) {
     metrics_.Add(Counter::kTargetRefusals);
     std::uint64_t skipped = 0;
@@ -317,6 +320,25 @@
          AnswerFromResponse(dialect_, call, std::move(aResult.response_)));
 }
 
+void Guard::ApplyNotice(const GuardedCall& aGuardedCall, const HeaderList& aHeaders)
+{
+  // An answer of the previous target at this address says nothing about the current one.
+  if (dialect_.notice_ == nullptr || (target_ && aGuardedCall.targetId_ != target_->id_)) {
+    return;
+  }
+  const TargetNotice notice = dialect_.notice_(aHeaders);
+  const auto previous = admission_.startRate_.perSecond_;
+  RecordStatedRate(
+    admission_.startRate_, notice.maxPerSecond_, aGuardedCall.startedAt_, loop_.Now());
+  const auto current = admission_.startRate_.perSecond_;
+  if (current.has_value() != previous.has_value()) {
+    LogEvent(Event::kTargetRateStated,
+             { { "target", aGuardedCall.targetId_ },
+               { "per_s", current ? std::to_string(*current) : "none" },
+               { "queued", std::to_string(admission_.queued_) } });
+  }
+}
+
 void Guard::OnDeadline(std::uint64_t aCallNumber)
 {
   const auto entry = calls_.find(aCallNumber);
@@ -440,7 +462,7 @@
     return;
   }
   aAnswer.inFlight_ = admission_.running_;
-  aAnswer.limit_ = static_cast<std::uint32_t>(admission_.limit_);
+  aAnswer.limit_ = EffectiveLimit(admission_);
   aAnswer.queued_ = static_cast<std::uint32_t>(admission_.queued_);
   aAnswer.level_ = CurrentAdmissionLevel(admission_, loop_.Now());
   if (aAnswer.level_.admittedFraction_ >= 1) {
@@ -610,6 +632,7 @@
     // Open connections lead to the previous target at this address.
     client_.CloseIdleConnections();
     failures_ = {};
+    ResetStartRate(admission_.startRate_);
   }
   SetSlots(aTarget.slots_);
   if (IsTargetLeaving()) {
@@ -703,6 +726,7 @@
   if (admission_.announcedSlots_ == 0 && admission_.running_ == 0 && admission_.queued_ == 0) {
     AdmissionState fresh;
     fresh.settings_ = admission_.settings_;
+    fresh.startRate_ = admission_.startRate_;
     fresh.settings_.initialLimit_ = std::max(health_.slots_, fresh.settings_.minLimit_);
     fresh.limit_ = fresh.settings_.initialLimit_;
     admission_ = fresh;
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -103,6 +103,7 @@
     TimePoint arrivedAt_{};
     TimePoint startedAt_{};
     TimePoint deadline_{};
+    std::string targetId_;            ///< Target that it was sent to; empty while it waits.
     std::string contextToken_;        ///< Empty while the call waits.
     std::uint64_t targetRequest_ = 0; ///< Request number at client_; 0 while the call waits.
     std::uint64_t deadlineTimer_ = 0;
@@ -112,6 +113,8 @@
   void Apply(const AdmissionActions& aActions);
   void Start(std::uint64_t aCallNumber);
   void OnTargetResult(std::uint64_t aCallNumber, TargetResult aResult);
+  /// Applies what the target states about itself in the answer to a call.
+  void ApplyNotice(const GuardedCall& aGuardedCall, const HeaderList& aHeaders);
   void OnDeadline(std::uint64_t aCallNumber);
   void Refuse(std::uint64_t aCallNumber, ErrorCode aCode, std::uint32_t aRetryAfterMs);
   /// Ends a started call: frees its slot, closes its context and passes the answer on.
--- a/peridotquay/process/HttpDialect.h
+++ b/peridotquay/process/HttpDialect.h
@@ -33,6 +33,14 @@
   bool operator==(const TargetLoad&) const = default;
 };
 
+/// What a target states about itself in an answer.
+struct TargetNotice
+{
+  std::optional<double> maxPerSecond_; ///< Requests a second that it takes from all hosts together.
+  bool leaving_ = false;               ///< It takes no new requests and ends soon.
+  bool operator==(const TargetNotice&) const = default;
+};
+
 /// Header names, properties and stateless functions of a dialect.
 struct HttpDialect
 {
@@ -62,6 +70,8 @@
   std::optional<std::uint32_t> (*refusal_)(const HttpResponse& aResponse);
   /// Load stated in an answer; empty if there is none.
   std::optional<TargetLoad> (*load_)(const HttpResponse& aResponse);
+  /// What the headers of a target's answer state about the target; null if targets state nothing.
+  TargetNotice (*notice_)(const HeaderList& aHeaders) = nullptr;
   /// Makes an HTTP answer for a failure. aRetryAfterMs of 0 means that it has no retry hint.
   HttpResponse (*failure_)(ErrorCode aCode,
                            Outcome aOutcome,
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -128,9 +128,10 @@
   aState.limit_ = std::clamp(aLimit, lower, upper);
 }
 
-bool HasSlot(const AdmissionState& aState)
+bool HasSlot(AdmissionState& aState, TimePoint aNow)
 {
-  return static_cast<double>(aState.running_) + 1 <= aState.limit_;
+  return static_cast<double>(aState.running_) + 1 <= aState.limit_ &&
+         MayStart(aState.startRate_, aState.running_, aNow);
 }
 
 double ExpectedServiceSeconds(const AdmissionState& aState, TimePoint aNow)
@@ -152,10 +153,25 @@
   return route->second.seconds_ * std::exp2(-age / kServiceTimeHalfLifeSeconds);
 }
 
-std::uint32_t RetryAfterMs(const AdmissionState& aState, TimePoint aNow)
+/// Time that one more call of the class would wait because of the target's stated rate.
+double RateWaitSeconds(const AdmissionState& aState, Importance aImportance)
 {
-  const double waitMs = 1000 * ExpectedServiceSeconds(aState, aNow) *
-                        (static_cast<double>(aState.queued_) + 1) / aState.limit_;
+  const auto rate = AllowedPerSecond(aState.startRate_);
+  if (!rate) {
+    return 0;
+  }
+  std::size_t ahead = 1;
+  for (std::size_t i = 0; i <= Index(aImportance); ++i) {
+    ahead += aState.queues_[i].size_;
+  }
+  return std::max(0.0, (static_cast<double>(ahead) - aState.startRate_.tokens_) / *rate);
+}
+
+std::uint32_t RetryAfterMs(const AdmissionState& aState, Importance aImportance, TimePoint aNow)
+{
+  const double waiting = static_cast<double>(aState.queued_) + 1;
+  const double slotSeconds = waiting * ExpectedServiceSeconds(aState, aNow) / aState.limit_;
+  const double waitMs = 1000 * std::max(slotSeconds, RateWaitSeconds(aState, aImportance));
   return static_cast<std::uint32_t>(std::clamp(waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
 }
 
@@ -194,12 +210,16 @@
                 TimePoint aNow)
 {
   aState.shed_[Index(aCall.importance_)] += 1;
-  aActions.refuse_.push_back({ aCall.id_, aCode, RetryAfterMs(aState, aNow) });
+  aActions.refuse_.push_back({ aCall.id_, aCode, RetryAfterMs(aState, aCall.importance_, aNow) });
 }
 
-void StartCall(AdmissionState& aState, AdmissionActions& aActions, const WaitingCall& aCall)
+void StartCall(AdmissionState& aState,
+               AdmissionActions& aActions,
+               const WaitingCall& aCall,
+               TimePoint aNow)
 {
   ++aState.running_;
+  RecordStart(aState.startRate_, aNow);
   aState.window_.peakRunning_ = std::max(aState.window_.peakRunning_, aState.running_);
   aState.admitted_[Index(aCall.importance_)] += 1;
   aActions.start_.push_back(aCall.id_);
@@ -281,7 +301,7 @@
   } else {
     aQueue.virtualTime_ = account.finishTag_;
     account.finishTag_ += 1 / Weight(call);
-    StartCall(aState, aActions, call);
+    StartCall(aState, aActions, call, aNow);
   }
   RecordRemovedCalls(aState, aQueue, 1);
 }
@@ -289,7 +309,7 @@
 /// Starts waiting calls while slots are free.
 void StartWaiting(AdmissionState& aState, AdmissionActions& aActions, TimePoint aNow)
 {
-  while (HasSlot(aState)) {
+  while (HasSlot(aState, aNow)) {
     ClassQueue* queue = NextQueue(aState);
     if (queue == nullptr) {
       return;
@@ -615,8 +635,14 @@
     RefuseCall(aState, actions, aCall, ErrorCode::kDeadlineExceeded, aNow);
     return actions;
   }
+  const double maxRateWait =
+    aState.settings_.maxRateWaitFraction_ * ToSeconds(aCall.deadline_ - aNow);
+  if (RateWaitSeconds(aState, aCall.importance_) > maxRateWait) {
+    RefuseCall(aState, actions, aCall, ErrorCode::kShed, aNow);
+    return actions;
+  }
   if (aState.queued_ >= aState.settings_.queueCapacity_ &&
-      !(aState.queued_ == 0 && HasSlot(aState))) {
+      !(aState.queued_ == 0 && HasSlot(aState, aNow))) {
     const WaitingCall victim = RemoveCallToShed(aState, aCall);
     RefuseCall(aState, actions, victim, ErrorCode::kShed, aNow);
     if (victim.id_ == aCall.id_) {
@@ -701,6 +727,14 @@
   SetLimit(aState, isNew && !aState.slotsContradicted_ ? aSlots : aState.limit_);
 }
 
+std::uint32_t EffectiveLimit(const AdmissionState& aState)
+{
+  const auto rate = AllowedPerSecond(aState.startRate_);
+  // By Little's law, calls at this rate occupy that many slots.
+  const double atRate = rate ? *rate * aState.serviceSeconds_ : aState.limit_;
+  return static_cast<std::uint32_t>(std::max(1.0, std::min(aState.limit_, atRate)));
+}
+
 AdmissionLevel CurrentAdmissionLevel(AdmissionState& aState, TimePoint aNow)
 {
   UpdateAdmissionLevel(aState, aNow);
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -7,6 +7,7 @@
 #include "peridotquay/process/Error.h"
 #include "peridotquay/process/Time.h"
 #include "peridotquay/request/Outcome.h"
+#include "peridotquay/request/StartRate.h"
 #include "peridotquay/version/Ids.h"
 
 #include <array>
@@ -29,6 +30,9 @@
   double queueDeadlineFraction_ = 0.5; ///< Fraction of its remaining time that a call may wait.
   /// Part of the starts that waiting calls below `critical` get while critical ones wait too.
   double lowerClassShare_ = 0;
+  /// Part of its remaining time that a call may wait at a target that states a rate. Other targets
+  /// of its service may have room.
+  double maxRateWaitFraction_ = 0.15;
   bool adaptive_ = true; ///< If false, the limit stays at the announced slots.
   bool operator==(const AdmissionSettings&) const = default;
 };
@@ -113,6 +117,7 @@
   /// The target refused or queued calls within the limit, so announced slots aren't trusted.
   bool slotsContradicted_ = false;
   std::uint32_t running_ = 0;
+  StartRateState startRate_; ///< Limits the starts besides limit_.
   std::array<ClassQueue, kImportanceClassCount> queues_;
   std::size_t queued_ = 0;      ///< Invariant: sum of queues_ sizes.
   double lowerClassCredit_ = 0; ///< Starts that the lower classes have earned, below 1 + the share.
@@ -203,6 +208,10 @@
 /// OfferCall, FinishCall or DropLateCalls.
 void ApplyAnnouncedSlots(AdmissionState& aState, std::uint32_t aSlots);
 
+/// Calls that the target can run at once under its concurrency limit and its stated rate; at
+/// least 1. Sent to callers with each answer.
+std::uint32_t EffectiveLimit(const AdmissionState& aState);
+
 /// The least important class that the guard currently admits; sent to callers with each answer.
 AdmissionLevel CurrentAdmissionLevel(AdmissionState& aState, TimePoint aNow);
 
--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -52,6 +52,12 @@
   return startedRequests_;
 }
 
+std::vector<TimePoint> UserTarget::StartTimes()
+{
+  const std::lock_guard lock(mutex_);
+  return startTimes_;
+}
+
 void UserTarget::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
 {
   const HttpRequest& request = aExchange->request_;
@@ -64,6 +70,7 @@
   {
     const std::lock_guard lock(mutex_);
     startedRequests_.push_back(request);
+    startTimes_.push_back(loop_.Now());
     count = startedRequests_.size();
   }
   const unsigned loseOneAnswerIn = loseOneAnswerIn_;
@@ -73,12 +80,16 @@
   }
   const std::string requestId(FindHeader(request.headers_, "X-Request-Id").value_or(""));
   loop_.After(serviceTime_, [this, aExchange, requestId] {
-    aExchange->Respond({ 200,
-                         { { "X-Request-Id", requestId },
-                           { "X-Response-Signature", id_ + "." + requestId },
-                           { "X-Server-Load", "1,0," + std::to_string(kSlots) } },
-                         "answer to " + requestId,
-                         std::nullopt });
+    HeaderList headers{ { "X-Request-Id", requestId },
+                        { "X-Response-Signature", id_ + "." + requestId },
+                        { "X-Server-Load", "1,0," + std::to_string(kSlots) } };
+    if (statedLimit_ >= 0) {
+      headers.emplace_back("Server-Limit", std::to_string(statedLimit_));
+    }
+    if (statesLeaving_) {
+      headers.emplace_back("Server-Leaving", "1");
+    }
+    aExchange->Respond({ 200, headers, "answer to " + requestId, std::nullopt });
   });
 }
 
--- a/standins/lib/UserTarget.h
+++ b/standins/lib/UserTarget.h
@@ -33,10 +33,16 @@
   void SetServiceTime(Duration aServiceTime) { serviceTime_ = aServiceTime; }
   /// Leaves every aCount-th request without an answer, although it counts as started; 0 for none.
   void LoseOneAnswerIn(unsigned aCount) { loseOneAnswerIn_ = aCount; }
+  /// States in each answer how many requests a second it takes; negative for none.
+  void StateLimit(double aPerSecond) { statedLimit_ = aPerSecond; }
+  /// States in each answer that it leaves. Its heartbeats say nothing of that.
+  void StateLeaving() { statesLeaving_ = true; }
   /// Reports the state "draining" from the next heartbeat on.
   void SetDraining() { draining_ = true; }
   /// Requests that the target started, in order.
   std::vector<HttpRequest> StartedRequests();
+  /// Times at which they arrived, in the same order.
+  std::vector<TimePoint> StartTimes();
 
 private:
   void OnRequest(const std::shared_ptr<HttpExchange>& aExchange);
@@ -48,11 +54,14 @@
   std::uint16_t heartbeatPort_;
   EventLoop loop_;
   std::unique_ptr<HttpServer> server_;
-  std::mutex mutex_; ///< Guards startedRequests_, which tests read.
+  std::mutex mutex_; ///< Guards startedRequests_ and startTimes_, which tests read.
   std::vector<HttpRequest> startedRequests_;
+  std::vector<TimePoint> startTimes_;
   std::vector<std::shared_ptr<HttpExchange>> lostExchanges_; ///< Kept open without an answer.
   std::atomic<Duration> serviceTime_{ milliseconds(5) };
   std::atomic<unsigned> loseOneAnswerIn_{ 0 };
+  std::atomic<double> statedLimit_{ -1 };
+  std::atomic<bool> statesLeaving_{ false };
   std::atomic<bool> draining_{ false };
   std::atomic<bool> stopping_{ false };
   std::thread thread_; ///< Runs loop_.
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -45,6 +45,43 @@
   });
 }
 
+/// Clients that send requests to hosts at a steady rate each, until they are destroyed.
+class SteadyClients
+{
+public:
+  SteadyClients(UserFleet& aFleet, const std::vector<std::size_t>& aHosts, Duration aInterval)
+  {
+    for (const std::size_t host : aHosts) {
+      threads_.emplace_back([this, &aFleet, host, aInterval] {
+        for (int i = 0; !stopping_; ++i) {
+          const std::string id = std::to_string(host) + "-" + std::to_string(i);
+          served_ += aFleet.SendRequest(host, "/read/1", id).status_ == 200 ? 1 : 0;
+          ++sent_;
+          std::this_thread::sleep_for(aInterval);
+        }
+      });
+    }
+  }
+  SteadyClients(const SteadyClients&) = delete;
+  SteadyClients& operator=(const SteadyClients&) = delete;
+  ~SteadyClients()
+  {
+    stopping_ = true;
+    for (auto& thread : threads_) {
+      thread.join();
+    }
+  }
+
+  int Sent() const { return sent_; }
+  int Served() const { return served_; }
+
+private:
+  std::atomic<bool> stopping_{ false };
+  std::atomic<int> sent_{ 0 };
+  std::atomic<int> served_{ 0 };
+  std::vector<std::thread> threads_;
+};
+
 } // namespace
 
 // Guards against hosts that don't discover each other, headers that name the wrong client account
@@ -620,3 +657,40 @@
   CHECK(Eventually([&] { return fleet.SendRequest(0, "/gone/1", "g", "").status_ == 404; },
                    seconds(4)));
 }
+
+// Guards against a target that gets more requests than it says it takes from all hosts together,
+// also when the process that guards it starts anew and doesn't know the limit.
+TEST_CASE("a target that states a limit gets no more", "[users]")
+{
+  UserFleet fleet(8);
+  REQUIRE(fleet.WaitReady());
+  constexpr double kLimit = 8;
+  // Hosts 0, 2, 4 and 6 have targets of the same service.
+  const std::vector<std::size_t> limited{ 0, 2, 4 };
+  const TimePoint statedAt = Clock::now();
+  for (const std::size_t host : limited) {
+    fleet.TargetOf(host).StateLimit(kLimit);
+  }
+  {
+    const SteadyClients clients(fleet, { 1, 3, 5, 6, 7 }, milliseconds(15));
+    std::this_thread::sleep_for(milliseconds(4500));
+    fleet.Restart(0);
+    fleet.Restart(2);
+    std::this_thread::sleep_for(milliseconds(5500));
+    // The target without a limit has room for all.
+    CHECK(clients.Served() >= clients.Sent() * 97 / 100);
+  }
+  for (const std::size_t host : limited) {
+    INFO("host " << host);
+    const std::vector<TimePoint> starts = fleet.TargetOf(host).StartTimes();
+    std::size_t most = 0;
+    for (auto first = starts.begin(); first != starts.end(); ++first) {
+      if (*first >= statedAt + milliseconds(3000)) {
+        const auto last = std::upper_bound(first, starts.end(), *first + seconds(4));
+        most = std::max(most, static_cast<std::size_t>(last - first));
+      }
+    }
+    CHECK(static_cast<double>(most) <= 1.5 * 4 * kLimit + 5);
+    CHECK(static_cast<double>(most) >= 0.5 * 4 * kLimit);
+  }
+}
--- a/tests/platform/PlatformDialectTest.cpp
+++ b/tests/platform/PlatformDialectTest.cpp
@@ -68,3 +68,17 @@
   CHECK(overRate.status_ == 429);
   CHECK(FindHeader(overRate.headers_, "Retry-After") == "0.250");
 }
+
+// Guards against a stated limit or departure that isn't read, and malformed ones that are.
+TEST_CASE("an answer's headers state a target's limit and departure", "[platform]")
+{
+  const auto notice = PlatformDialect().notice_;
+  CHECK(notice({}) == TargetNotice{});
+  CHECK(notice({ { "Server-Limit", "64.2" } }) == TargetNotice{ 64.2, false });
+  CHECK(notice({ { "server-limit", "0" }, { "server-leaving", "1" } }) == TargetNotice{ 0, true });
+  CHECK_FALSE(notice({ { "Server-Leaving", "0" } }).leaving_);
+  for (const char* text : { "", "-1", "nan", "inf", "64.2x", " 5", "1e400" }) {
+    INFO(text);
+    CHECK_FALSE(notice({ { "Server-Limit", text } }).maxPerSecond_);
+  }
+}
