Send no requests to a target that says in its answers that it leaves

A target whose heartbeat is late, or that reports no draining, went on getting requests until its leave message.

The statement belongs to one start of a target, so host records name id and start. A host that passes on such an answer remembers the start and sends it nothing more: the guard may start anew meanwhile and know nothing. That takes one entry for each leaving target that a host has called, and no message.

--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -71,6 +71,9 @@
   virtual void RequestTokens(ShareRequest aRequest) = 0;
   /// Announces the local target's state, its number of slots and the fraction of them in use.
   virtual void AnnounceTarget(TargetState aState, std::uint32_t aSlots, double aLoad) = 0;
+  /// Announces that the local target stated in an answer that it leaves. Called on the socket
+  /// thread. Does nothing where targets don't state that.
+  virtual void AnnounceTargetLeaving(const std::string& /*aTargetId*/) {}
   /// Announces that this node will leave, so that callers use other nodes. The local target still
   /// accepts calls.
   virtual void AnnounceLeaving() {}
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -509,6 +509,8 @@
   RemoveAbsentHosts(routing_, *targets_);
   std::erase_if(admissionLevels_,
                 [this](const auto& aEntry) { return !targets_->hosts_.contains(aEntry.first); });
+  std::erase_if(leavingTargets_,
+                [this](const auto& aEntry) { return !targets_->hosts_.contains(aEntry.first); });
 }
 
 void Dispatcher::SetFreshness(TimePoint aFreshAsOf)
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -174,6 +174,8 @@
   /// its admission level.
   std::optional<Target> SelectTarget(const CallPointer& aCall, bool& aShedUpstream);
   void StartAttempt(const CallPointer& aCall);
+  /// Whether the target stated that it leaves.
+  bool IsLeaving(const Target& aTarget) const;
   Duration AnswerReserve(const Target& aTarget) const;
   void SendAttempt(const CallPointer& aCall, const Target& aTarget);
   void EndAttempt(const CallPointer& aCall, AttemptResult aResult, const Answer* aAnswer);
@@ -219,6 +221,9 @@
   NaiveState naive_;
   /// By host of the guard; only hosts in targets_.
   std::map<HostId, ReceivedAdmissionLevel> admissionLevels_;
+  /// Target::instance_ of targets that stated in an answer to this host that they leave, by host.
+  /// Only hosts in targets_. A guard that starts anew doesn't know it, so this host must.
+  std::map<HostId, std::string> leavingTargets_;
   std::map<ServiceId, RetryRatio> retryRatios_; ///< Only services in config_.
   RequestLedger ledger_;
   std::map<std::pair<HostId, Incarnation>, RequestLedger> importedLedgers_;
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -54,6 +54,10 @@
     if (!target || std::find(excluded.begin(), excluded.end(), target->host_) != excluded.end()) {
       return std::nullopt;
     }
+    if (IsLeaving(*target)) {
+      excluded.push_back(target->host_);
+      continue;
+    }
     const auto level = admissionLevels_.find(target->host_);
     if (level == admissionLevels_.end() ||
         ShouldSendCall(level->second, aCall->call_.importance_, now)) {
@@ -64,6 +68,12 @@
   }
 }
 
+bool Dispatcher::IsLeaving(const Target& aTarget) const
+{
+  const auto entry = leavingTargets_.find(aTarget.host_);
+  return entry != leavingTargets_.end() && entry->second == aTarget.instance_;
+}
+
 void Dispatcher::StartAttempt(const CallPointer& aCall)
 {
   bool shedUpstream = false;
@@ -175,6 +185,9 @@
     aAnswer = MakeAnswer(Outcome::kUnknown, ErrorCode::kTruncatedAnswer);
     aAnswer.retriesUnused_ = unused;
   }
+  if (dialect_.notice_ != nullptr && dialect_.notice_(aAnswer.headers_).leaving_) {
+    leavingTargets_[aCall->target_.host_] = aCall->target_.instance_;
+  }
   const bool owner = aCall->isOwnerCall_;
   AttemptResult result = AttemptResult::kAnswered;
   if (aAnswer.outcome_ == Outcome::kNotRun) {
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -310,9 +310,10 @@
       LogEvent(Event::kTargetRefusing,
                { { "route", call.route_.value_ }, { "skipped", std::to_string(skipped) } });
     }
-    Finish(aCallNumber,
-           ExecutionResult::kTargetRefused,
-           RefusedAnswer(call, ErrorCode::kTargetRefused, *hint));
+    Answer refused = RefusedAnswer(call, ErrorCode::kTargetRefused, *hint);
+    // What a target states in a refusal concerns the caller's host too.
+    refused.headers_ = std::move(aResult.response_.headers_);
+    Finish(aCallNumber, ExecutionResult::kTargetRefused, std::move(refused));
     return;
   }
   Finish(aCallNumber,
@@ -337,6 +338,9 @@
                { "per_s", current ? std::to_string(*current) : "none" },
                { "queued", std::to_string(admission_.queued_) } });
   }
+  if (notice.leaving_ && target_ && onTargetLeaving_) {
+    onTargetLeaving_(target_->id_);
+  }
 }
 
 void Guard::OnDeadline(std::uint64_t aCallNumber)
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -91,6 +91,8 @@
   const TargetHealth& Health() const;
   std::size_t TargetConnections() const;
 
+  /// Called with the id of a target that states in an answer that it leaves.
+  std::function<void(const std::string&)> onTargetLeaving_;
   /// Called when the context of a call ends; its deeper calls can then be cancelled.
   std::function<void(const std::string&)> onContextClosed_;
 
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -667,6 +667,9 @@
     return control.as_failure();
   }
   state->control_ = std::move(control.assume_value());
+  state->guard_->onTargetLeaving_ = [control = state->control_.get()](const std::string& aId) {
+    control->AnnounceTargetLeaving(aId);
+  };
   state->dispatcher_->requestTokens_ = [control = state->control_.get()](ShareRequest aRequest) {
     control->RequestTokens(std::move(aRequest));
   };
@@ -688,6 +691,7 @@
 Node::~Node()
 {
   state_->dispatcher_->requestTokens_ = nullptr;
+  state_->guard_->onTargetLeaving_ = nullptr;
   state_->control_.reset();
 }
 
--- a/peridotquay/version/TargetView.h
+++ b/peridotquay/version/TargetView.h
@@ -5,6 +5,7 @@
 #include "peridotquay/version/Ids.h"
 
 #include <map>
+#include <string>
 #include <vector>
 
 namespace peridotquay {
@@ -28,9 +29,11 @@
   RegionId region_;
   ServiceId service_;
   TargetState state_ = TargetState::kReady;
-  TimePoint readySince_{};   ///< When this node first saw the target as usable, by its own clock;
-                             ///< the slow start begins here.
-  std::uint32_t slots_ = 0;  ///< Announced concurrent requests; 0 if not announced.
+  TimePoint readySince_{};  ///< When this node first saw the target as usable, by its own clock;
+                            ///< the slow start begins here.
+  std::uint32_t slots_ = 0; ///< Announced concurrent requests; 0 if not announced.
+  /// One start of the target, where the platform names it; else empty. Not the guard's process.
+  std::string instance_;
   double announcedLoad_ = 0; ///< Announced fraction of slots in use, 0 to 1. May be late or wrong.
   bool operator==(const Target&) const = default;
 };
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <map>
+#include <mutex>
 
 using namespace peridotquay;
 using namespace peridotquay::testing;
@@ -55,8 +57,13 @@
       threads_.emplace_back([this, &aFleet, host, aInterval] {
         for (int i = 0; !stopping_; ++i) {
           const std::string id = std::to_string(host) + "-" + std::to_string(i);
-          served_ += aFleet.SendRequest(host, "/read/1", id).status_ == 200 ? 1 : 0;
+          const auto reply = aFleet.SendRequest(host, "/read/1", id);
+          served_ += reply.status_ == 200 ? 1 : 0;
           ++sent_;
+          if (reply.headers_.contains("server-leaving")) {
+            const std::lock_guard lock(mutex_);
+            toldOfLeaving_.emplace(host, i);
+          }
           std::this_thread::sleep_for(aInterval);
         }
       });
@@ -74,11 +81,19 @@
 
   int Sent() const { return sent_; }
   int Served() const { return served_; }
+  /// Number of the first request of each host whose answer stated that its target leaves.
+  std::map<std::size_t, int> ToldOfLeaving() const
+  {
+    const std::lock_guard lock(mutex_);
+    return toldOfLeaving_;
+  }
 
 private:
   std::atomic<bool> stopping_{ false };
   std::atomic<int> sent_{ 0 };
   std::atomic<int> served_{ 0 };
+  mutable std::mutex mutex_; ///< Guards toldOfLeaving_.
+  std::map<std::size_t, int> toldOfLeaving_;
   std::vector<std::thread> threads_;
 };
 
@@ -694,3 +709,29 @@
     CHECK(static_cast<double>(most) >= 0.5 * 4 * kLimit);
   }
 }
+
+// Guards against requests to a target that says in its answers that it leaves while its heartbeats
+// don't, also when the process that guards it starts anew.
+TEST_CASE("a target that says that it leaves gets no requests", "[users]")
+{
+  // Hosts 0 and 2 have the targets of the service; hosts 1 and 3 are equally far from both.
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  const SteadyClients clients(fleet, { 1, 3 }, milliseconds(20));
+  std::this_thread::sleep_for(seconds(1));
+  fleet.TargetOf(0).StateLeaving();
+  std::this_thread::sleep_for(milliseconds(2500));
+  CHECK(fleet.Log(0).find("stated=true") != std::string::npos);
+  fleet.Restart(0);
+  std::this_thread::sleep_for(seconds(4));
+  CHECK(clients.Served() >= clients.Sent() * 97 / 100);
+  // Each client sends one request after the other, so all later ones are sent after the answer.
+  const std::map<std::size_t, int> told = clients.ToldOfLeaving();
+  CHECK(!told.empty());
+  for (const auto& request : fleet.TargetOf(0).StartedRequests()) {
+    const std::string id(FindHeader(request.headers_, "X-Request-Id").value_or(""));
+    const auto entry = told.find(std::stoul(id));
+    INFO("request " << id);
+    CHECK((entry == told.end() || std::stoi(id.substr(id.find('-') + 1)) <= entry->second));
+  }
+}
