Take no answer on a kept connection for that of another request

It can happen here in two ways: a request that a target refused may come to it again, with the same id, on the same connection; and an answer without an id was taken for that of the current request.

Change: a connection isn't reused for an id that it has carried among its last 32, and on a connection that has carried other requests an answer without an id is incomplete, so that the outcome is unknown. Targets echo the id in every answer; the stand-in's 421 does now too.

Evidence: test "an earlier refusal that is written again doesn't answer a later request" failed before with 2 of 8 assertions (503 instead of 200 for the same id, an accepted answer without an id).

--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -8,8 +8,11 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <array>
 #include <coroutine>
+#include <deque>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +29,10 @@
 
 class TargetConnection;
 
+// Number of requests of a connection whose echo values are remembered. A target may repeat an
+// earlier answer; one that is older than this many requests isn't told from an answer of its own.
+constexpr std::size_t kRememberedEchoes = 32;
+
 // Size of the read buffer in bytes.
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
@@ -99,6 +106,12 @@
     echoHeader_ = client->settings_.echoHeader_;
     expectedEcho_ =
       echoHeader_.empty() ? "" : FindHeader(aRequest.headers_, echoHeader_).value_or("");
+    if (!expectedEcho_.empty()) {
+      earlierEchoes_.push_back(expectedEcho_);
+      if (earlierEchoes_.size() > kRememberedEchoes) {
+        earlierEchoes_.pop_front();
+      }
+    }
     idleTimeout_ = client->settings_.idleTimeout_;
     writeBuffer_ = SerializeRequest(aRequest, client->settings_.target_);
     parser_.emplace();
@@ -129,6 +142,13 @@
   bool WriteStarted() const { return writeStarted_; }
   bool HasAnswerBegun() const { return answerBegan_; }
 
+  // Whether an earlier request had this echo value. An answer to it that the target writes once
+  // more couldn't be told from the answer to the next request with it.
+  bool HasCarried(const std::string& aEcho) const
+  {
+    return std::find(earlierEchoes_.begin(), earlierEchoes_.end(), aEcho) != earlierEchoes_.end();
+  }
+
   // Time since the last answer. Valid only for an idle connection.
   Duration IdleTime() const { return loop_.Now() - idleSince_; }
 
@@ -255,6 +275,10 @@
       ParseNextAnswer();
       return;
     }
+    if (MayAnswerOtherRequest()) {
+      End(TargetRequestStatus::kTruncated);
+      return;
+    }
     // Interim answers (1xx other than 101) precede the final one.
     if (parser_->get().result_int() / 100 == 1 && parser_->get().result_int() != 101) {
       ParseNextAnswer();
@@ -274,6 +298,14 @@
            std::string_view(field->value().data(), field->value().size()) != expectedEcho_;
   }
 
+  // True if the answer names no request although the connection has carried others.
+  bool MayAnswerOtherRequest() const
+  {
+    return !expectedEcho_.empty() && earlierEchoes_.size() > 1 &&
+           parser_->get().result_int() / 100 != 1 &&
+           parser_->get().find(echoHeader_) == parser_->get().end();
+  }
+
   // Limits idleTimeout_ to less than the timeout that the target's Keep-Alive header states.
   void ReadKeepAliveTimeout()
   {
@@ -393,6 +425,8 @@
   bool fullyWritten_ = false; ///< The operating system has accepted all bytes of the request.
   bool allowsCloseDelimited_ = false;
   std::string echoHeader_;
+  /// Echo values of the last requests, the current one included, oldest first.
+  std::deque<std::string> earlierEchoes_;
   std::string expectedEcho_; ///< Echo header value that the answer must have; empty for any.
   Duration idleTimeout_{};
   bool answerBegan_ = false;
@@ -428,11 +462,17 @@
   const TargetClientSettings& settings = state_->settings_;
   auto& idle = state_->idleConnections_;
   std::shared_ptr<TargetConnection> connection;
+  const std::string echo(settings.echoHeader_.empty()
+                           ? ""
+                           : FindHeader(aRequest.headers_, settings.echoHeader_).value_or(""));
   // The last idle connection is the most recently used one.
-  if (!idle.empty() && (aReuse == ConnectionReuse::kAny ||
-                        idle.back()->IdleTime() <= settings.recentlyUsedPeriod_)) {
-    connection = idle.back();
-    idle.pop_back();
+  const auto reusable = std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aIdle) {
+    return echo.empty() || !aIdle->HasCarried(echo);
+  });
+  if (reusable != idle.rend() && (aReuse == ConnectionReuse::kAny ||
+                                  (*reusable)->IdleTime() <= settings.recentlyUsedPeriod_)) {
+    connection = *reusable;
+    idle.erase(std::next(reusable).base());
   } else if (state_->busyConnections_.size() < settings.maxConnections_) {
     if (!idle.empty() &&
         state_->busyConnections_.size() + idle.size() >= settings.maxConnections_) {
--- a/peridotquay/connection/TargetClient.h
+++ b/peridotquay/connection/TargetClient.h
@@ -24,7 +24,9 @@
   Duration idleTimeout_ = seconds(30);              ///< An idle connection is closed after this.
   Duration recentlyUsedPeriod_ = milliseconds(200); ///< For ConnectionReuse::kRecentlyUsed.
   /// Header that the target copies from the request to the answer. An answer with another value
-  /// belongs to an earlier request and is dropped. Empty for none.
+  /// belongs to an earlier request and is dropped. On a connection that has carried other requests,
+  /// an answer without the header is incomplete, because it may belong to one of them. Empty for
+  /// none.
   std::string echoHeader_{};
   /// True: an answer without a length is complete when the target closes the connection cleanly.
   /// False: it counts as truncated, because a complete answer can't be told from a truncated one.
--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -63,7 +63,9 @@
   const HttpRequest& request = aExchange->request_;
   const auto expected = FindHeader(request.headers_, "X-Expected-Instance");
   if (expected && *expected != id_) {
-    aExchange->Respond({ 421, { { "X-Instance-Id", id_ } }, "", std::nullopt });
+    const std::string id(FindHeader(request.headers_, "X-Request-Id").value_or(""));
+    aExchange->Respond(
+      { 421, { { "X-Instance-Id", id_ }, { "X-Request-Id", id } }, "", std::nullopt });
     return;
   }
   std::size_t count = 0;
--- a/tests/connection/HttpServerTest.cpp
+++ b/tests/connection/HttpServerTest.cpp
@@ -309,6 +309,73 @@
   }
 }
 
+// Guards against a refusal that a target writes once more on a kept connection and that passes as
+// the answer to a later request, which the target runs: its caller is told that it didn't run.
+TEST_CASE("an earlier refusal that is written again doesn't answer a later request", "[target]")
+{
+  struct Script
+  {
+    std::string name_;
+    std::string firstId_;
+    std::string refusal_;
+    TargetRequestStatus requestStatus_; ///< Of the later request, which has id 7.
+  };
+  const std::string head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+  const std::string end = "Content-Length: 0\r\n\r\n";
+  const std::vector<Script> scripts = {
+    // The same request comes to the target again, after another one refused it too.
+    { "same id", "7", head + "X-Id: 7\r\n" + end, TargetRequestStatus::kAnswered },
+    { "other id", "6", head + "X-Id: 6\r\n" + end, TargetRequestStatus::kAnswered },
+    { "no id", "6", head + end, TargetRequestStatus::kTruncated }
+  };
+  for (const auto& script : scripts) {
+    INFO(script.name_);
+    RawListener listener;
+    // The connection of the first request stays open. A later request on it gets the refusal again.
+    std::thread target([&] {
+      RawSocket kept = listener.Accept();
+      kept.ReadUntil("\r\n\r\n");
+      kept.Write(script.refusal_);
+      std::thread keptThread([&] {
+        if (kept.ReadUntil("\r\n\r\n").ends_with("\r\n\r\n")) {
+          kept.Write(script.refusal_ + "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+        }
+      });
+      RawSocket other = listener.Accept();
+      if (other.ReadUntil("\r\n\r\n").ends_with("\r\n\r\n")) {
+        other.Write("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+      }
+      keptThread.join();
+    });
+    EventLoop loop;
+    TargetClientSettings settings;
+    settings.target_ = { "127.0.0.1", listener.Port() };
+    settings.echoHeader_ = "X-Id";
+    TargetResult result;
+    {
+      TargetClient client(loop, settings);
+      client.Send({ "GET", "/", { { "X-Id", script.firstId_ } }, "" },
+                  [&](const TargetResult& aFirst) {
+                    CHECK(aFirst.response_.status_ == 503);
+                    client.Send({ "GET", "/", { { "X-Id", "7" } }, "" }, [&](TargetResult aResult) {
+                      result = std::move(aResult);
+                      loop.Stop();
+                    });
+                  });
+      loop.Run();
+    }
+    // Ends the second accept if the later request used the kept connection.
+    {
+      const RawSocket closed(listener.Port());
+    }
+    target.join();
+    CHECK(result.requestStatus_ == script.requestStatus_);
+    if (script.requestStatus_ == TargetRequestStatus::kAnswered) {
+      CHECK(result.response_.status_ == 200);
+    }
+  }
+}
+
 // Guards against sending a request that must run at most once on an idle connection that the target
 // may have dropped. The request would be reset without showing whether it ran.
 TEST_CASE("a request that must run at most once doesn't reuse a connection idle for long",
