Test that an answer whose head is cut short isn't passed on

It can't happen here: the target client takes a closed connection for the end of an answer only after a complete head.

--- a/tests/connection/HttpServerTest.cpp
+++ b/tests/connection/HttpServerTest.cpp
@@ -274,6 +274,19 @@
     { "earlier request's answer first", earlier + matching, false, TargetRequestStatus::kAnswered },
     { "earlier request's answer only", earlier, false, TargetRequestStatus::kTruncated },
     { "without length, closed", withoutLength, false, TargetRequestStatus::kAnswered },
+    { "status line only", "HTTP/1.1 200 OK\r\n", false, TargetRequestStatus::kTruncated },
+    { "head cut after a header",
+      "HTTP/1.1 200 OK\r\nX-Id: 7\r\n",
+      false,
+      TargetRequestStatus::kTruncated },
+    { "head cut in its length",
+      "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2",
+      false,
+      TargetRequestStatus::kTruncated },
+    { "head cut after an interim answer",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 7\r\n",
+      false,
+      TargetRequestStatus::kTruncated },
     { "without length, reset", withoutLength, true, TargetRequestStatus::kTruncated }
   };
   for (const auto& script : scripts) {
