Fit the drain to the time that a process has to stop

Late requests are refused here: none is accepted later than 2.4 s after SIGTERM, which the new test "late requests of a planned stop are refused before they run" shows without a change of the code. But the drain ended after 5.3 s on every deployment, which suits a grace of 6 s only: where it is 10 s, a call in flight was cut with 4.7 s left.

Change: setting stop_grace_s gives the time from SIGTERM to SIGKILL; the drain lasts into its last sixth and accepts requests for 2.4 s at most.

Evidence: SettingsTest "the drain uses the time that a process has to stop".

--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 24> kKnownKeys = { "host",
+constexpr std::array<std::string_view, 25> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
                                                           "service",
@@ -38,9 +38,19 @@
                                                           "seed",
                                                           "naive",
                                                           "accept_while_draining_ms",
+                                                          "stop_grace_s",
                                                           "target_idle_timeout_ms",
                                                           "adapter" };
 
+// A call in flight may be ended in the last sixth of the time that a process has to stop.
+constexpr Duration kDrainIntoLastSixth = milliseconds(300);
+
+// Time that the process needs to announce its end and to exit.
+constexpr Duration kStopReserve = milliseconds(500);
+
+// Callers learn within 2 s that a host isn't ready. A request that is accepted later may be ended.
+constexpr Duration kMaxDrainAcceptPeriod = milliseconds(2400);
+
 /// A parsed settings file and its name, which errors state.
 struct Document
 {
@@ -283,6 +293,11 @@
   BOOST_OUTCOME_TRYV(ReadBool(aDocument, "naive", settings.naive_));
   BOOST_OUTCOME_TRYV(ReadMilliseconds(
     aDocument, "accept_while_draining_ms", 0, 600000, settings.drainAcceptPeriod_));
+  std::uint32_t graceSeconds = 0;
+  BOOST_OUTCOME_TRYV(ReadInteger(aDocument, "stop_grace_s", 0, 3600, graceSeconds));
+  if (graceSeconds > 0) {
+    SetDrainTimes(settings, seconds(graceSeconds));
+  }
   BOOST_OUTCOME_TRYV(ReadMilliseconds(
     aDocument, "target_idle_timeout_ms", 100, 600000, settings.targetIdleTimeout_));
   BOOST_OUTCOME_TRYV(CheckListenersDiffer(aDocument, settings));
@@ -291,6 +306,13 @@
 
 } // namespace
 
+void SetDrainTimes(NodeSettings& aSettings, Duration aGrace)
+{
+  aSettings.drainTimeout_ =
+    std::min<Duration>(aGrace * 5 / 6 + kDrainIntoLastSixth, aGrace - kStopReserve);
+  aSettings.drainAcceptPeriod_ = std::min<Duration>(kMaxDrainAcceptPeriod, aGrace * 2 / 5);
+}
+
 Result<NodeSettings> ParseNodeSettings(const std::string& aFile)
 {
   BOOST_OUTCOME_TRY(text, ReadWholeFile(aFile));
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -45,6 +45,10 @@
   bool operator==(const NodeSettings&) const = default;
 };
 
+/// Sets how long a drain lasts and accepts requests, so that the process ends within aGrace after
+/// SIGTERM and ends calls in flight only in the last sixth of that time, where it is long enough.
+void SetDrainTimes(NodeSettings& aSettings, Duration aGrace);
+
 /// Reads, parses and checks a settings file. Errors hold file, line, column, key and allowed range.
 Result<NodeSettings> ParseNodeSettings(const std::string& aFile);
 
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -254,6 +254,44 @@
   }
 }
 
+// Guards against requests that come late in a planned stop, are passed on and then cut without an
+// answer when the process ends.
+TEST_CASE("late requests of a planned stop are refused before they run", "[users]")
+{
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  for (std::size_t host = 0; host < fleet.Size(); ++host) {
+    fleet.TargetOf(host).SetServiceTime(milliseconds(1300));
+  }
+  fleet.ProcessOf(1).Signal(SIGTERM);
+  const TimePoint stopped = Clock::now();
+  std::vector<std::thread> clients;
+  std::mutex mutex;
+  std::map<std::string, unsigned> statuses;
+  for (int i = 0; Clock::now() - stopped < milliseconds(4000); ++i) {
+    clients.emplace_back([&, i] {
+      const std::string id = std::to_string(i);
+      const auto reply = fleet.SendRequest(1, "/write/1", id);
+      const std::lock_guard lock(mutex);
+      statuses[id] = reply.status_;
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  for (auto& client : clients) {
+    client.join();
+  }
+  CHECK(fleet.ProcessOf(1).Wait(6) == 0);
+  const auto executions = fleet.ExecutionCounts();
+  std::size_t refused = 0;
+  for (const auto& [id, status] : statuses) {
+    INFO("request " << id << ", status " << status);
+    // A request that ran is answered; without an answer it wasn't read.
+    CHECK((status == 200) == executions.contains(id));
+    refused += status == 503 ? 1 : 0;
+  }
+  CHECK(refused > 0);
+}
+
 // Guards against a write that runs twice, or a refusal of a write that ran, when responses of
 // targets are lost.
 TEST_CASE("a write runs at most once if the response of its target is lost", "[users]")
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -115,3 +115,32 @@
   }
   CHECK(failed > 1000);
 }
+
+// Guards against a planned stop that cuts calls although the process has more time: a fixed drain
+// timeout suits one length of the grace time only.
+TEST_CASE("the drain uses the time that a process has to stop", "[settings]")
+{
+  struct Case
+  {
+    const char* grace_;
+    Duration timeout_;
+    Duration accept_;
+  };
+  for (const Case& expected : { Case{ "6", milliseconds(5300), milliseconds(2400) },
+                                Case{ "2", milliseconds(1500), milliseconds(800) },
+                                Case{ "0", milliseconds(2500), milliseconds(0) } }) {
+    INFO("grace " << expected.grace_);
+    const auto settings =
+      Value(ParseNodeSettingsText(kSettings + "stop_grace_s = " + expected.grace_, "node.toml"));
+    CHECK(settings.drainTimeout_ == expected.timeout_);
+    CHECK(settings.drainAcceptPeriod_ == expected.accept_);
+  }
+  // Calls are ended in the last sixth, and the process has time left to exit.
+  for (int grace = 5; grace <= 60; ++grace) {
+    NodeSettings settings;
+    SetDrainTimes(settings, seconds(grace));
+    CHECK(settings.drainTimeout_ >= seconds(grace) * 5 / 6);
+    CHECK(settings.drainTimeout_ <= seconds(grace) - milliseconds(500));
+    CHECK(settings.drainAcceptPeriod_ < seconds(3));
+  }
+}
