--- a/peridotquay/version/StoreFeed.cpp
+++ b/peridotquay/version/StoreFeed.cpp
@@ -14,14 +14,6 @@
   return failures != aState.failures_.end() && aNow < failures->second.pausedUntil_;
 }
 
-/// Number of live hosts of the data centre that come before this one.
-std::size_t HostsBeforeSelf(const FeedCandidates& aCandidates)
-{
-  const auto& hosts = aCandidates.others_;
-  return static_cast<std::size_t>(std::lower_bound(hosts.begin(), hosts.end(), aCandidates.self_) -
-                                  hosts.begin());
-}
-
 bool IsElsewhere(const FeedCandidates& aCandidates, const HostId& aHost)
 {
   const auto& hosts = aCandidates.elsewhere_;
@@ -126,6 +118,13 @@
 
 } // namespace
 
+std::size_t HostsBeforeSelf(const FeedCandidates& aCandidates)
+{
+  const auto& hosts = aCandidates.others_;
+  return static_cast<std::size_t>(std::lower_bound(hosts.begin(), hosts.end(), aCandidates.self_) -
+                                  hosts.begin());
+}
+
 std::optional<FeedQuery> CollectDueQuery(StoreFeedState& aState,
                                          const FeedCandidates& aCandidates,
                                          const RowVersions& aHeld,
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -113,6 +113,9 @@
   std::vector<HostId> elsewhere_{};
 };
 
+/// Number of live hosts of the data centre that come before this one.
+std::size_t HostsBeforeSelf(const FeedCandidates& aCandidates);
+
 /// Chooses the host to ask and returns a query if one is due. Called every 100 ms. The first host
 /// of the data centre that the store answers reads for all, so this host asks a host after itself
 /// only if the store doesn't answer it. aSuspended: total time that this host was suspended since
