--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -120,10 +120,9 @@
   return loop_.Now() - freshAsOf_ + (SuspendedTime() - suspendedTimeAtFreshness_);
 }
 
-bool Dispatcher::IsRefusalProven(ErrorCode aCode) const
+bool Dispatcher::MayRefuseForGood() const
 {
-  return settings_.naive_ || aCode == ErrorCode::kConfigurationNotFresh ||
-         FreshnessAge() < config_->policy_.refusalFreshnessBound_;
+  return settings_.naive_ || FreshnessAge() < config_->policy_.refusalFreshnessBound_;
 }
 
 const ServiceId& Dispatcher::ChooseService(const Route& aRoute)
@@ -211,7 +210,7 @@
   if (!refusal) {
     refusal = Authenticate(request, *call);
   }
-  if (refusal && !IsRefusalProven(refusal->code_)) {
+  if (refusal && refusal->code_ != ErrorCode::kConfigurationNotFresh && !MayRefuseForGood()) {
     refusal = Refusal{ ErrorCode::kConfigurationNotFresh, kUnprovenRetryAfterMs };
   }
   if (!refusal) {
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -149,9 +149,9 @@
   // Checks and admission of requests.
   std::optional<Refusal> Authenticate(const HttpRequest& aRequest, ActiveCall& aCall) const;
   Duration FreshnessAge() const;
-  /// Whether the configuration is known to be new enough for a refusal that only it is the reason
-  /// for.
-  bool IsRefusalProven(ErrorCode aCode) const;
+  /// Whether the configuration is known to be new enough to refuse an unknown route or key for
+  /// good.
+  bool MayRefuseForGood() const;
   const ServiceId& ChooseService(const Route& aRoute);
   std::optional<Refusal> ReadCallHeaders(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -142,7 +142,8 @@
                                  TimePoint aNow,
                                  Duration aSuspended);
 
-/// Why the source would be replaced now: "silent", "stale" or "preferred". For the log.
+/// Why the source would be replaced now, for the log: "silent" (a query is unanswered), "stale"
+/// (the store doesn't answer it) or "preferred" (another host comes first).
 std::string_view SourceChangeReason(const StoreFeedState& aState);
 
 /// Time since the store answered the host from which a relay has its rows; empty for a host that
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -124,7 +124,7 @@
       aFleet.ProcessOf(host).Signal(SIGHUP);
       break;
     case 4:
-      aFleet.Store().SetFault(static_cast<UserStoreFault>(1 + aRandom() % 3));
+      aFleet.Store().SetFault(static_cast<UserStoreFault>(1 + aRandom() % 4));
       break;
     case 5:
       aFleet.Store().SetFault(UserStoreFault::kNone);
