--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -263,7 +263,10 @@
         self.running = 0
         self.capacity = 50
         self.runs = {}
+        self.unfinished = set()  # Requests at work.
+        self.cut = set()  # Requests that were at work when the endpoint exited.
         self.server = None
+        self.writers = set()
         self.tasks = []
 
     async def start(self):
@@ -288,6 +291,15 @@
         self.fleet.record.line(f"{self.id} reports {what} {json.dumps(body)} -> {status}")
         return 200 <= status < 300
 
+    def exit(self):
+        """Ends as a process does: its port closes, and its channels end."""
+        self.beating = False
+        self.cut = set(self.unfinished)
+        self.fleet.record.say(f"{self.id} exits with {len(self.cut)} requests at work")
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def beat_on(self):
         while True:
             if self.beating:
@@ -296,6 +308,7 @@
 
     async def serve(self, reader, writer):
         channel = {}
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head)
@@ -321,16 +334,19 @@
                 self.fleet.record.line(f"{self.id} runs {request_id} {method} {path} tenant "
                                        f"{head.get('x-tenant-id')}")
                 self.running += 1
+                self.unfinished.add(request_id)
                 try:
                     keep = await self.respond(reader, writer, request_id, channel)
                 finally:
                     self.running -= 1
+                    self.unfinished.discard(request_id)
                 await writer.drain()
                 if not keep:
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def answer_headers(self, request_id):
@@ -617,6 +633,14 @@
         return keep
 
 
+def lost_at_exit(fleet, endpoint, clients):
+    """Says how many requests the endpoint's exit cut, and what their clients got."""
+    cut = [attempt for client in clients for attempt in client.attempts
+           if attempt.id in endpoint.cut]
+    fleet.record.say(f"{len(cut)} unsafe requests were at work when {endpoint.id} exited; their "
+                     f"clients got {sorted(attempt.status for attempt in cut)}")
+
+
 def has_trouble():
     return os.environ.get("TROUBLE", "1") != "0"
 
