Answer what has arrived before a drained process ends

Callers saw: a request on an open connection, or on a new one, ended by a reset in place of an answer, if their host's process got no core for a while just before its end.

Cause: 300 ms after the drain was complete the process ended, whatever had arrived meanwhile. Connections that waited to be accepted were reset by the operating system, and requests that were read but not handled were dropped. A request that was partly received didn't hold up the end either.

Change: a drain waits for requests that are partly received. At its end the process accepts the connections that wait, refuses what has arrived as not run, then closes each idle connection on its sending side only and waits for callers to close, for up to 15 checks of 10 ms. The checks count passes of the loop in place of time, so that a process that waited for a core still handles what arrived. A pending read is cancelled before an idle connection is closed: it may have taken bytes that weren't handled yet.

Whether the users saw this isn't known.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -31,6 +31,9 @@
 // Size of the read buffer in bytes.
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
+// Time that a caller has to close its side of a connection that the server has closed.
+constexpr Duration kCloseTimeout = milliseconds(500);
+
 std::string ToLower(std::string_view aText)
 {
   std::string text(aText);
@@ -104,6 +107,7 @@
   std::uint64_t rejectedRequests_ = 0;
   std::size_t pendingAnswers_ = 0;
   bool closeAfterAnswers_ = false;
+  bool finishing_ = false; ///< Connections are closed as soon as they have no request.
 
   State(EventLoop& aLoop, const HttpServerSettings& aSettings, Handler aHandler)
     : loop_(aLoop)
@@ -209,6 +213,21 @@
       });
   }
 
+  // True if the caller has sent a part of a request.
+  bool HasUnfinishedRequest() const { return requestBegan_; }
+
+  // Closes the sending side if the connection has no request. The pending read is cancelled first,
+  // because it may already have taken bytes that OnRead hasn't got yet.
+  void CloseIfIdle()
+  {
+    if (closed_ || discardsInput_ || !IsIdle()) {
+      return;
+    }
+    closeRequested_ = true;
+    error_code ignored;
+    socket_.cancel(ignored);
+  }
+
   // Answers an invalid request with an error and discards further input.
   void Reject(ErrorCode aCode)
   {
@@ -223,6 +242,26 @@
 private:
   using Parser = http::request_parser<http::string_body>;
 
+  // True if the connection holds no request, read or unread, and no answer that is being sent.
+  bool IsIdle() const
+  {
+    error_code error;
+    return !exchange_ && !writing_ && !requestBegan_ && unparsed_.empty() &&
+           socket_.available(error) == 0;
+  }
+
+  // Closes the sending side and discards input until the caller closes too, or for a short time.
+  // Closing with unread input would reset the connection, and the caller could lose the answer.
+  void StartClose()
+  {
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    discardsInput_ = true;
+    unparsed_.clear();
+    RestartTimer(kCloseTimeout, false);
+    Read();
+  }
+
   // After aTimeout, closes the connection or, if aRejectsRequest, rejects the request as too slow.
   void RestartTimer(Duration aTimeout, bool aRejectsRequest)
   {
@@ -266,6 +305,15 @@
     if (closed_) {
       return;
     }
+    if (aError == boost::asio::error::operation_aborted && closeRequested_) {
+      closeRequested_ = false;
+      if (IsIdle()) {
+        StartClose();
+      } else {
+        Read();
+      }
+      return;
+    }
     if (aError) {
       // If the caller closed only its sending side, the current answer can still be delivered.
       if (writing_ && aError == boost::asio::error::eof) {
@@ -436,14 +484,7 @@
       return;
     }
     if (!keepAlive_) {
-      // Closes the sending side and discards input for a short time before closing the connection.
-      // Closing with unread input would reset the connection, and the caller could lose the answer.
-      error_code ignored;
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      discardsInput_ = true;
-      unparsed_.clear();
-      RestartTimer(milliseconds(500), false);
-      Read();
+      StartClose();
       return;
     }
     RestartTimer(server_.settings_.idleTimeout_, false);
@@ -463,8 +504,9 @@
   bool reading_ = false;
   bool writing_ = false;
   bool keepAlive_ = true;
-  bool isHeadRequest_ = false; ///< The current request has the method HEAD.
-  bool discardsInput_ = false; ///< Further input is read and discarded.
+  bool isHeadRequest_ = false;  ///< The current request has the method HEAD.
+  bool discardsInput_ = false;  ///< Further input is read and discarded.
+  bool closeRequested_ = false; ///< The pending read is cancelled to close an idle connection.
   bool closed_ = false;
 };
 
@@ -479,6 +521,19 @@
   session->Answer(aResponse);
 }
 
+void AddSession(HttpServer::State& aState, tcp::socket aSocket)
+{
+  error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  SetKeepAlive(aSocket.native_handle());
+  const auto session = std::make_shared<Session>(aState, std::move(aSocket));
+  aState.sessions_.insert(session);
+  session->Start();
+  if (aState.sessions_.size() > aState.settings_.maxConnections_) {
+    session->Reject(ErrorCode::kLimitReached);
+  }
+}
+
 void Accept(const std::shared_ptr<HttpServer::State>& aState)
 {
   aState->acceptor_.async_accept(
@@ -496,19 +551,27 @@
         });
         return;
       }
-      error_code ignored;
-      aSocket.set_option(tcp::no_delay(true), ignored);
-      SetKeepAlive(aSocket.native_handle());
-      const auto session = std::make_shared<Session>(*state, std::move(aSocket));
-      state->sessions_.insert(session);
-      session->Start();
-      if (state->sessions_.size() > state->settings_.maxConnections_) {
-        session->Reject(ErrorCode::kLimitReached);
-      }
+      AddSession(*state, std::move(aSocket));
       Accept(state);
     });
 }
 
+// Accepts the connections that wait to be accepted, then closes the listening socket, which would
+// reset those that still wait.
+void AcceptWaiting(HttpServer::State& aState)
+{
+  error_code error;
+  aState.acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(aState.loop_.Context());
+    aState.acceptor_.accept(socket, error);
+    if (!error) {
+      AddSession(aState, std::move(socket));
+    }
+  }
+  aState.acceptor_.close(error);
+}
+
 } // namespace
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Listen(EventLoop& aLoop,
@@ -572,6 +635,26 @@
   return state_->pendingAnswers_;
 }
 
+std::size_t HttpServer::UnfinishedRequestCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(state_->sessions_.begin(), state_->sessions_.end(), [](const auto& aSession) {
+      return aSession->HasUnfinishedRequest();
+    }));
+}
+
+void HttpServer::Finish()
+{
+  state_->closeAfterAnswers_ = true;
+  if (!state_->finishing_) {
+    state_->finishing_ = true;
+    AcceptWaiting(*state_);
+  }
+  for (const auto& session : state_->sessions_) {
+    session->CloseIfIdle();
+  }
+}
+
 void HttpServer::CloseAfterAnswers()
 {
   state_->closeAfterAnswers_ = true;
--- a/peridotquay/connection/HttpServer.h
+++ b/peridotquay/connection/HttpServer.h
@@ -68,8 +68,14 @@
   std::uint64_t RejectedRequests() const;
   /// Number of answers that the operating system hasn't completely accepted yet.
   std::size_t PendingAnswerCount() const;
+  /// Number of connections on which a request has begun to arrive and isn't complete.
+  std::size_t UnfinishedRequestCount() const;
   /// From now on, each answer ends its connection.
   void CloseAfterAnswers();
+  /// Stops listening and closes each connection without a request. Requests that have arrived are
+  /// handled and answered first, also those on connections that wait to be accepted. To be repeated
+  /// until ConnectionCount() is 0, because a connection that had a request may become idle.
+  void Finish();
 
   struct State;
 
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -34,6 +34,11 @@
 // and the handed-over request records are sent.
 constexpr Duration kLeaveDelay = milliseconds(300);
 
+// Number of checks, kDrainCheckInterval apart, after which a process ends although callers
+// haven't closed their side of a connection. Checks are counted in place of time, so that a process
+// that had to wait for a core still handles what has arrived.
+constexpr int kMaxCloseChecks = 15;
+
 // With port 0 the kernel chooses a TCP port; another one is tried if its number is taken for UDP.
 constexpr int kMaxPortAttempts = 50;
 
@@ -97,6 +102,7 @@
   bool draining_ = false;
   bool acceptingRequests_ = true; ///< False once new requests are refused because of a drain.
   bool leaving_ = false;          ///< The departure was announced and the records handed over.
+  int closeChecks_ = 0;           ///< Checks since the process began to close its connections.
 
   State(const NodeSettings& aSettings, const HttpDialect& aDialect)
     : settings_(aSettings)
@@ -578,12 +584,13 @@
     control_->AnnounceTarget(TargetState::kDraining, health.slots_, health.load_);
   }
 
-  // Whether new requests are refused, no call is in flight and every answer has been sent.
+  // Whether new requests are refused, no call is in flight, no request is partly received and every
+  // answer has been sent.
   bool IsDrained() const
   {
     return !acceptingRequests_ && dispatcher_->ActiveCalls() == 0 && guard_->ActiveCalls() == 0 &&
-           callers_->PendingAnswerCount() == 0 && outbound_->PendingAnswerCount() == 0 &&
-           admin_->PendingAnswerCount() == 0;
+           callers_->UnfinishedRequestCount() == 0 && callers_->PendingAnswerCount() == 0 &&
+           outbound_->PendingAnswerCount() == 0 && admin_->PendingAnswerCount() == 0;
   }
 
   // Leaves once the drain is complete or timed out; otherwise checks again after an interval.
@@ -600,10 +607,22 @@
       guard_->Abort();
       control_->AnnounceLeft(HandOver());
     }
-    loop_.After(kLeaveDelay, [this] {
-      LogEvent(Event::kNodeStopped, { { "reason", "drained" } });
-      loop_.Stop();
-    });
+    loop_.After(kLeaveDelay, [this] { CloseConnections(); });
+  }
+
+  // Refuses the requests that have arrived since, closes all connections and stops. Checks again
+  // after an interval until callers have closed them too.
+  void CloseConnections()
+  {
+    callers_->Finish();
+    outbound_->Finish();
+    const bool closed = callers_->ConnectionCount() == 0 && outbound_->ConnectionCount() == 0;
+    if (!closed && ++closeChecks_ < kMaxCloseChecks) {
+      loop_.After(kDrainCheckInterval, [this] { CloseConnections(); });
+      return;
+    }
+    LogEvent(Event::kNodeStopped, { { "reason", "drained" } });
+    loop_.Stop();
   }
 
   // Returns the host that takes over the request records, or null if there is none. Prefers hosts
