Accept the deeper calls of requests that a drain waits for

Callers saw: 500 from the target in place of an answer, for a request that was at work when its target's host got SIGTERM.

Cause: once a drain accepts no new requests, the host also refused the deeper calls that its target makes for requests that still run. On the users' platform they come on the same address as callers' requests, and the dispatcher refused both. The product's own interface has an address of its own for them and never refused them.

Change: a request without a key on an open route is served during a drain while the local target still runs calls. The drain already waits for these and for the deeper calls.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -176,13 +176,26 @@
   return std::nullopt;
 }
 
+// Without contexts, a deeper call of the local target isn't told from a caller's request on the
+// same open route. While the target still runs calls, refusing it would fail one of them.
+bool Dispatcher::MayServeRunningCall(const HttpRequest& aRequest) const
+{
+  if (dialect_.hasContexts_ || !config_ || guard_.ActiveCalls() == 0 ||
+      FindHeader(aRequest.headers_, dialect_.keyHeader_)) {
+    return false;
+  }
+  ActiveCall call;
+  return FindCallRoute(aRequest, call) && call.route_->open_;
+}
+
 void Dispatcher::OnCallerRequest(const std::shared_ptr<HttpExchange>& aExchange)
 {
   metrics_.Add(Counter::kCallerRequests);
   const HttpRequest& request = aExchange->request_;
   // A request with an id is looked up even while draining, because an earlier use may have run.
-  if (draining_ &&
-      !(dialect_.issuesRequestIds_ && FindHeader(request.headers_, "Quay-Request-Id"))) {
+  const bool hasRequestId =
+    dialect_.issuesRequestIds_ && FindHeader(request.headers_, "Quay-Request-Id");
+  if (draining_ && !hasRequestId && !MayServeRunningCall(request)) {
     metrics_.Add(Counter::kRefusedDraining);
     RefuseExchange(aExchange, { ErrorCode::kDraining, kShedRetryAfterMs });
     return;
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -155,6 +155,7 @@
   const ServiceId& ChooseService(const Route& aRoute);
   std::optional<Refusal> ReadCallHeaders(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
+  bool MayServeRunningCall(const HttpRequest& aRequest) const;
   void RegisterCall(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
   void IssueIds(const std::shared_ptr<HttpExchange>& aExchange);
   void ApplyRateLimit(const CallPointer& aCall);
--- a/tests/failure/DrainTest.cpp
+++ b/tests/failure/DrainTest.cpp
@@ -51,3 +51,18 @@
   CHECK(answered == fresh.size());
   CHECK(fleet.ProcessOf(0).Wait(3) == 0);
 }
+
+// Guards against requests that fail although a planned stop waits for them: their deeper calls were
+// refused once the process accepted no new requests.
+TEST_CASE("a request that runs during a planned stop may still make its deeper calls", "[drain]")
+{
+  UserFleet fleet(2);
+  fleet.TargetOf(0).CallDeeper(fleet.CallersAddress(0), "/call/1", 3);
+  fleet.TargetOf(1).SetServiceTime(milliseconds(350));
+  REQUIRE(fleet.WaitReady());
+  fleet.ProcessOf(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(300));
+  // Its last deeper call begins 700 ms later, when the process accepts no new requests.
+  CHECK(fleet.SendRequest(1, "/read/1", "slow").status_ == 200);
+  CHECK(fleet.ProcessOf(0).Wait(6) == 0);
+}
