Send queued answers to other hosts before a process ends

Callers saw: 502 or a repeated run in place of the answer that a target had given, if the host beside the target stopped as planned while the answer waited for a slow link or a host that reads slowly.

Cause: a drain counted the calls in flight, but not the frames queued in links to other hosts. At its end the process closed its links, which resets those with unread input and drops what the other side hasn't received.

Change: a drain waits until the frames queued on open links are handed to the operating system, then closes the sending side of the links and waits, with the callers' connections, for the peers to close theirs.

--- a/peridotquay/connection/PeerHub.cpp
+++ b/peridotquay/connection/PeerHub.cpp
@@ -278,9 +278,17 @@
 
 bool PeerHub::IsFlushed() const
 {
-  return std::all_of(state_->linksByNumber_.begin(),
-                     state_->linksByNumber_.end(),
-                     [](const auto& aEntry) { return aEntry.second->IsFlushed(); });
+  return std::all_of(
+    state_->linksByNumber_.begin(), state_->linksByNumber_.end(), [](const auto& aEntry) {
+      return !aEntry.second->IsOpen() || aEntry.second->IsFlushed();
+    });
+}
+
+void PeerHub::CloseAfterSending()
+{
+  for (const auto& [number, link] : state_->linksByNumber_) {
+    link->CloseAfterSending();
+  }
 }
 
 std::size_t PeerHub::OpenLinkCount() const
--- a/peridotquay/connection/PeerHub.h
+++ b/peridotquay/connection/PeerHub.h
@@ -65,8 +65,10 @@
   bool Reply(std::uint64_t aLink, const PeerMessage& aMessage);
   /// Sends a Cancel for an outstanding call and ends it.
   void CancelCall(std::uint64_t aCallId);
-  /// True if all queued frames have been handed to the operating system.
+  /// True if all frames queued on open connections have been handed to the operating system.
   bool IsFlushed() const;
+  /// Sends what is queued, but nothing further, and closes the sending side of all connections.
+  void CloseAfterSending();
   /// Number of open connections, accepted and connected.
   std::size_t OpenLinkCount() const;
 
--- a/peridotquay/connection/PeerLink.cpp
+++ b/peridotquay/connection/PeerLink.cpp
@@ -83,7 +83,7 @@
 
   bool Send(const PeerMessage& aMessage) override
   {
-    if (ended_) {
+    if (ended_ || closesAfterSending_) {
       return false;
     }
     std::string& queue = open_ ? queuedFrames_ : framesBeforeHello_;
@@ -123,6 +123,15 @@
   const Address& PeerAddress() const override { return peerAddress_; }
   std::uint64_t Number() const override { return number_; }
 
+  void CloseAfterSending() override
+  {
+    closesAfterSending_ = true;
+    if (!ended_ && connected_ && IsFlushed()) {
+      error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+  }
+
   void Close() override
   {
     if (ended_) {
@@ -195,6 +204,9 @@
                                  return;
                                }
                                self->Write();
+                               if (self->closesAfterSending_) {
+                                 self->CloseAfterSending();
+                               }
                              });
   }
 
@@ -342,6 +354,7 @@
   bool open_ = false;
   bool writing_ = false;
   bool silenceCheckScheduled_ = false;
+  bool closesAfterSending_ = false; ///< No more frames are queued.
   bool ended_ = false;
 };
 
--- a/peridotquay/connection/PeerLink.h
+++ b/peridotquay/connection/PeerLink.h
@@ -82,6 +82,10 @@
   virtual const Address& PeerAddress() const = 0;
   /// Number of the link, unique within this process.
   virtual std::uint64_t Number() const = 0;
+  /// Closes the sending side once all queued bytes are sent. The peer then reads all of them and
+  /// closes the link; closing at once would reset it if input is unread, and drop what the peer
+  /// hasn't received.
+  virtual void CloseAfterSending() = 0;
   /// Ends the connection without calling onEnd_.
   virtual void Close() = 0;
 };
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -34,7 +34,7 @@
 // and the handed-over request records are sent.
 constexpr Duration kLeaveDelay = milliseconds(300);
 
-// Number of checks, kDrainCheckInterval apart, after which a process ends although callers
+// Number of checks, kDrainCheckInterval apart, after which a process ends although callers or peers
 // haven't closed their side of a connection. Checks are counted in place of time, so that a process
 // that had to wait for a core still handles what has arrived.
 constexpr int kMaxCloseChecks = 15;
@@ -590,7 +590,8 @@
   {
     return !acceptingRequests_ && dispatcher_->ActiveCalls() == 0 && guard_->ActiveCalls() == 0 &&
            callers_->UnfinishedRequestCount() == 0 && callers_->PendingAnswerCount() == 0 &&
-           outbound_->PendingAnswerCount() == 0 && admin_->PendingAnswerCount() == 0;
+           outbound_->PendingAnswerCount() == 0 && admin_->PendingAnswerCount() == 0 &&
+           hub_->IsFlushed();
   }
 
   // Leaves once the drain is complete or timed out; otherwise checks again after an interval.
@@ -611,12 +612,14 @@
   }
 
   // Refuses the requests that have arrived since, closes all connections and stops. Checks again
-  // after an interval until callers have closed them too.
+  // after an interval until callers and peers have closed them too.
   void CloseConnections()
   {
     callers_->Finish();
     outbound_->Finish();
-    const bool closed = callers_->ConnectionCount() == 0 && outbound_->ConnectionCount() == 0;
+    hub_->CloseAfterSending();
+    const bool closed = callers_->ConnectionCount() == 0 && outbound_->ConnectionCount() == 0 &&
+                        hub_->OpenLinkCount() == 0;
     if (!closed && ++closeChecks_ < kMaxCloseChecks) {
       loop_.After(kDrainCheckInterval, [this] { CloseConnections(); });
       return;
--- a/tests/failure/DrainTest.cpp
+++ b/tests/failure/DrainTest.cpp
@@ -1,5 +1,7 @@
 // Tests of the end of a planned stop: what has arrived at the process, or waits to be sent, when it
 // is about to end.
+#include "peridotquay/connection/PeerCodec.h"
+
 #include "tests/failure/UserFleet.h"
 
 #include <catch2/catch.hpp>
@@ -22,6 +24,45 @@
          "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\n\r\n";
 }
 
+/// A connection to a host as another host has it.
+class RawPeer
+{
+public:
+  explicit RawPeer(std::uint16_t aPort)
+    : socket_(aPort, 4096)
+  {
+    socket_.Write(FramePeerMessage(Hello{ kPeerProtocolVersion, { "raw" }, 1, { "d1" } }));
+  }
+
+  void Send(const PeerMessage& aMessage) { socket_.Write(FramePeerMessage(aMessage)); }
+
+  /// Reads to the end of the stream and returns the calls that were answered with aBodyBytes.
+  std::size_t CountAnswers(std::size_t aBodyBytes)
+  {
+    const std::string stream = socket_.ReadToEnd();
+    std::size_t answers = 0;
+    for (std::size_t at = 0; at + 4 <= stream.size();) {
+      std::size_t length = 0;
+      for (std::size_t i = 0; i < 4; ++i) {
+        length = length * 256 + static_cast<unsigned char>(stream[at + i]);
+      }
+      if (at + 4 + length > stream.size()) {
+        break;
+      }
+      const auto message = DecodePeerMessage(std::string_view(stream).substr(at + 4, length));
+      if (message.has_value()) {
+        const auto* answer = std::get_if<Answer>(&message.assume_value());
+        answers += answer != nullptr && answer->body_.size() == aBodyBytes ? 1 : 0;
+      }
+      at += 4 + length;
+    }
+    return answers;
+  }
+
+private:
+  RawSocket socket_;
+};
+
 } // namespace
 
 // Guards against requests that end without an answer because their process gets no core for a while
@@ -66,3 +107,31 @@
   CHECK(fleet.SendRequest(1, "/read/1", "slow").status_ == 200);
   CHECK(fleet.ProcessOf(0).Wait(6) == 0);
 }
+
+// Guards against answers that are lost because their process ends while they are still queued for a
+// host that reads slowly.
+TEST_CASE("answers to a host that reads slowly are sent before the process ends", "[drain]")
+{
+  constexpr std::uint64_t kCalls = 10;
+  UserFleet fleet(2);
+  REQUIRE(fleet.WaitReady());
+  RawPeer peer(fleet.PeersPort(0));
+  for (std::uint64_t i = 1; i <= kCalls; ++i) {
+    Call call;
+    call.callId_ = i;
+    call.service_ = { "s0" };
+    call.route_ = { "read" };
+    call.method_ = "GET";
+    call.path_ = "/read/large";
+    call.headers_ = { { "X-Request-Id", "call-" + std::to_string(i) } };
+    call.deadlineMs_ = 1500;
+    peer.Send(call);
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.ProcessOf(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(kAcceptPeriod + milliseconds(800));
+  // Unread input resets a connection that is closed.
+  peer.Send(Ping{ 1 });
+  CHECK(peer.CountAnswers(standins::kLargeAnswerBytes) == kCalls);
+  CHECK(fleet.ProcessOf(0).Wait(6) == 0);
+}
--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -177,6 +177,12 @@
     return { "127.0.0.1", hosts_[aHost]->callersPort_ };
   }
 
+  /// Port at which a host accepts connections of other hosts.
+  std::uint16_t PeersPort(std::size_t aHost) const
+  {
+    return nlohmann::json::parse(ReadFile(hosts_[aHost]->portFile_))["peers"];
+  }
+
   static standins::FetchRequest MakeRequest(const std::string& aPath,
                                             const std::string& aId,
                                             const std::string& aKey = "k1")
