Log and count requests whose connection ends without a whole answer

Cause: no event told that a caller's connection ended while a request on it was unanswered, who ended it and why.

Change: HttpServer reports each request that ends without a complete answer: id, reason, stage (partly read, handled, answering), attempts, time since it was read, bytes of the answer and those the operating system accepted. The node logs 6005 RequestAbandoned (ended by the caller, 10 lines a second) or 6006 RequestUnanswered (ended by this process, 100 lines a second) and counts requests_abandoned, requests_unanswered and answers_cut. 1008 ContentAtEnd tells what was still open, unread or unsent when a drained process ends.

Attempts are counted at the host that took the request; whether the target of another host had begun is told by 2006 CallEnded of that host. Not reported: an answer that the operating system had accepted and then dropped, bytes that arrive after the answer that closes the connection, and a process that is killed.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -102,6 +102,7 @@
   EventLoop& loop_;
   HttpServerSettings settings_;
   Handler handler_;
+  UnansweredHandler unansweredHandler_; ///< May be null.
   tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Session>> sessions_;
   std::uint64_t rejectedRequests_ = 0;
@@ -109,10 +110,14 @@
   bool closeAfterAnswers_ = false;
   bool finishing_ = false; ///< Connections are closed as soon as they have no request.
 
-  State(EventLoop& aLoop, const HttpServerSettings& aSettings, Handler aHandler)
+  State(EventLoop& aLoop,
+        const HttpServerSettings& aSettings,
+        Handler aHandler,
+        UnansweredHandler aUnansweredHandler)
     : loop_(aLoop)
     , settings_(aSettings)
     , handler_(std::move(aHandler))
+    , unansweredHandler_(std::move(aUnansweredHandler))
     , acceptor_(aLoop.Context())
   {
   }
@@ -152,11 +157,12 @@
   }
 
   // Closes the connection and calls onClosed_ of a request that has no answer yet.
-  void Close()
+  void Close(CloseReason aReason)
   {
     if (closed_) {
       return;
     }
+    ReportUnanswered(aReason);
     closed_ = true;
     server_.loop_.CancelTimer(timer_);
     error_code ignored;
@@ -180,6 +186,9 @@
     if (closed_) {
       return;
     }
+    if (exchange_) {
+      attempts_ = exchange_->attempts_;
+    }
     exchange_.reset();
     const bool keep = keepAlive_ && !server_.closeAfterAnswers_;
     keepAlive_ = keep;
@@ -204,10 +213,15 @@
     }
     RestartTimer(server_.settings_.writeTimeout_, false);
     writing_ = true;
+    writtenBytes_ = 0;
     ++server_.pendingAnswers_;
     boost::asio::async_write(
       socket_,
       boost::asio::buffer(writeBuffer_),
+      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+        self->writtenBytes_ = aBytes;
+        return boost::asio::transfer_all()(aError, aBytes);
+      },
       [self = shared_from_this()](const error_code& aError, std::size_t /*aBytes*/) {
         self->OnWritten(aError);
       });
@@ -216,6 +230,18 @@
   // True if the caller has sent a part of a request.
   bool HasUnfinishedRequest() const { return requestBegan_; }
 
+  // Adds what this connection holds.
+  void AddContent(HttpServerContent& aContent) const
+  {
+    error_code error;
+    const std::size_t unread = socket_.available(error);
+    ++aContent.connections_;
+    aContent.partlyRead_ += requestBegan_ && !discardsInput_ ? 1 : 0;
+    aContent.handled_ += exchange_ ? 1 : 0;
+    aContent.answering_ += writing_ ? 1 : 0;
+    aContent.unreadBytes_ += error ? 0 : unread;
+  }
+
   // Closes the sending side if the connection has no request. The pending read is cancelled first,
   // because it may already have taken bytes that OnRead hasn't got yet.
   void CloseIfIdle()
@@ -232,6 +258,7 @@
   void Reject(ErrorCode aCode)
   {
     ++server_.rejectedRequests_;
+    requestId_.clear();
     keepAlive_ = false;
     discardsInput_ = true;
     Answer(ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted"));
@@ -250,11 +277,35 @@
            socket_.available(error) == 0;
   }
 
+  // Reports the request that this connection holds, if any, before the connection ends.
+  void ReportUnanswered(CloseReason aReason)
+  {
+    const bool isRead = exchange_ || writing_;
+    const bool isPartlyRead = !discardsInput_ && (requestBegan_ || !unparsed_.empty());
+    if (!server_.unansweredHandler_ || (!isRead && !isPartlyRead)) {
+      return;
+    }
+    UnansweredRequest request;
+    request.reason_ = aReason;
+    request.sinceRead_ = server_.loop_.Now() - requestReadAt_;
+    if (isRead) {
+      request.id_ = requestId_;
+      request.stage_ = writing_ ? RequestStage::kAnswering : RequestStage::kHandled;
+      request.attempts_ = exchange_ ? exchange_->attempts_ : attempts_;
+    }
+    if (writing_) {
+      request.answerBytes_ = writeBuffer_.size();
+      request.writtenBytes_ = writtenBytes_;
+    }
+    server_.unansweredHandler_(request);
+  }
+
   // Closes the sending side and discards input until the caller closes too, or for a short time.
   // Closing with unread input would reset the connection, and the caller could lose the answer.
   void StartClose()
   {
     error_code ignored;
+    ReportUnanswered(CloseReason::kClosing);
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     discardsInput_ = true;
     unparsed_.clear();
@@ -274,7 +325,7 @@
       if (aRejectsRequest) {
         self->Reject(ErrorCode::kRequestTooSlow);
       } else {
-        self->Close();
+        self->Close(CloseReason::kWriteTimeout);
       }
     });
   }
@@ -320,7 +371,8 @@
         keepAlive_ = false;
         return;
       }
-      Close();
+      Close(aError == boost::asio::error::eof ? CloseReason::kCallerClosed
+                                              : CloseReason::kCallerReset);
       return;
     }
     if (discardsInput_) {
@@ -346,6 +398,7 @@
       }
       if (!requestBegan_) {
         requestBegan_ = true;
+        requestReadAt_ = server_.loop_.Now();
         RestartTimer(server_.settings_.readTimeout_, true);
       }
       const std::size_t end = unparsed_.find("\r\n\r\n");
@@ -461,6 +514,9 @@
     timer_ = 0;
     keepAlive_ = message.keep_alive();
     isHeadRequest_ = message.method() == http::verb::head;
+    requestReadAt_ = server_.loop_.Now();
+    requestId_ = FindHeader(headers_, server_.settings_.requestIdHeader_).value_or("");
+    attempts_ = 0;
     exchange_ = std::make_shared<Exchange>(shared_from_this());
     HttpRequest& request = exchange_->request_;
     request.method_ = std::string(message.method_string());
@@ -477,12 +533,12 @@
     if (closed_) {
       return;
     }
-    writing_ = false;
-    --server_.pendingAnswers_;
     if (aError) {
-      Close();
+      Close(CloseReason::kWriteFailed);
       return;
     }
+    writing_ = false;
+    --server_.pendingAnswers_;
     if (!keepAlive_) {
       StartClose();
       return;
@@ -500,7 +556,11 @@
   std::optional<Parser> parser_; ///< Set while the body of a request is being received.
   HeaderList headers_;           ///< Headers of the request in parser_.
   std::uint64_t timer_ = 0;
-  bool requestBegan_ = false; ///< The first byte of a request has arrived.
+  TimePoint requestReadAt_{};    ///< Last byte of the request; first one while it is incomplete.
+  std::string requestId_;        ///< Of the last complete request; empty if it isn't known.
+  std::uint32_t attempts_ = 0;   ///< Of the request that is being answered.
+  std::size_t writtenBytes_ = 0; ///< Bytes of writeBuffer_ that the operating system has accepted.
+  bool requestBegan_ = false;    ///< The first byte of a request has arrived.
   bool reading_ = false;
   bool writing_ = false;
   bool keepAlive_ = true;
@@ -576,9 +636,11 @@
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Listen(EventLoop& aLoop,
                                                        const HttpServerSettings& aSettings,
-                                                       Handler aHandler)
+                                                       Handler aHandler,
+                                                       UnansweredHandler aUnansweredHandler)
 {
-  auto state = std::make_shared<State>(aLoop, aSettings, std::move(aHandler));
+  auto state =
+    std::make_shared<State>(aLoop, aSettings, std::move(aHandler), std::move(aUnansweredHandler));
   const std::string text = aSettings.listen_.ip_ + ":" + std::to_string(aSettings.listen_.port_);
   error_code error;
   const auto ip = boost::asio::ip::make_address(aSettings.listen_.ip_, error);
@@ -611,7 +673,7 @@
   error_code ignored;
   state_->acceptor_.close(ignored);
   while (!state_->sessions_.empty()) {
-    (*state_->sessions_.begin())->Close();
+    (*state_->sessions_.begin())->Close(CloseReason::kServerEnded);
   }
 }
 
@@ -643,6 +705,15 @@
     }));
 }
 
+HttpServerContent HttpServer::Content() const
+{
+  HttpServerContent content;
+  for (const auto& session : state_->sessions_) {
+    session->AddContent(content);
+  }
+  return content;
+}
+
 void HttpServer::Finish()
 {
   state_->closeAfterAnswers_ = true;
--- a/peridotquay/connection/HttpServer.h
+++ b/peridotquay/connection/HttpServer.h
@@ -4,6 +4,7 @@
 
 #include "peridotquay/connection/EventLoop.h"
 #include "peridotquay/connection/HttpMessage.h"
+#include "peridotquay/connection/UnansweredRequest.h"
 #include "peridotquay/process/Error.h"
 #include "peridotquay/process/Time.h"
 #include "peridotquay/version/Ids.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace peridotquay {
 
@@ -24,6 +26,7 @@
   Duration readTimeout_ = seconds(5);   ///< Limits receiving a whole request.
   Duration idleTimeout_ = seconds(60);  ///< A connection without a request is closed after this.
   Duration writeTimeout_ = seconds(10); ///< Limits sending a whole answer.
+  std::string requestIdHeader_; ///< Header with the id in UnansweredRequest; empty for none.
 };
 
 /// One request and the connection to answer it on. Used only on the loop's thread.
@@ -39,10 +42,22 @@
   virtual void Respond(const HttpResponse& aResponse) = 0;
 
   HttpRequest request_;
+  std::uint32_t attempts_ = 0; ///< Attempts to pass the request on. The handler may set it.
   /// Called if the connection closes before Respond was called. The handler may set it.
   std::function<void()> onClosed_;
 };
 
+/// What a server holds at one time.
+struct HttpServerContent
+{
+  std::size_t connections_ = 0;
+  std::size_t partlyRead_ = 0;  ///< Requests of which some bytes were read.
+  std::size_t handled_ = 0;     ///< Requests that were read and have no answer yet.
+  std::size_t answering_ = 0;   ///< Answers that the operating system hasn't completely accepted.
+  std::size_t unreadBytes_ = 0; ///< Received by the operating system, but not read.
+  bool operator==(const HttpServerContent&) const = default;
+};
+
 /// A listening socket and its connections. Requests of one connection are handled in order, one at
 /// a time. Invalid requests are answered with an error and never reach the handler.
 class HttpServer
@@ -51,10 +66,14 @@
   /// Handles one valid request.
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
+  /// Receives each request that ends without a complete answer, before onClosed_ is called.
+  using UnansweredHandler = std::function<void(const UnansweredRequest&)>;
+
   /// Listens and starts accepting connections. Errors: kOutOfRange, kAddressInUse.
   static Result<std::unique_ptr<HttpServer>> Listen(EventLoop& aLoop,
                                                     const HttpServerSettings& aSettings,
-                                                    Handler aHandler);
+                                                    Handler aHandler,
+                                                    UnansweredHandler aUnansweredHandler = nullptr);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
@@ -70,6 +89,8 @@
   std::size_t PendingAnswerCount() const;
   /// Number of connections on which a request has begun to arrive and isn't complete.
   std::size_t UnfinishedRequestCount() const;
+  /// What the open connections hold.
+  HttpServerContent Content() const;
   /// From now on, each answer ends its connection.
   void CloseAfterAnswers();
   /// Stops listening and closes each connection without a request. Requests that have arrived are
--- a/peridotquay/connection/PeerHub.cpp
+++ b/peridotquay/connection/PeerHub.cpp
@@ -278,10 +278,15 @@
 
 bool PeerHub::IsFlushed() const
 {
-  return std::all_of(
+  return UnflushedLinkCount() == 0;
+}
+
+std::size_t PeerHub::UnflushedLinkCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
     state_->linksByNumber_.begin(), state_->linksByNumber_.end(), [](const auto& aEntry) {
-      return !aEntry.second->IsOpen() || aEntry.second->IsFlushed();
-    });
+      return aEntry.second->IsOpen() && !aEntry.second->IsFlushed();
+    }));
 }
 
 void PeerHub::CloseAfterSending()
--- a/peridotquay/connection/PeerHub.h
+++ b/peridotquay/connection/PeerHub.h
@@ -67,6 +67,8 @@
   void CancelCall(std::uint64_t aCallId);
   /// True if all frames queued on open connections have been handed to the operating system.
   bool IsFlushed() const;
+  /// Number of open connections with frames that the operating system hasn't accepted yet.
+  std::size_t UnflushedLinkCount() const;
   /// Sends what is queued, but nothing further, and closes the sending side of all connections.
   void CloseAfterSending();
   /// Number of open connections, accepted and connected.
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -346,6 +346,7 @@
   aCall->completionHandler_ = [this, aExchange, call = aCall.get()](const Answer& aAnswer) {
     Respond(aExchange, *call, aAnswer);
   };
+  aCall->exchange_ = aExchange;
   calls_.emplace(aCall.get(), aCall);
   aExchange->onClosed_ = [this, weak = std::weak_ptr(aCall)] {
     const auto call = weak.lock();
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -108,6 +108,7 @@
     const Route* route_ = nullptr;
     Call call_; ///< As sent to guards; the call id is set for each attempt.
     CompletionHandler completionHandler_;
+    std::weak_ptr<HttpExchange> exchange_; ///< Empty for a call that another host forwarded.
     TimePoint arrivedAt_{};
     TimePoint deadline_{};
     std::uint64_t deadlineTimer_ = 0;
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -100,6 +100,9 @@
   ActiveCall& call = *aCall;
   call.target_ = aTarget;
   ++call.attemptCount_;
+  if (const auto exchange = call.exchange_.lock()) {
+    exchange->attempts_ = call.attemptCount_;
+  }
   call.sentAt_ = now;
   call.queriesStatus_ = false;
   call.statusQueries_ = 0;
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -27,6 +27,7 @@
   X(1005, ListenFailed, kError) \
   X(1006, SettingsReloaded, kInfo) \
   X(1007, LogLinesDropped, kWarning) \
+  X(1008, ContentAtEnd, kInfo) \
   X(2001, AnswerDropped, kWarning) \
   X(2002, OutcomeUnknown, kWarning) \
   X(2003, TargetRefusing, kWarning) \
@@ -63,7 +64,9 @@
   X(6001, PeerConnected, kInfo) \
   X(6002, PeerDisconnected, kWarning) \
   X(6003, PeerFrameRejected, kError) \
-  X(6004, PeerConnectionSilent, kWarning)
+  X(6004, PeerConnectionSilent, kWarning) \
+  X(6005, RequestAbandoned, kInfo) \
+  X(6006, RequestUnanswered, kWarning)
 // clang-format on
 
 /// Identifies a log event; the value is its number.
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -40,10 +40,13 @@
   kDroppedAnswers,         ///< Answers of peers that no call waits for on their connection.
   kCallStatusQueries,      ///< Queries to peers about the status of lost calls.
   kRequestIdsIssued,       ///< Request ids given to callers.
-  kDuplicatesAnswered      ///< Repeated requests that got the answer of the first one.
+  kDuplicatesAnswered,     ///< Repeated requests that got the answer of the first one.
+  kRequestsAbandoned,      ///< Requests whose caller ended the connection before the whole answer.
+  kRequestsUnanswered, ///< Requests whose connection this process ended before the whole answer.
+  kAnswersCut          ///< Of these two, those of which a part of the answer was sent.
 };
 
-inline constexpr std::size_t kCounterCount = 25;
+inline constexpr std::size_t kCounterCount = 28;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -10,6 +10,7 @@
 #include "peridotquay/process/Events.h"
 #include "peridotquay/process/Guard.h"
 #include "peridotquay/process/LogOutput.h"
+#include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
 
 #include <nlohmann/json.hpp>
@@ -39,6 +40,10 @@
 // that had to wait for a core still handles what has arrived.
 constexpr int kMaxCloseChecks = 15;
 
+// Limit of the log lines of requests whose connection this process ended. Such requests are rare,
+// and each of them matters.
+constexpr std::uint32_t kMaxUnansweredLinesPerSecond = 100;
+
 // With port 0 the kernel chooses a TCP port; another one is tried if its number is taken for UDP.
 constexpr int kMaxPortAttempts = 50;
 
@@ -102,7 +107,9 @@
   bool draining_ = false;
   bool acceptingRequests_ = true; ///< False once new requests are refused because of a drain.
   bool leaving_ = false;          ///< The departure was announced and the records handed over.
-  int closeChecks_ = 0;           ///< Checks since the process began to close its connections.
+  LogThrottle abandonedThrottle_;
+  LogThrottle unansweredThrottle_{ .maxLinesPerSecond_ = kMaxUnansweredLinesPerSecond };
+  int closeChecks_ = 0; ///< Checks since the process began to close its connections.
 
   State(const NodeSettings& aSettings, const HttpDialect& aDialect)
     : settings_(aSettings)
@@ -139,11 +146,17 @@
     http.maxHeaderBytes_ = settings_.maxHeaderBytes_;
     http.maxConnections_ = settings_.maxCallerConnections_;
     http.readTimeout_ = settings_.readTimeout_;
+    http.requestIdHeader_ =
+      dialect_.echoHeader_.empty() ? "Quay-Request-Id" : std::string(dialect_.echoHeader_);
     const auto open = [&](std::unique_ptr<HttpServer>& aServer,
                           Address& aAddress,
+                          std::string_view aName,
                           HttpServer::Handler aHandler) -> Result<void> {
       http.listen_ = aAddress;
-      auto server = HttpServer::Listen(loop_, http, std::move(aHandler));
+      auto server = HttpServer::Listen(
+        loop_, http, std::move(aHandler), [this, aName](const UnansweredRequest& aRequest) {
+          OnUnanswered(aName, aRequest);
+        });
       if (server.has_error()) {
         return server.as_failure();
       }
@@ -152,17 +165,18 @@
       return Success();
     };
     using Exchange = std::shared_ptr<HttpExchange>;
-    auto opened = open(callers_, settings_.callers_, [this](const Exchange& aExchange) {
+    auto opened = open(callers_, settings_.callers_, "callers", [this](const Exchange& aExchange) {
       dispatcher_->OnCallerRequest(aExchange);
     });
     if (opened.has_value()) {
-      opened = open(outbound_, settings_.outbound_, [this](const Exchange& aExchange) {
+      opened = open(outbound_, settings_.outbound_, "outbound", [this](const Exchange& aExchange) {
         dispatcher_->OnOutboundRequest(aExchange);
       });
     }
     if (opened.has_value()) {
-      opened =
-        open(admin_, settings_.admin_, [this](const Exchange& aExchange) { OnAdmin(aExchange); });
+      opened = open(admin_, settings_.admin_, "admin", [this](const Exchange& aExchange) {
+        OnAdmin(aExchange);
+      });
     }
     return opened;
   }
@@ -285,6 +299,47 @@
     loop_.After(kHousekeepingInterval, [this] { DoHousekeeping(); });
   }
 
+  // --- Unanswered requests ---
+
+  void OnUnanswered(std::string_view aListener, const UnansweredRequest& aRequest)
+  {
+    const bool abandoned = IsClosedByCaller(aRequest.reason_);
+    metrics_.Add(abandoned ? Counter::kRequestsAbandoned : Counter::kRequestsUnanswered);
+    metrics_.Add(Counter::kAnswersCut, aRequest.writtenBytes_ > 0 ? 1 : 0);
+    std::uint64_t skipped = 0;
+    if (!(abandoned ? abandonedThrottle_ : unansweredThrottle_).Allow(loop_.Now(), skipped)) {
+      return;
+    }
+    const auto readMs = std::chrono::duration_cast<milliseconds>(aRequest.sinceRead_).count();
+    LogEvent(abandoned ? Event::kRequestAbandoned : Event::kRequestUnanswered,
+             { { "id", aRequest.id_ },
+               { "listener", std::string(aListener) },
+               { "reason", std::string(CloseReasonName(aRequest.reason_)) },
+               { "stage", std::string(RequestStageName(aRequest.stage_)) },
+               { "attempts", std::to_string(aRequest.attempts_) },
+               { "read_ms", std::to_string(readMs) },
+               { "answer_bytes", std::to_string(aRequest.answerBytes_) },
+               { "written_bytes", std::to_string(aRequest.writtenBytes_) },
+               { "skipped", std::to_string(skipped) } });
+  }
+
+  void LogContentAtEnd() const
+  {
+    const HttpServerContent callers = callers_->Content();
+    const HttpServerContent outbound = outbound_->Content();
+    LogEvent(Event::kContentAtEnd,
+             { { "connections", std::to_string(callers.connections_ + outbound.connections_) },
+               { "partly_read", std::to_string(callers.partlyRead_ + outbound.partlyRead_) },
+               { "handled", std::to_string(callers.handled_ + outbound.handled_) },
+               { "answering", std::to_string(callers.answering_ + outbound.answering_) },
+               { "unread_bytes", std::to_string(callers.unreadBytes_ + outbound.unreadBytes_) },
+               { "links", std::to_string(hub_->OpenLinkCount()) },
+               { "links_unflushed", std::to_string(hub_->UnflushedLinkCount()) },
+               { "calls", std::to_string(dispatcher_->ActiveCalls()) },
+               { "guard_calls", std::to_string(guard_->ActiveCalls()) },
+               { "checks", std::to_string(closeChecks_) } });
+  }
+
   // --- Peer messages ---
 
   void OnPeerMessage(const PeerSource& aSource, PeerMessage aMessage)
@@ -624,6 +679,7 @@
       loop_.After(kDrainCheckInterval, [this] { CloseConnections(); });
       return;
     }
+    LogContentAtEnd();
     LogEvent(Event::kNodeStopped, { { "reason", "drained" } });
     loop_.Stop();
   }
--- a/tests/connection/HttpServerTest.cpp
+++ b/tests/connection/HttpServerTest.cpp
@@ -8,6 +8,8 @@
 #include <catch2/catch.hpp>
 #include <netinet/tcp.h>
 
+#include <atomic>
+#include <mutex>
 #include <thread>
 
 using namespace peridotquay;
@@ -25,15 +27,23 @@
   std::unique_ptr<HttpServer> server_;
   std::thread thread_;
   std::atomic<int> closedCount_{ 0 };
+  std::atomic<int> heldCount_{ 0 };
   std::vector<std::shared_ptr<HttpExchange>> heldExchanges_;
+  std::mutex mutex_; ///< Guards unanswered_.
+  std::vector<UnansweredRequest> unanswered_;
 
   explicit EchoServer(HttpServerSettings aSettings = {})
   {
-    auto server =
-      HttpServer::Listen(loop_, aSettings, [this](std::shared_ptr<HttpExchange> aExchange) {
+    aSettings.requestIdHeader_ = "X-Request-Id";
+    auto server = HttpServer::Listen(
+      loop_,
+      aSettings,
+      [this](std::shared_ptr<HttpExchange> aExchange) {
         if (aExchange->request_.path_ == "/hold") {
+          aExchange->attempts_ = 1;
           aExchange->onClosed_ = [this] { ++closedCount_; };
           heldExchanges_.push_back(std::move(aExchange));
+          ++heldCount_;
           return;
         }
         // Trailers must not be treated as headers.
@@ -48,15 +58,50 @@
         loop_.After(delay, [aExchange, text] {
           aExchange->Respond({ 200, {}, text, std::nullopt });
         });
+      },
+      [this](const UnansweredRequest& aRequest) {
+        const std::lock_guard lock(mutex_);
+        unanswered_.push_back(aRequest);
       });
     REQUIRE(server.has_value());
     server_ = std::move(server.assume_value());
     thread_ = std::thread([this] { loop_.Run(); });
   }
-  ~EchoServer()
+  ~EchoServer() { End(); }
+
+  /// Ends the server and its connections.
+  void End()
   {
     loop_.Stop();
-    thread_.join();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    server_.reset();
+  }
+
+  /// Waits up to 1 s until a request to /hold was read.
+  void WaitHeld() const
+  {
+    for (int i = 0; i < 200 && heldCount_ == 0; ++i) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    REQUIRE(heldCount_ > 0);
+  }
+
+  /// Waits up to 1 s for the first request without a complete answer.
+  UnansweredRequest FirstUnanswered()
+  {
+    for (int i = 0; i < 200; ++i) {
+      {
+        const std::lock_guard lock(mutex_);
+        if (!unanswered_.empty()) {
+          return unanswered_.front();
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    FAIL("no unanswered request was reported");
+    return {};
   }
 };
 
@@ -208,6 +253,77 @@
   CHECK(server.closedCount_ == 1);
 }
 
+// Guards against requests that end without an answer and leave no trace of who ended them and why.
+TEST_CASE("a request that ends without a complete answer is reported with its cause", "[http]")
+{
+  HttpServerSettings settings;
+  settings.writeTimeout_ = milliseconds(200);
+  EchoServer server(settings);
+  const std::string head = " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n";
+  SECTION("the caller closes while the request is handled")
+  {
+    {
+      RawSocket caller(server.server_->Port());
+      caller.Write("GET /hold" + head + "\r\n");
+      server.WaitHeld();
+      std::this_thread::sleep_for(milliseconds(30));
+    }
+    const auto request = server.FirstUnanswered();
+    CHECK(request.id_ == "r1");
+    CHECK(request.reason_ == CloseReason::kCallerClosed);
+    CHECK(request.stage_ == RequestStage::kHandled);
+    CHECK(request.attempts_ == 1);
+    CHECK(request.sinceRead_ >= milliseconds(20));
+  }
+  SECTION("the caller closes while it sends the request")
+  {
+    RawSocket(server.server_->Port()).Write("POST /x" + head + "Content-Length: 9\r\n\r\nab");
+    const auto request = server.FirstUnanswered();
+    CHECK(request.reason_ == CloseReason::kCallerClosed);
+    CHECK(request.stage_ == RequestStage::kPartlyRead);
+    CHECK(request.attempts_ == 0);
+  }
+  SECTION("the caller doesn't read its answer")
+  {
+    const std::string body(700'000, 'b');
+    RawSocket caller(server.server_->Port(), 4096);
+    caller.Write("POST /x" + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    caller.Write(body);
+    // The system buffers of a loopback connection can hold the answer to one request of this size.
+    for (int i = 0; i < 8; ++i) {
+      caller.Write("POST /x" + head + "Content-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body);
+    }
+    const auto request = server.FirstUnanswered();
+    CHECK(request.id_ == "r1");
+    CHECK(request.reason_ == CloseReason::kWriteTimeout);
+    CHECK(request.stage_ == RequestStage::kAnswering);
+    CHECK(request.answerBytes_ > body.size());
+    CHECK(request.writtenBytes_ < request.answerBytes_);
+    CHECK(request.sinceRead_ >= settings.writeTimeout_);
+  }
+  SECTION("a request waits behind one whose answer ends the connection")
+  {
+    RawSocket caller(server.server_->Port());
+    caller.Write("GET /slow" + head + "Connection: close\r\n\r\nGET /x" + head + "\r\n");
+    const auto request = server.FirstUnanswered();
+    CHECK(request.reason_ == CloseReason::kClosing);
+    CHECK(request.stage_ == RequestStage::kPartlyRead);
+  }
+  SECTION("the server ends")
+  {
+    RawSocket caller(server.server_->Port());
+    caller.Write("GET /hold" + head + "\r\n");
+    server.WaitHeld();
+    server.End();
+    const auto request = server.FirstUnanswered();
+    CHECK(request.id_ == "r1");
+    CHECK(request.reason_ == CloseReason::kServerEnded);
+    CHECK(request.stage_ == RequestStage::kHandled);
+    CHECK(request.attempts_ == 1);
+  }
+}
+
 // Guards against truncated answers that pass as complete, and against sent requests that are
 // reported as not sent.
 TEST_CASE("the target client tells complete answers from truncated ones", "[target]")
--- a/tests/failure/DrainTest.cpp
+++ b/tests/failure/DrainTest.cpp
@@ -135,3 +135,25 @@
   CHECK(peer.CountAnswers(standins::kLargeAnswerBytes) == kCalls);
   CHECK(fleet.ProcessOf(0).Wait(6) == 0);
 }
+
+// Guards against requests that end without an answer and leave no trace in the log of their host.
+TEST_CASE("the log tells which requests ended without an answer, and what was open at the end",
+          "[drain]")
+{
+  UserFleet fleet(2);
+  REQUIRE(fleet.WaitReady());
+  fleet.TargetOf(0).SetServiceTime(milliseconds(800));
+  {
+    RawSocket caller(fleet.CallersAddress(0).port_);
+    caller.Write(RequestText("given-up"));
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  fleet.ProcessOf(0).Signal(SIGTERM);
+  CHECK(fleet.ProcessOf(0).Wait(6) == 0);
+  const std::string log = fleet.Log(0);
+  INFO(log);
+  CHECK(log.find("name=RequestAbandoned id=given-up listener=callers reason=caller_closed "
+                 "stage=handled attempts=1 ") != std::string::npos);
+  CHECK(log.find("name=ContentAtEnd connections=0 partly_read=0 handled=0 answering=0 "
+                 "unread_bytes=0 ") != std::string::npos);
+}
