Hear a host that restarts after its clock was set back

Cause: the incarnation is the wall clock at the start of a process, and reports of a lower incarnation than the known one were refused. A host whose clock was set back before a restart was thus silent for all others until its clock passed the start of the process before; after 4 s it counted as down and got no calls. Ruled out: taking the incarnation from the host's row, because a row arrives later than the reports of the process that it names, and a host may restart without writing one. Change: a lower incarnation is new if the known one has sent no report for silenceTimeout_ (1.5 s; a living host reports every 0.3 s). Late reports of an earlier process still have no effect while the known one reports. Measured: test_request "a host that restarts after its clock was set back is heard again": fails on (host 1 counts it as silent 4.0 s after the restart), passes now. Not run with real processes.

--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -401,9 +401,13 @@
     return false;
   }
   SharePeer& peer = aState.peers_[aReport.host_];
-  const bool isNewIncarnation = aReport.incarnation_ > peer.incarnation_;
-  if (aReport.incarnation_ < peer.incarnation_ ||
-      (!isNewIncarnation && aReport.sequence_ <= peer.sequence_)) {
+  // The incarnation is the wall clock at the start, which may be set back before a restart. A lower
+  // one is therefore new if the known one has sent no report for as long as a silent host.
+  const bool knownOneIsSilent = aNow - peer.lastReceivedAt_ > aState.settings_.silenceTimeout_;
+  const bool isNewIncarnation = aReport.incarnation_ > peer.incarnation_ ||
+                                (aReport.incarnation_ < peer.incarnation_ && knownOneIsSilent);
+  if (!isNewIncarnation &&
+      (aReport.incarnation_ < peer.incarnation_ || aReport.sequence_ <= peer.sequence_)) {
     return false;
   }
   const bool isFirstReport = peer.lastReceivedAt_ == TimePoint{};
--- a/tests/request/RateShareTest.cpp
+++ b/tests/request/RateShareTest.cpp
@@ -410,3 +410,24 @@
   fleet.Run(20, seconds(3), 8);
   CHECK(FindSilentHosts(fleet.hosts_[0], seconds(4), start, fleet.now_).empty());
 }
+
+// Guards against a host that counts as down from its restart until its clock, which was set back
+// meanwhile, passes the start of the process before. Its reports were refused for so long, so that
+// no other host sent it calls.
+TEST_CASE("a host that restarts after its clock was set back is heard again", "[rate]")
+{
+  Fleet fleet(8, 50, 50, 1);
+  fleet.hosts_[3] = fleet.MakeStartedHost(3, 100'000);
+  const TimePoint start = fleet.now_;
+  fleet.Run(20, seconds(6), 8);
+  REQUIRE(FindSilentHosts(fleet.hosts_[0], seconds(4), start, fleet.now_).empty());
+  fleet.hosts_[3] = fleet.MakeStartedHost(3, 70'000);
+  for (int i = 0; i < 100; ++i) {
+    fleet.Run(20, milliseconds(100), 8);
+    for (const std::size_t host : { 0, 1, 2, 7 }) {
+      INFO("host " << host << ", " << i << " tenths of a second after the restart");
+      REQUIRE(FindSilentHosts(fleet.hosts_[host], seconds(4), start, fleet.now_).empty());
+    }
+  }
+  CHECK(fleet.hosts_[0].peers_.at({ "h3" }).incarnation_ == 70'000);
+}
