Keep statistics of a target that restarted with a lower incarnation

Cause: statistics were kept for the highest incarnation only. A host whose clock was set back before a restart had none until its clock passed the start of the process before: its failed calls weren't counted and it was never ejected, and its load wasn't known. Change: a call is sent to the newest incarnation of the view, so sending begins new statistics for any other incarnation, and the end of a call to another incarnation has no effect. Measured: test_request "a target that restarted with a lower incarnation is ejected when it fails": fails on (985 of 2,000 choices fall on the failing target, 0 expected), passes now.

--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -297,18 +297,15 @@
   return all;
 }
 
-/// Stats of the target's incarnation, reset if it is new; null if a later incarnation is known.
-TargetStats* FindOrResetStats(RoutingState& aState, const Target& aTarget)
+/// Stats of the target's incarnation; null if a call was sent to another one since.
+TargetStats* FindOrCreateStats(RoutingState& aState, const Target& aTarget)
 {
-  TargetStats& stats = aState.stats_[aTarget.host_];
-  if (stats.incarnation_ > aTarget.incarnation_) {
-    return nullptr;
-  }
-  if (stats.incarnation_ < aTarget.incarnation_) {
-    stats = {};
+  const auto [entry, isNew] = aState.stats_.try_emplace(aTarget.host_);
+  TargetStats& stats = entry->second;
+  if (isNew) {
     stats.incarnation_ = aTarget.incarnation_;
   }
-  return &stats;
+  return stats.incarnation_ == aTarget.incarnation_ ? &stats : nullptr;
 }
 
 void RecordLatency(TargetStats& aStats, Duration aLatency, TimePoint aNow)
@@ -413,9 +410,14 @@
 
 void RecordCallSent(RoutingState& aState, const Target& aTarget)
 {
-  if (TargetStats* stats = FindOrResetStats(aState, aTarget)) {
-    ++stats->inFlight_;
+  // Calls are sent to the newest incarnation, which is a lower one if the host's clock was set
+  // back.
+  TargetStats& stats = aState.stats_[aTarget.host_];
+  if (stats.incarnation_ != aTarget.incarnation_) {
+    stats = {};
+    stats.incarnation_ = aTarget.incarnation_;
   }
+  ++stats.inFlight_;
 }
 
 void RecordCallEnded(RoutingState& aState,
@@ -425,7 +427,7 @@
                      double aLoad,
                      TimePoint aNow)
 {
-  TargetStats* stats = FindOrResetStats(aState, aTarget);
+  TargetStats* stats = FindOrCreateStats(aState, aTarget);
   if (stats == nullptr) {
     return;
   }
@@ -467,7 +469,7 @@
                            double aFraction,
                            TimePoint aNow)
 {
-  if (TargetStats* stats = FindOrResetStats(aState, aTarget)) {
+  if (TargetStats* stats = FindOrCreateStats(aState, aTarget)) {
     stats->failureFraction_ = std::clamp(aFraction, 0.0, 1.0);
     stats->reportedAt_ = aNow;
   }
--- a/tests/request/RouteChoiceTest.cpp
+++ b/tests/request/RouteChoiceTest.cpp
@@ -411,3 +411,22 @@
   }
   CHECK(CountChoices(state, view, kStart).size() == 3);
 }
+
+// Guards against a host without statistics after it restarted with a lower incarnation, because its
+// clock was set back: its failed calls and its load weren't recorded, so it was never ejected.
+TEST_CASE("a target that restarted with a lower incarnation is ejected when it fails", "[route]")
+{
+  RoutingState state = MakeState();
+  Target before = MakeTarget("a");
+  before.incarnation_ = 100;
+  RecordCallSent(state, before);
+  RecordCallEnded(state, before, AttemptResult::kAnswered, milliseconds(5), 0.1, kStart);
+  RecordCallSent(state, before);
+  Target after = MakeTarget("a");
+  after.incarnation_ = 70;
+  RecordFailedCalls(state, after, 10, kStart);
+  // The end of a call to the earlier process changes nothing.
+  RecordCallEnded(state, before, AttemptResult::kAnswered, milliseconds(5), 0.1, kStart);
+  const TargetView view = MakeView({ after, MakeTarget("b") });
+  CHECK(CountChoices(state, view, kStart + milliseconds(10))["a"] == 0);
+}
