Report an answer that doesn't fit to the host that sent the call

Cause: a guard's answer that is larger than a frame, or that doesn't fit into the queue of a slow link, was dropped (PeerHub::Reply returned false and nobody looked). The link isn't silent, so the host that sent the call waited until the call's deadline, and the request ended without an answer until then. Refusals, cancellations and status replies were dropped by a full queue too. Ruled out: ending the link, because all other answers in its queue would be lost with it; a longer queue, because it only moves the point. Change: a short answer with an unknown outcome takes the place of one that can't be sent (a refusal stays a refusal), and frames of up to 2 KiB may exceed the queue's maximum by 1 MiB together. Other messages keep their bound.

--- a/peridotquay/connection/PeerLink.cpp
+++ b/peridotquay/connection/PeerLink.cpp
@@ -24,6 +24,11 @@
 // Size of the read buffer in bytes.
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
+// Frames up to this size may take the queue above its maximum by the reserve, so that
+// cancellations, replies about the status of calls and refusals are still sent on a slow link.
+constexpr std::size_t kShortFrameBytes = std::size_t{ 2 } * 1024;
+constexpr std::size_t kShortFrameReserve = std::size_t{ 1 } << 20U;
+
 template<int Name>
 using KeepAliveOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
@@ -88,8 +93,9 @@
     }
     std::string& queue = open_ ? queuedFrames_ : framesBeforeHello_;
     const std::string frame = FramePeerMessage(aMessage);
-    if (frame.size() > kMaxFrameBytes + 4 ||
-        queue.size() + frame.size() > settings_.maxQueuedBytes_) {
+    const std::size_t maxQueuedBytes =
+      settings_.maxQueuedBytes_ + (frame.size() <= kShortFrameBytes ? kShortFrameReserve : 0);
+    if (frame.size() > kMaxFrameBytes + 4 || queue.size() + frame.size() > maxQueuedBytes) {
       return false;
     }
     queue += frame;
--- a/peridotquay/connection/PeerLink.h
+++ b/peridotquay/connection/PeerLink.h
@@ -21,7 +21,8 @@
   Duration pingDelay_ = milliseconds(250); ///< Silence before a ping, while calls are outstanding.
   /// Silence before the connection is ended, while calls are outstanding.
   Duration silenceTimeout_ = milliseconds(500);
-  /// Maximum size of the queue of unsent frames. Send fails for a message that would exceed it.
+  /// Maximum size of the queue of unsent frames; short ones may exceed it by 1 MiB. Else Send
+  /// fails.
   std::size_t maxQueuedBytes_ = std::size_t{ 8 } << 20U;
 };
 
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -305,7 +305,7 @@
                                [this, link = aSource.link_, callId](const Answer& aAnswer) {
                                  Answer reply = aAnswer;
                                  reply.callId_ = callId;
-                                 hub_->Reply(link, reply);
+                                 SendAnswer(link, reply);
                                });
     } else if (const auto* handover = std::get_if<RequestHandover>(&aMessage)) {
       dispatcher_->OnHandover(*handover);
@@ -357,7 +357,27 @@
     if (call.callKey_) {
       RecordAnswer(deduplication_, *call.callKey_, aAnswer, loop_.Now());
     }
-    hub_->Reply(call.link_, aAnswer);
+    SendAnswer(call.link_, aAnswer);
+  }
+
+  // Sends an answer to the host that sent the call. If it doesn't fit into a frame or the link's
+  // queue, a short one takes its place: without any, that host would wait until the deadline.
+  void SendAnswer(std::uint64_t aLink, const Answer& aAnswer)
+  {
+    if (hub_->Reply(aLink, aAnswer)) {
+      return;
+    }
+    Answer replacement = aAnswer;
+    replacement.headers_.clear();
+    replacement.body_.clear();
+    replacement.declaredBodyBytes_ = 0;
+    if (aAnswer.outcome_ != Outcome::kNotRun) {
+      replacement.outcome_ = Outcome::kUnknown;
+      replacement.status_ = 0;
+      replacement.error_ = static_cast<std::uint16_t>(ErrorCode::kOutcomeUnknown);
+    }
+    // This reply fails only if the link has ended, which the other host notices itself.
+    hub_->Reply(aLink, replacement);
   }
 
   // Cancels a call. One that must run at most once is recorded as ended with an unknown outcome.
@@ -391,7 +411,7 @@
       RedirectAnswer(key, aSource.link_);
     } else if (status.answer_) {
       status.answer_->callId_ = aQuery.callId_;
-      hub_->Reply(aSource.link_, *status.answer_);
+      SendAnswer(aSource.link_, *status.answer_);
     }
   }
 
--- a/tests/connection/PeerHubTest.cpp
+++ b/tests/connection/PeerHubTest.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <thread>
 #include <vector>
 
@@ -67,6 +68,54 @@
 
 } // namespace
 
+// Guards against a refusal, a cancellation or a status reply that is dropped because answers fill
+// the queue of a link whose other end reads slowly.
+TEST_CASE("short messages are sent although the queue is full of answers", "[peer]")
+{
+  EventLoop loop;
+  RecordingHub left(loop, "left");
+  RecordingHub right(loop, "right");
+  left.hub_->SendCall(right.address_, 1, Cancel{ 1 });
+  REQUIRE(RunUntil(loop, [&] { return right.messages_.size() == 1; }));
+  const std::uint64_t link = right.messages_[0].first.link_;
+  Answer large;
+  large.callId_ = 2;
+  large.body_ = std::string(std::size_t{ 700 } * 1024, 'a');
+  // The loop doesn't run, so nothing is read.
+  std::size_t sent = 0;
+  while (sent < 100 && right.hub_->Reply(link, large)) {
+    ++sent;
+  }
+  REQUIRE(sent < 100);
+  Answer filler;
+  filler.body_ = std::string(4000, 'a');
+  for (int i = 0; i < 1000 && right.hub_->Reply(link, filler); ++i) {
+  }
+  // Together they are larger than the room that the fillers left.
+  constexpr int kRefusals = 400;
+  int refusals = 0;
+  Answer refusal;
+  refusal.callId_ = 3;
+  while (refusals < kRefusals && right.hub_->Reply(link, refusal)) {
+    ++refusals;
+  }
+  CHECK(refusals == kRefusals);
+  CHECK(right.hub_->Reply(link, Cancel{ 3 }));
+  REQUIRE(RunUntil(loop, [&] {
+    return !left.messages_.empty() && std::holds_alternative<Cancel>(left.messages_.back().second);
+  }));
+  CHECK(std::count_if(left.messages_.begin(), left.messages_.end(), [](const auto& aMessage) {
+          const auto* answer = std::get_if<Answer>(&aMessage.second);
+          return answer != nullptr && answer->callId_ == 2;
+        }) == static_cast<std::ptrdiff_t>(sent));
+  // Short messages have a bound too.
+  int shortOnes = 0;
+  while (shortOnes < 2'000'000 && right.hub_->Reply(link, Cancel{ 4 })) {
+    ++shortOnes;
+  }
+  CHECK(shortOnes < 2'000'000);
+}
+
 // Guards against frames that are lost or reordered while the connection opens, and against replies
 // on a second connection.
 TEST_CASE("frames sent before the connection is open arrive in order and are answered on it",
--- a/tests/failure/SilentPathTest.cpp
+++ b/tests/failure/SilentPathTest.cpp
@@ -224,6 +224,32 @@
   CHECK(answer.Outcome() == "unknown");
 }
 
+// Guards against a call that waits until its deadline because its answer was dropped: it didn't fit
+// into a frame, or into the queue of a slow link.
+TEST_CASE("an answer that can't be sent to the other host is reported at once", "[silent]")
+{
+  constexpr std::size_t kAnswerBytes = std::size_t{ 3 } << 19U;
+  ScriptedTarget target(
+    [](const ReceivedRequest&) { return MakeHttpResponse(200, std::string(kAnswerBytes, 'a')); });
+  RunningNode first(TestSettings("first", "front", 1));
+  NodeSettings settings = TestSettings("second", "bell", target.Port());
+  settings.maxBodyBytes_ = 2 * kAnswerBytes;
+  RunningNode second(settings);
+  auto config = TestConfig();
+  for (Route& route : config->routes_) {
+    route.deadline_ = seconds(10);
+  }
+  Publish({ &first, &second }, { &second }, config);
+  Caller caller(first.node_->Ports().callers_);
+  const TimePoint start = Clock::now();
+  const auto answer = caller.SendRequest(
+    "POST", "/deposits/1", "Quay-Key: " + kTestKey + "\r\nQuay-Deadline-Ms: 9000\r\n");
+  CHECK(Clock::now() - start < seconds(5));
+  CHECK(answer.status_ == 504);
+  CHECK(answer.Outcome() == "unknown");
+  CHECK(target.ReceivedRequests().size() == 1);
+}
+
 // Guards against calls that wait until their deadlines on idle connections that went silent while
 // the target is running, and against further calls that are sent on these connections.
 TEST_CASE("silent connections to the target are abandoned", "[silent]")
