Keep file descriptors for targets, peers and the platform

Cause: idle connections of callers could hold all file descriptors of a process. Further connections then waited in the operating system's queue: nothing accepted them, so that their requests got no answer at all, and the end of the process reset them. Requests to targets and peers had no descriptors left either.

Change: callers get at most the descriptors that target_connections and 256 more leave, and half of all at least; with 4,100 and the deployed settings that is 3,000 as before. Refused connections hold descriptors until their callers close them, so that at most an eighth more are open.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -31,6 +31,9 @@
 // Size of the read buffer in bytes.
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
+// Time after which accepting is tried again when there are too many connections or descriptors.
+constexpr Duration kAcceptRetryInterval = milliseconds(20);
+
 // Time that a caller has to close its side of a connection that the server has closed.
 constexpr Duration kCloseTimeout = milliseconds(500);
 
@@ -534,8 +537,31 @@
   }
 }
 
+// Number of connections up to which further ones are accepted in order to refuse them. The rest
+// waits until some have ended, because refused connections hold descriptors too.
+std::size_t MaxOpenConnections(const HttpServerSettings& aSettings)
+{
+  return aSettings.maxConnections_ + aSettings.maxConnections_ / 8 + 1;
+}
+
+void Accept(const std::shared_ptr<HttpServer::State>& aState);
+
+void AcceptLater(HttpServer::State& aState, const std::weak_ptr<HttpServer::State>& aWeak)
+{
+  aState.loop_.After(kAcceptRetryInterval, [aWeak] {
+    const auto owner = aWeak.lock();
+    if (owner && owner->acceptor_.is_open()) {
+      Accept(owner);
+    }
+  });
+}
+
 void Accept(const std::shared_ptr<HttpServer::State>& aState)
 {
+  if (aState->sessions_.size() >= MaxOpenConnections(aState->settings_)) {
+    AcceptLater(*aState, aState);
+    return;
+  }
   aState->acceptor_.async_accept(
     [weak = std::weak_ptr(aState)](const error_code& aError, tcp::socket aSocket) {
       const auto state = weak.lock();
@@ -544,11 +570,7 @@
       }
       if (aError) {
         // Without free file descriptors, accepting again immediately would loop without pause.
-        state->loop_.After(milliseconds(20), [weak] {
-          if (const auto owner = weak.lock()) {
-            Accept(owner);
-          }
-        });
+        AcceptLater(*state, weak);
         return;
       }
       AddSession(*state, std::move(aSocket));
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -13,11 +13,13 @@
 #include "peridotquay/process/Metrics.h"
 
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <limits>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -55,6 +57,14 @@
       .count());
 }
 
+// File descriptors that this process may have.
+std::uint64_t DescriptorLimit()
+{
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur
+                                               : std::numeric_limits<std::uint64_t>::max();
+}
+
 // Rendezvous weight of a candidate as successor of a leaving host, by an FNV-1a style hash. It
 // depends on the two names only, so all nodes compute the same value.
 std::uint64_t SuccessorRank(const HostId& aLeaving, const HostId& aCandidate)
@@ -137,7 +147,7 @@
     HttpServerSettings http;
     http.maxBodyBytes_ = settings_.maxBodyBytes_;
     http.maxHeaderBytes_ = settings_.maxHeaderBytes_;
-    http.maxConnections_ = settings_.maxCallerConnections_;
+    http.maxConnections_ = MaxCallerConnections(settings_, DescriptorLimit());
     http.readTimeout_ = settings_.readTimeout_;
     const auto open = [&](std::unique_ptr<HttpServer>& aServer,
                           Address& aAddress,
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -16,6 +16,10 @@
 
 namespace {
 
+// File descriptors kept for connections to and from peers, the platform and operators, for refused
+// callers and for files.
+constexpr std::uint32_t kOtherDescriptors = 256;
+
 constexpr std::array<std::string_view, 25> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
@@ -313,6 +317,14 @@
   aSettings.drainAcceptPeriod_ = std::min<Duration>(kMaxDrainAcceptPeriod, aGrace * 2 / 5);
 }
 
+std::uint32_t MaxCallerConnections(const NodeSettings& aSettings, std::uint64_t aDescriptors)
+{
+  const std::uint64_t reserved =
+    std::min<std::uint64_t>(aSettings.maxTargetConnections_ + kOtherDescriptors, aDescriptors / 2);
+  const std::uint64_t left = std::max<std::uint64_t>(aDescriptors - reserved, 1);
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(aSettings.maxCallerConnections_, left));
+}
+
 Result<NodeSettings> ParseNodeSettings(const std::string& aFile)
 {
   BOOST_OUTCOME_TRY(text, ReadWholeFile(aFile));
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -49,6 +49,11 @@
 /// SIGTERM and ends calls in flight only in the last sixth of that time, where it is long enough.
 void SetDrainTimes(NodeSettings& aSettings, Duration aGrace);
 
+/// Returns how many connections of callers a process with aDescriptors file descriptors accepts: at
+/// most the setting, and so few that its target, its peers and the platform can still be reached.
+/// Callers get half of the descriptors at least.
+std::uint32_t MaxCallerConnections(const NodeSettings& aSettings, std::uint64_t aDescriptors);
+
 /// Reads, parses and checks a settings file. Errors hold file, line, column, key and allowed range.
 Result<NodeSettings> ParseNodeSettings(const std::string& aFile);
 
--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -122,9 +122,14 @@
 {
 public:
   /// With aHasLinks, each host reaches the store and its target through its own HostLinks. Without
-  /// aHasDocument, the store has no configuration document at first.
-  explicit UserFleet(std::size_t aHosts, bool aHasLinks = false, bool aHasDocument = true)
+  /// aHasDocument, the store has no configuration document at first. aDescriptors limits the file
+  /// descriptors of each process; 0 leaves the limit of the test.
+  explicit UserFleet(std::size_t aHosts,
+                     bool aHasLinks = false,
+                     bool aHasDocument = true,
+                     unsigned aDescriptors = 0)
     : hasLinks_(aHasLinks)
+    , descriptors_(aDescriptors)
   {
     if (aHasDocument) {
       store_.Put("op", "config", UserDocument(1, { "k1", "k2" }).dump());
@@ -324,11 +329,15 @@
     hosts_.push_back(std::move(host));
   }
 
-  static void StartProcess(Host& aHost)
+  void StartProcess(Host& aHost) const
   {
-    aHost.process_ = std::make_unique<Process>(
-      std::vector<std::string>{ PQ_BINARY_DIR "/quayd", "--config", aHost.settingsFile_ },
-      aHost.logFile_);
+    std::vector<std::string> command{ PQ_BINARY_DIR "/quayd", "--config", aHost.settingsFile_ };
+    if (descriptors_ > 0) {
+      const std::string limit =
+        "ulimit -n " + std::to_string(descriptors_) + "; exec \"$0\" \"$@\"";
+      command.insert(command.begin(), { "/bin/sh", "-c", limit });
+    }
+    aHost.process_ = std::make_unique<Process>(command, aHost.logFile_);
     for (int i = 0; i < 500 && ReadFile(aHost.portFile_).empty(); ++i) {
       std::this_thread::sleep_for(milliseconds(10));
     }
@@ -336,6 +345,7 @@
   }
 
   bool hasLinks_;
+  unsigned descriptors_; ///< Limit for each process; 0: that of the test.
   standins::UserStore store_;
   TemporaryDirectory directory_;
   std::vector<std::unique_ptr<Host>> hosts_;
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace peridotquay;
 
 namespace {
@@ -144,3 +146,19 @@
     CHECK(settings.drainAcceptPeriod_ < seconds(3));
   }
 }
+
+// Guards against callers that use up the descriptors that targets, peers and the platform need.
+TEST_CASE("callers leave descriptors for targets, peers and the platform", "[settings]")
+{
+  NodeSettings settings;
+  settings.maxTargetConnections_ = 400;
+  settings.maxCallerConnections_ = 3000;
+  CHECK(MaxCallerConnections(settings, 20000) == 3000);
+  CHECK(MaxCallerConnections(settings, 4100) == 3000);
+  CHECK(MaxCallerConnections(settings, 3656) == 3000);
+  CHECK(MaxCallerConnections(settings, 3655) == 2999);
+  CHECK(MaxCallerConnections(settings, 1312) == 656);
+  CHECK(MaxCallerConnections(settings, 75) == 38);
+  CHECK(MaxCallerConnections(settings, 1) == 1);
+  CHECK(MaxCallerConnections(settings, std::numeric_limits<std::uint64_t>::max()) == 3000);
+}
