Show that unfinished messages of many connections exhaust the memory

Cause: each message has a limit of its own, all messages of a process together have none. UserTarget can announce more slots and send answers that never end.

--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -14,13 +14,15 @@
 namespace {
 
 constexpr Duration kHeartbeatInterval = milliseconds(200);
-constexpr std::uint64_t kSlots = 50;
 constexpr std::uint64_t kStartedMs = 1;
 
 // Requests with this path end get an answer larger than the buffers of a connection whose caller
 // doesn't read.
 constexpr std::string_view kLargePathEnd = "/large";
 
+// Requests with this path end get an answer that stops before its declared end.
+constexpr std::string_view kUnfinishedPathEnd = "/unfinished";
+
 } // namespace
 
 UserTarget::UserTarget(std::string aId,
@@ -138,7 +140,7 @@
     FindHeader(aExchange->request_.headers_, "X-Request-Id").value_or(""));
   HeaderList headers{ { "X-Request-Id", requestId },
                       { "X-Response-Signature", id_ + "." + requestId },
-                      { "X-Server-Load", "1,0," + std::to_string(kSlots) } };
+                      { "X-Server-Load", "1,0," + std::to_string(slots_) } };
   if (statedLimit_ >= 0) {
     headers.emplace_back("Server-Limit", std::to_string(statedLimit_));
   }
@@ -152,20 +154,27 @@
   if (aExchange->request_.path_.ends_with(kLargePathEnd)) {
     body.resize(kLargeAnswerBytes, '.');
   }
-  aExchange->Respond({ 200, headers, body, std::nullopt });
+  std::optional<std::uint64_t> declaredLength;
+  if (aExchange->request_.path_.ends_with(kUnfinishedPathEnd)) {
+    body.resize(kSentAnswerBytes, '.');
+    declaredLength = kUnfinishedAnswerBytes;
+  }
+  aExchange->Respond({ 200, headers, body, declaredLength });
 }
 
 std::string UserTarget::ReportBody(bool aDraining,
                                    std::uint64_t aSequence,
                                    std::uint64_t aStartedMs) const
 {
-  const nlohmann::json body = {
-    { "service", service_ },    { "address", "127.0.0.1:" + std::to_string(Port()) },
-    { "zone", "z0" },           { "version", "v1" },
-    { "capacity", kSlots },     { "state", aDraining ? "draining" : "ready" },
-    { "cold_remaining_ms", 0 }, { "sequence", aSequence },
-    { "born", aStartedMs }
-  };
+  const nlohmann::json body = { { "service", service_ },
+                                { "address", "127.0.0.1:" + std::to_string(Port()) },
+                                { "zone", "z0" },
+                                { "version", "v1" },
+                                { "capacity", slots_.load() },
+                                { "state", aDraining ? "draining" : "ready" },
+                                { "cold_remaining_ms", 0 },
+                                { "sequence", aSequence },
+                                { "born", aStartedMs } };
   return body.dump();
 }
 
--- a/standins/lib/UserTarget.h
+++ b/standins/lib/UserTarget.h
@@ -19,6 +19,11 @@
 /// Size of the body that a UserTarget answers to a path that ends in "/large".
 inline constexpr std::size_t kLargeAnswerBytes = 600'000;
 
+/// Bytes declared and sent of the body that a UserTarget answers to a path that ends in
+/// "/unfinished". The rest never follows.
+inline constexpr std::size_t kUnfinishedAnswerBytes = 768'000;
+inline constexpr std::size_t kSentAnswerBytes = 700'000;
+
 /// Serves on a free port of 127.0.0.1 and sends heartbeats from construction to destruction, each
 /// on its own thread.
 class UserTarget
@@ -38,6 +43,8 @@
   std::uint16_t Port() const;
   /// Sets the time from a request to its answer.
   void SetServiceTime(Duration aServiceTime) { serviceTime_ = aServiceTime; }
+  /// Sets the number of requests at once that the target announces.
+  void SetSlots(unsigned aSlots) { slots_ = aSlots; }
   /// Leaves every aCount-th request without an answer, although it counts as started; 0 for none.
   void LoseOneAnswerIn(unsigned aCount) { loseOneAnswerIn_ = aCount; }
   /// Makes each request first call the route aPath through the host at aHost, aCount times one
@@ -82,6 +89,7 @@
   std::vector<TimePoint> startTimes_;
   std::vector<std::shared_ptr<HttpExchange>> lostExchanges_; ///< Kept open without an answer.
   std::atomic<Duration> serviceTime_{ milliseconds(5) };
+  std::atomic<unsigned> slots_{ 50 };
   std::atomic<unsigned> loseOneAnswerIn_{ 0 };
   std::atomic<double> statedLimit_{ -1 };
   std::atomic<bool> statesLeaving_{ false };
--- a/tests/failure/Process.h
+++ b/tests/failure/Process.h
@@ -55,6 +55,9 @@
     }
   }
 
+  /// Process id; -1 once Wait has returned the exit code.
+  pid_t Id() const { return pid_; }
+
   /// Has no effect once the process has ended and Wait has returned its exit code.
   void Signal(int aSignal)
   {
