Limit the bytes of messages in all connections together

Cause: each message has a limit, all messages of a process together had none. 400 answers or 3,000 requests of 768 KiB exceed the memory of any host.

Messages above 16 KiB hold the bytes of the whole message before more of it is read, so that one whose beginning was accepted can be completed: a request until it is answered, its answer until it is sent, a target's answer until it is passed on. A request that doesn't fit is refused with 503 limit-reached, Retry-After, outcome not run, and its rest is discarded; an answer of a target that doesn't fit isn't read on until there is room, in order. To make room, the largest message whose other side has been idle for 1 s is ended. Answers to callers always fit; above twice the limit the largest one still unsent is ended. Pipelined input is kept up to 16 KiB while a request is handled.

Ruled out: holding bytes as they arrive, because many sound answers that each have a part of the room would wait for each other.

--- /dev/null
+++ b/peridotquay/connection/ByteBudget.h
@@ -0,0 +1,100 @@
+// Limits the bytes of messages that all connections of a process hold together. Each message has a
+// limit of its own; many connections with a permitted message each could still exceed the memory
+// of the host.
+#pragma once
+
+#include "peridotquay/connection/EventLoop.h"
+#include "peridotquay/process/LogThrottle.h"
+#include "peridotquay/process/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace peridotquay {
+
+class HeldBytes;
+
+/// Messages of up to this size, in bytes, aren't counted, so that small ones pass while large ones
+/// use up the budget. The limits of connections bound them.
+inline constexpr std::size_t kUncountedMessageBytes = std::size_t{ 16 } * 1024;
+
+/// Part of a host's memory that counted messages may take. A message may be held up to three times
+/// while it passes from one connection to the next.
+inline constexpr double kMessageMemoryFraction = 0.125;
+
+/// The budget of a process. Used on the loop's thread only.
+struct ByteBudget
+{
+  ByteBudget(EventLoop& aLoop, std::size_t aLimit)
+    : loop_(aLoop)
+    , limit_(aLimit)
+  {
+  }
+
+  EventLoop& loop_;
+  std::size_t limit_;                        ///< In bytes.
+  std::size_t used_ = 0;                     ///< Sum of the bytes of all holders.
+  std::uint64_t refusedMessages_ = 0;        ///< Messages refused because they didn't fit.
+  std::uint64_t endedMessages_ = 0;          ///< Unfinished messages ended to make room.
+  std::map<std::uint64_t, HeldBytes*> held_; ///< Holders of at least one byte, by number.
+  std::deque<HeldBytes*> waiting_;           ///< Holders that wait for room, in order.
+  std::uint64_t nextNumber_ = 1;
+  bool checkScheduled_ = false;
+  LogThrottle throttle_{ .maxLinesPerSecond_ = 1 };
+};
+
+/// The bytes that one connection holds of a budget. The destructor gives them back.
+class HeldBytes
+{
+public:
+  /// Without a budget there is no limit. aEnd ends the message and releases its bytes; it is called
+  /// for a message whose other side has been idle for long, and never from within the constructor,
+  /// ReserveAlways or ReserveOrWait.
+  HeldBytes(std::shared_ptr<ByteBudget> aBudget, std::function<void()> aEnd);
+  HeldBytes(const HeldBytes&) = delete;
+  HeldBytes& operator=(const HeldBytes&) = delete;
+  ~HeldBytes();
+
+  /// Holds aBytes in place of the bytes held so far, if they fit. To make room, messages whose
+  /// other side has been idle for long are ended. Returns false, and counts a refusal, if there is
+  /// no room or others wait for it.
+  bool Reserve(std::size_t aBytes);
+  /// Holds aBytes even above the limit, for bytes that are there already.
+  void ReserveAlways(std::size_t aBytes);
+  /// As Reserve, but if there is no room, waits for it and then calls aHandler with the bytes held.
+  /// Release ends the wait.
+  bool ReserveOrWait(std::size_t aBytes, std::function<void()> aHandler);
+  /// Gives all bytes back.
+  void Release();
+  /// States whether the message goes on only if the other side of the connection sends or reads.
+  /// Only then it may be ended to make room. Restarts the idle time.
+  void SetNeedsOtherSide(bool aNeedsOtherSide);
+  /// Restarts the idle time, because the other side has sent or read bytes.
+  void Touch();
+  std::size_t Bytes() const { return bytes_; }
+
+private:
+  friend void CheckBudget(ByteBudget& aBudget);
+  friend HeldBytes* FindIdle(const ByteBudget& aBudget, Duration aIdleTime);
+  friend bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes);
+  void Set(std::size_t aBytes);
+
+  std::shared_ptr<ByteBudget> budget_; ///< Null without a limit.
+  std::function<void()> end_;
+  std::function<void()> onRoom_; ///< Set while this waits.
+  std::size_t wantedBytes_ = 0;  ///< Valid while this waits.
+  std::size_t bytes_ = 0;
+  std::uint64_t number_ = 0; ///< Key in ByteBudget::held_ while bytes_ isn't 0.
+  TimePoint touchedAt_{};
+  bool needsOtherSide_ = false;
+};
+
+/// Gives the memory of an empty buffer back if it is larger than kUncountedMessageBytes.
+void ShrinkIfEmpty(std::string& aBuffer);
+
+} // namespace peridotquay
--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -31,6 +31,9 @@
 // Size of the read buffer in bytes.
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
+// Time after which a caller may repeat a request that was refused for lack of memory.
+constexpr std::uint32_t kFullRetryAfterMs = 1000;
+
 // Time that a caller has to close its side of a connection that the server has closed.
 constexpr Duration kCloseTimeout = milliseconds(500);
 
@@ -142,6 +145,7 @@
   Session(HttpServer::State& aServer, tcp::socket aSocket)
     : server_(aServer)
     , socket_(std::move(aSocket))
+    , held_(aServer.settings_.budget_, [this] { EndToMakeRoom(); })
   {
   }
 
@@ -159,6 +163,7 @@
     }
     closed_ = true;
     server_.loop_.CancelTimer(timer_);
+    held_.Release();
     error_code ignored;
     socket_.close(ignored);
     if (writing_) {
@@ -202,6 +207,8 @@
     if (!isHeadRequest_ && !bodiless) {
       writeBuffer_ += aResponse.body_;
     }
+    held_.ReserveAlways(writeBuffer_.size() > kUncountedMessageBytes ? writeBuffer_.size() : 0);
+    held_.SetNeedsOtherSide(true);
     RestartTimer(server_.settings_.writeTimeout_, false);
     writing_ = true;
     ++server_.pendingAnswers_;
@@ -229,12 +236,14 @@
   }
 
   // Answers an invalid request with an error and discards further input.
-  void Reject(ErrorCode aCode)
+  void Reject(ErrorCode aCode, std::uint32_t aRetryAfterMs = 0)
   {
     ++server_.rejectedRequests_;
     keepAlive_ = false;
     discardsInput_ = true;
-    Answer(ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted"));
+    parser_.reset();
+    unparsed_ = std::string();
+    Answer(ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted", aRetryAfterMs));
   }
 
   std::shared_ptr<Exchange> exchange_; ///< The request being handled; null if none.
@@ -250,6 +259,34 @@
            socket_.available(error) == 0;
   }
 
+  // Ends the message that the caller doesn't go on to send or to read.
+  void EndToMakeRoom()
+  {
+    if (writing_) {
+      Close();
+    } else {
+      Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
+    }
+  }
+
+  // Holds the bytes of the whole request once it is known to be large, so that one whose beginning
+  // was accepted can be completed. Rejects the request if they don't fit.
+  bool ReserveBody()
+  {
+    const auto length = parser_->content_length();
+    const std::size_t received = parser_->get().body().size() + unparsed_.size();
+    if (held_.Bytes() > 0 || (length ? *length : received) <= kUncountedMessageBytes) {
+      return true;
+    }
+    if (!held_.Reserve(length ? static_cast<std::size_t>(*length)
+                              : server_.settings_.maxBodyBytes_)) {
+      Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
+      return false;
+    }
+    held_.SetNeedsOtherSide(true);
+    return true;
+  }
+
   // Closes the sending side and discards input until the caller closes too, or for a short time.
   // Closing with unread input would reset the connection, and the caller could lose the answer.
   void StartClose()
@@ -282,7 +319,7 @@
   void Read()
   {
     // Reading continues while a request is handled, to detect that the caller closes the
-    // connection. Pipelined requests are buffered up to the maximum size of one request.
+    // connection. Pipelined requests are buffered up to kUncountedMessageBytes.
     if (reading_ || closed_ || unparsed_.size() > MaxInputBytes()) {
       return;
     }
@@ -297,7 +334,9 @@
 
   std::size_t MaxInputBytes() const
   {
-    return server_.settings_.maxBodyBytes_ + server_.settings_.maxHeaderBytes_;
+    return exchange_ || writing_
+             ? kUncountedMessageBytes
+             : server_.settings_.maxBodyBytes_ + server_.settings_.maxHeaderBytes_;
   }
 
   void OnRead(const error_code& aError, std::size_t aBytes)
@@ -327,6 +366,9 @@
       Read();
       return;
     }
+    if (!writing_) {
+      held_.Touch();
+    }
     unparsed_.append(readBuffer_.data(), aBytes);
     Parse();
     Read();
@@ -361,6 +403,12 @@
         return;
       }
       unparsed_.erase(0, headBytes);
+      if (!ReserveBody()) {
+        return;
+      }
+      if (expectsContinue_ && !parser_->is_done()) {
+        SendContinue();
+      }
     }
     ParseBody();
   }
@@ -412,10 +460,8 @@
         Reject(ErrorCode::kMalformedRequest);
         return false;
       }
-      if (!parser_->is_done()) {
-        SendContinue();
-      }
     }
+    expectsContinue_ = expect != message.end();
     // Headers are copied before the body is parsed, because the parser later adds the trailers of a
     // chunked body to the same list.
     headers_.clear();
@@ -442,6 +488,7 @@
         Dispatch();
         return;
       case ParseStatus::kNeedsMore:
+        ReserveBody();
         return;
       case ParseStatus::kBodyTooLarge:
         Reject(ErrorCode::kRequestTooLarge);
@@ -457,6 +504,8 @@
     auto message = parser_->release();
     parser_.reset();
     requestBegan_ = false;
+    held_.SetNeedsOtherSide(false);
+    ShrinkIfEmpty(unparsed_);
     server_.loop_.CancelTimer(timer_);
     timer_ = 0;
     keepAlive_ = message.keep_alive();
@@ -479,6 +528,9 @@
     }
     writing_ = false;
     --server_.pendingAnswers_;
+    writeBuffer_.clear();
+    ShrinkIfEmpty(writeBuffer_);
+    held_.Release();
     if (aError) {
       Close();
       return;
@@ -499,14 +551,16 @@
   std::string writeBuffer_;
   std::optional<Parser> parser_; ///< Set while the body of a request is being received.
   HeaderList headers_;           ///< Headers of the request in parser_.
+  HeldBytes held_;               ///< Bytes of the request until it is answered, then of the answer.
   std::uint64_t timer_ = 0;
   bool requestBegan_ = false; ///< The first byte of a request has arrived.
   bool reading_ = false;
   bool writing_ = false;
   bool keepAlive_ = true;
-  bool isHeadRequest_ = false;  ///< The current request has the method HEAD.
-  bool discardsInput_ = false;  ///< Further input is read and discarded.
-  bool closeRequested_ = false; ///< The pending read is cancelled to close an idle connection.
+  bool isHeadRequest_ = false;   ///< The current request has the method HEAD.
+  bool expectsContinue_ = false; ///< The caller waits before it sends the body of the request.
+  bool discardsInput_ = false;   ///< Further input is read and discarded.
+  bool closeRequested_ = false;  ///< The pending read is cancelled to close an idle connection.
   bool closed_ = false;
 };
 
--- a/peridotquay/connection/HttpServer.h
+++ b/peridotquay/connection/HttpServer.h
@@ -2,6 +2,7 @@
 // operators.
 #pragma once
 
+#include "peridotquay/connection/ByteBudget.h"
 #include "peridotquay/connection/EventLoop.h"
 #include "peridotquay/connection/HttpMessage.h"
 #include "peridotquay/process/Error.h"
@@ -24,6 +25,9 @@
   Duration readTimeout_ = seconds(5);   ///< Limits receiving a whole request.
   Duration idleTimeout_ = seconds(60);  ///< A connection without a request is closed after this.
   Duration writeTimeout_ = seconds(10); ///< Limits sending a whole answer.
+  /// Counts requests until they are answered, and answers until they are sent. A request that
+  /// doesn't fit is refused with kLimitReached. Null for no limit.
+  std::shared_ptr<ByteBudget> budget_{};
 };
 
 /// One request and the connection to answer it on. Used only on the loop's thread.
--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -93,6 +93,8 @@
     , loop_(aClient->loop_)
     , socket_(aClient->loop_.Context())
     , maxHeaderBytes_(aClient->settings_.maxHeaderBytes_)
+    , maxBodyBytes_(aClient->settings_.maxBodyBytes_)
+    , held_(aClient->settings_.budget_, [this] { End(TargetRequestStatus::kTruncated); })
   {
   }
 
@@ -139,6 +141,7 @@
   {
     closed_ = true;
     completionHandler_ = nullptr;
+    held_.Release();
     loop_.CancelTimer(timer_);
     error_code ignored;
     socket_.close(ignored);
@@ -260,7 +263,8 @@
     unparsed_.append(readBuffer_.data(), aBytes);
     const ParseStatus status = ParseBytes(*parser_, unparsed_, maxHeaderBytes_);
     if (status == ParseStatus::kNeedsMore) {
-      Read();
+      held_.Touch();
+      ReadOnIfRoom();
       return;
     }
     if (status != ParseStatus::kComplete) {
@@ -283,6 +287,27 @@
     FinishAnswer();
   }
 
+  // Reads on once the bytes of the whole answer are held, if it is known to be large. Until then
+  // the operating system's flow control stops the target.
+  void ReadOnIfRoom()
+  {
+    if (!parser_->is_header_done()) {
+      Read();
+      return;
+    }
+    const auto length = parser_->content_length();
+    const std::size_t received = parser_->get().body().size() + unparsed_.size();
+    if (held_.Bytes() > 0 || (length ? *length : received) <= kUncountedMessageBytes) {
+      Read();
+      return;
+    }
+    const std::size_t bytes = length ? static_cast<std::size_t>(*length) : maxBodyBytes_;
+    held_.SetNeedsOtherSide(true);
+    if (held_.ReserveOrWait(bytes, [this] { Read(); })) {
+      Read();
+    }
+  }
+
   // Finishes an answer that ended with its connection, unless it belongs to an earlier request. The
   // answer to the current one can't follow then.
   void FinishLastAnswer()
@@ -393,6 +418,8 @@
     if (client) {
       client->busyConnections_.erase(requestNumber_);
     }
+    held_.SetNeedsOtherSide(false);
+    writeBuffer_ = std::string();
     result_.requestStatus_ = aStatus;
     TargetResult result = std::move(result_);
     if (aStatus == TargetRequestStatus::kAnswered && open_ && client) {
@@ -404,6 +431,7 @@
     if (handler) {
       handler(std::move(result));
     }
+    held_.Release();
   }
 
   void CloseIdle()
@@ -420,6 +448,8 @@
   std::array<char, kReadBytes> readBuffer_;
   std::string unparsed_; ///< Received bytes that parser_ hasn't taken; bounded by ParseBytes.
   std::size_t maxHeaderBytes_ = 0;
+  std::size_t maxBodyBytes_ = 0;
+  HeldBytes held_; ///< Bytes of the answer.
   std::string writeBuffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   TargetClient::CompletionHandler completionHandler_; ///< Set while a request is running.
--- a/peridotquay/connection/TargetClient.h
+++ b/peridotquay/connection/TargetClient.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 client for one target, with a pool of idle connections.
 #pragma once
 
+#include "peridotquay/connection/ByteBudget.h"
 #include "peridotquay/connection/EventLoop.h"
 #include "peridotquay/connection/HttpMessage.h"
 #include "peridotquay/process/Time.h"
@@ -31,6 +32,9 @@
   /// True: an answer without a length is complete when the target closes the connection cleanly.
   /// False: it counts as truncated, because a complete answer can't be told from a truncated one.
   bool allowsCloseDelimited_ = false;
+  /// Counts answers until their handlers return. One that doesn't fit isn't read on until there is
+  /// room. Null for no limit.
+  std::shared_ptr<ByteBudget> budget_{};
 };
 
 /// How a request to the target ended.
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -63,7 +63,8 @@
   X(6001, PeerConnected, kInfo) \
   X(6002, PeerDisconnected, kWarning) \
   X(6003, PeerFrameRejected, kError) \
-  X(6004, PeerConnectionSilent, kWarning)
+  X(6004, PeerConnectionSilent, kWarning) \
+  X(6010, MessageMemoryFull, kWarning)
 // clang-format on
 
 /// Identifies a log event; the value is its number.
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -89,7 +89,8 @@
 Guard::Guard(EventLoop& aLoop,
              const NodeSettings& aSettings,
              Metrics& aMetrics,
-             const HttpDialect& aDialect)
+             const HttpDialect& aDialect,
+             std::shared_ptr<ByteBudget> aBudget)
   : loop_(aLoop)
   , settings_(aSettings)
   , metrics_(aMetrics)
@@ -101,7 +102,8 @@
               .maxHeaderBytes_ = aSettings.maxHeaderBytes_,
               .idleTimeout_ = aSettings.targetIdleTimeout_,
               .echoHeader_ = std::string(aDialect.echoHeader_),
-              .allowsCloseDelimited_ = aDialect.allowsCloseDelimited_ })
+              .allowsCloseDelimited_ = aDialect.allowsCloseDelimited_,
+              .budget_ = std::move(aBudget) })
   , freshClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
   , pollClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
 {
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -56,7 +56,8 @@
   Guard(EventLoop& aLoop,
         const NodeSettings& aSettings,
         Metrics& aMetrics,
-        const HttpDialect& aDialect = QuayDialect());
+        const HttpDialect& aDialect = QuayDialect(),
+        std::shared_ptr<ByteBudget> aBudget = nullptr);
   Guard(const Guard&) = delete;
   Guard& operator=(const Guard&) = delete;
   ~Guard();
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -26,6 +26,8 @@
 
 namespace {
 
+constexpr double kMebibyte = 1 << 20;
+
 constexpr Duration kTargetPollInterval = seconds(1);
 constexpr Duration kHousekeepingInterval = milliseconds(100);
 constexpr Duration kDrainCheckInterval = milliseconds(10);
@@ -84,6 +86,7 @@
   Incarnation incarnation_ = 0;
   EventLoop loop_;
   Metrics metrics_;
+  std::shared_ptr<ByteBudget> budget_; ///< Of all connections except those of operators.
   std::unique_ptr<PeerHub> hub_;
   std::unique_ptr<DatagramSocket> datagram_;
   std::unique_ptr<Guard> guard_;
@@ -108,6 +111,9 @@
     : settings_(aSettings)
     , dialect_(aDialect)
     , incarnation_(WallClockMs())
+    , budget_(std::make_shared<ByteBudget>(
+        loop_,
+        static_cast<std::size_t>(kMessageMemoryFraction * aSettings.hostMemoryMb_ * kMebibyte)))
     , startedAt_(Clock::now())
   {
   }
@@ -131,7 +137,7 @@
     if (peers.has_error()) {
       return peers.as_failure();
     }
-    guard_ = std::make_unique<Guard>(loop_, settings_, metrics_, dialect_);
+    guard_ = std::make_unique<Guard>(loop_, settings_, metrics_, dialect_, budget_);
     dispatcher_ = std::make_unique<Dispatcher>(
       loop_, settings_, incarnation_, *guard_, *hub_, metrics_, dialect_);
     HttpServerSettings http;
@@ -139,6 +145,7 @@
     http.maxHeaderBytes_ = settings_.maxHeaderBytes_;
     http.maxConnections_ = settings_.maxCallerConnections_;
     http.readTimeout_ = settings_.readTimeout_;
+    http.budget_ = budget_;
     const auto open = [&](std::unique_ptr<HttpServer>& aServer,
                           Address& aAddress,
                           HttpServer::Handler aHandler) -> Result<void> {
@@ -545,6 +552,9 @@
              { "target_connections", static_cast<double>(guard_->TargetConnections()) },
              { "peer_links", static_cast<double>(hub_->OpenLinkCount()) },
              { "http_rejected", static_cast<double>(callers_->RejectedRequests()) },
+             { "message_bytes", static_cast<double>(budget_->used_) },
+             { "messages_refused", static_cast<double>(budget_->refusedMessages_) },
+             { "messages_ended", static_cast<double>(budget_->endedMessages_) },
              { "datagrams_dropped", static_cast<double>(datagram_->DroppedDatagrams()) },
              { "draining", draining_ ? 1.0 : 0.0 } };
   }
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 25> kKnownKeys = { "host",
+constexpr std::array<std::string_view, 26> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
                                                           "service",
@@ -33,6 +33,7 @@
                                                           "caller_connections",
                                                           "max_body_bytes",
                                                           "max_header_bytes",
+                                                          "host_memory_mb",
                                                           "read_timeout_ms",
                                                           "drain_timeout_ms",
                                                           "seed",
@@ -284,6 +285,7 @@
     aDocument, "max_body_bytes", 0, std::int64_t{ 960 } * 1024, settings.maxBodyBytes_));
   BOOST_OUTCOME_TRYV(ReadInteger(
     aDocument, "max_header_bytes", 1024, std::int64_t{ 48 } * 1024, settings.maxHeaderBytes_));
+  BOOST_OUTCOME_TRYV(ReadInteger(aDocument, "host_memory_mb", 32, 1 << 20, settings.hostMemoryMb_));
   BOOST_OUTCOME_TRYV(
     ReadMilliseconds(aDocument, "read_timeout_ms", 10, 600000, settings.readTimeout_));
   BOOST_OUTCOME_TRYV(
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -32,6 +32,9 @@
   /// Maximum size of a request or answer body. A body is sent in one frame of at most 1 MiB.
   std::size_t maxBodyBytes_ = std::size_t{ 768 } * 1024;
   std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
+  /// Memory of the host that the process may use, in MiB. The messages of all its connections
+  /// together get kMessageMemoryFraction of it. The default is that of the smallest hosts.
+  std::uint32_t hostMemoryMb_ = 160;
   Duration readTimeout_ = seconds(5);   ///< Time within which a whole request must arrive.
   Duration drainTimeout_ = seconds(30); ///< After this time a drain abandons the calls in flight.
   /// For this long after the start of a drain, new requests are still accepted, because callers may
--- a/programs/quayd.cpp
+++ b/programs/quayd.cpp
@@ -15,6 +15,7 @@
 #include <absl/flags/usage.h>
 #include <boost/outcome/try.hpp>
 #include <glog/logging.h>
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <algorithm>
@@ -47,6 +48,9 @@
   "10 address in use, 11 port file not writable, 12 ended at once, 20 other failure.";
 
 // How often the settings file is checked for a change.
+// Buffers of at least this size, in bytes, are returned to the system when they are freed.
+constexpr int kMmapThresholdBytes = 64 * 1024;
+
 constexpr timespec kSettingsCheckInterval{ 2, 0 };
 
 constexpr int kExitUsage = 1;
@@ -267,6 +271,9 @@
 
 int main(int aCount, char** aArguments)
 {
+  // The buffers of large messages go back to the system when they are freed. Setting the threshold
+  // keeps malloc from raising it and from keeping such buffers.
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   // Threads inherit the signal mask, so the signals are blocked before any thread starts. One that
   // comes during the start is handled after it.
   const sigset_t signals = MakeHandledSignals();
--- a/tests/failure/ByteBudgetTest.cpp
+++ b/tests/failure/ByteBudgetTest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Memory that a process may take without message_memory_mb in its settings.
+// Memory that a process may take without host_memory_mb in its settings.
 constexpr std::size_t kHostMemoryKb = std::size_t{ 160 } * 1024;
 
 // Bytes declared and sent of each unfinished message.
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -31,6 +31,7 @@
 drain_timeout_ms = 2500
 seed = 7
 naive = true
+host_memory_mb = 300
 )";
 
 /// Returns the error of the valid settings with the first aFrom replaced by aTo.
@@ -75,6 +76,7 @@
   expected.maxCallerConnections_ = 100;
   expected.maxBodyBytes_ = 1000;
   expected.maxHeaderBytes_ = 2000;
+  expected.hostMemoryMb_ = 300;
   expected.readTimeout_ = milliseconds(1500);
   expected.drainTimeout_ = milliseconds(2500);
   expected.randomSeed_ = 7;
