--- a/programs/quayd.cpp
+++ b/programs/quayd.cpp
@@ -15,7 +15,6 @@
 #include <absl/flags/usage.h>
 #include <boost/outcome/try.hpp>
 #include <glog/logging.h>
-#include <malloc.h>
 #include <sys/stat.h>
 
 #include <algorithm>
@@ -24,6 +23,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <memory>
 #include <optional>
 #include <string>
