--- a/peridotquay/connection/UnansweredRequest.cpp
+++ b/peridotquay/connection/UnansweredRequest.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 // By value of the enumerations.
-constexpr std::array<std::string_view, 6> kReasonNames = { "caller_closed", "caller_reset",
+constexpr std::array<std::string_view, 7> kReasonNames = { "caller_closed", "caller_reset",
                                                            "write_failed",  "write_timeout",
-                                                           "closing",       "server_ended" };
+                                                           "closing",       "server_ended",
+                                                           "memory_full" };
 constexpr std::array<std::string_view, 3> kStageNames = { "partly_read", "handled", "answering" };
 
 } // namespace
--- a/peridotquay/connection/UnansweredRequest.h
+++ b/peridotquay/connection/UnansweredRequest.h
@@ -18,7 +18,8 @@
   kWriteFailed,  ///< The answer couldn't be sent, because the caller had closed or reset.
   kWriteTimeout, ///< The caller didn't read the answer in time.
   kClosing,      ///< The request arrived after the answer that ends the connection was chosen.
-  kServerEnded   ///< The server ended.
+  kServerEnded,  ///< The server ended.
+  kMemoryFull    ///< The caller didn't read the answer while memory was needed for others.
 };
 
 /// How far a request had come when its connection ended.
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -66,7 +66,8 @@
   X(6003, PeerFrameRejected, kError) \
   X(6004, PeerConnectionSilent, kWarning) \
   X(6005, RequestAbandoned, kInfo) \
-  X(6006, RequestUnanswered, kWarning)
+  X(6006, RequestUnanswered, kWarning) \
+  X(6010, MessageMemoryFull, kWarning)
 // clang-format on
 
 /// Identifies a log event; the value is its number.
