Let repeatable calls go on over a new connection

Cause: when the connection between two hosts was closed, the guard cancelled the repeatable calls of that connection, and the host that sent them needed a retry for each. Many are lost at once, so the retry ratio ended most of them with an unknown outcome although their targets were at work and both hosts could be reached. Calls that must run at most once already went on over a new connection. Ruled out: a larger retry ratio, because it is a limit of the site and the call runs twice. Change: the sender of a repeatable call whose connection was closed queries its status once on a new connection; the guard lets it run for 300 ms more and redirects its answer. Without that (host unreachable, restarted, call ended, second loss) the call is retried within the ratio as before. A call whose connection went silent is retried as before, because a silent host may not reply either.

--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -294,7 +294,8 @@
   }
   const CallPointer call = entry->second;
   if (call->queriesStatus_) {
-    if (aCall.maybeSent_ && call->statusQueries_ < kMaxStatusQueries) {
+    const std::uint32_t maxQueries = call->call_.repeatable_ ? 1 : kMaxStatusQueries;
+    if (aCall.maybeSent_ && call->statusQueries_ < maxQueries) {
       QueryCallStatus(call);
       return;
     }
@@ -324,7 +325,10 @@
     RetryOrEnd(call, std::move(answer));
     return;
   }
-  if (!call->call_.repeatable_ && !settings_.naive_) {
+  // A repeatable call goes on at a host that can be reached again: running it elsewhere would need
+  // a retry, and lose what has been done. A silent host may not answer the query either.
+  const bool maySendAgain = call->call_.repeatable_ && aCall.reason_ == LinkEndReason::kSilent;
+  if (!maySendAgain && !settings_.naive_) {
     call->guardProcess_ = aCall.peer_;
     QueryCallStatus(call);
     return;
@@ -364,6 +368,12 @@
     return;
   }
   hub_.EndCall(aReply.callId_);
+  if (call->call_.repeatable_) {
+    // The call has ended, or never arrived; guards don't record repeatable calls.
+    EndAttempt(call, AttemptResult::kFailed, nullptr);
+    RetryOrEnd(call, MakeAnswer(Outcome::kUnknown, ErrorCode::kOutcomeUnknown));
+    return;
+  }
   if (sameIncarnation && aReply.callStatus_ == CallStatus::kNeverArrived) {
     Answer answer = MakeAnswer(Outcome::kNotRun, ErrorCode::kTargetUnreachable);
     answer.retriesUnused_ = call->lentRetries_;
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -34,6 +34,9 @@
 // and the handed-over request records are sent.
 constexpr Duration kLeaveDelay = milliseconds(300);
 
+// A repeatable call whose link ended goes on for this long, in which its sender can reconnect.
+constexpr Duration kReconnectPeriod = milliseconds(300);
+
 // Number of checks, kDrainCheckInterval apart, after which a process ends although callers or peers
 // haven't closed their side of a connection. Checks are counted in place of time, so that a process
 // that had to wait for a core still handles what has arrived.
@@ -75,8 +78,8 @@
   {
     std::uint64_t link_ = 0;
     std::uint64_t guardCall_ = 0; ///< Call number at the guard.
-    /// Key in deduplication_; set only if the call must run at most once.
-    std::optional<CallKey> callKey_;
+    CallKey callKey_;
+    bool runsOnce_ = false; ///< The call must run at most once; callKey_ is in deduplication_.
   };
 
   NodeSettings settings_;
@@ -318,9 +321,10 @@
   {
     PeerCall entry;
     entry.link_ = aSource.link_;
-    if (!aCall.repeatable_) {
-      entry.callKey_ = { aSource.hello_.host_, aSource.hello_.incarnation_, aCall.callId_ };
-      switch (RecordArrival(deduplication_, *entry.callKey_, loop_.Now())) {
+    entry.callKey_ = { aSource.hello_.host_, aSource.hello_.incarnation_, aCall.callId_ };
+    entry.runsOnce_ = !aCall.repeatable_;
+    if (entry.runsOnce_) {
+      switch (RecordArrival(deduplication_, entry.callKey_, loop_.Now())) {
         case ArrivalDecision::kRun:
           break;
         case ArrivalDecision::kDrop:
@@ -354,8 +358,8 @@
     const PeerCall call = entry->second;
     peerCalls_.erase(entry);
     peerCallNumbers_.erase({ call.link_, aAnswer.callId_ });
-    if (call.callKey_) {
-      RecordAnswer(deduplication_, *call.callKey_, aAnswer, loop_.Now());
+    if (call.runsOnce_) {
+      RecordAnswer(deduplication_, call.callKey_, aAnswer, loop_.Now());
     }
     SendAnswer(call.link_, aAnswer);
   }
@@ -391,11 +395,11 @@
     peerCallNumbers_.erase(key);
     const PeerCall call = peerCalls_.at(number);
     peerCalls_.erase(number);
-    if (call.callKey_) {
+    if (call.runsOnce_) {
       Answer unknown;
       unknown.callId_ = aCallId;
       unknown.error_ = static_cast<std::uint16_t>(ErrorCode::kCancelled);
-      RecordAnswer(deduplication_, *call.callKey_, unknown, loop_.Now());
+      RecordAnswer(deduplication_, call.callKey_, unknown, loop_.Now());
     }
     guard_->Cancel(call.guardCall_);
   }
@@ -405,41 +409,51 @@
   void OnCallStatusQuery(const PeerSource& aSource, const CallStatusQuery& aQuery)
   {
     const CallKey key{ aSource.hello_.host_, aQuery.incarnation_, aQuery.callId_ };
+    if (RedirectAnswer(key, aSource.link_)) {
+      hub_->Reply(aSource.link_, CallStatusReply{ aQuery.callId_, CallStatus::kRunning });
+      return;
+    }
     CallStatusResult status = QueryCallStatus(deduplication_, key, loop_.Now());
     hub_->Reply(aSource.link_, CallStatusReply{ aQuery.callId_, status.callStatus_ });
-    if (status.callStatus_ == CallStatus::kRunning) {
-      RedirectAnswer(key, aSource.link_);
-    } else if (status.answer_) {
+    if (status.answer_) {
       status.answer_->callId_ = aQuery.callId_;
       SendAnswer(aSource.link_, *status.answer_);
     }
   }
 
-  // Redirects the answer of a running call to another link of the same sender.
-  void RedirectAnswer(const CallKey& aKey, std::uint64_t aLink)
+  // Redirects the answer of a running call to another link of the same sender. Returns false if the
+  // call isn't running.
+  bool RedirectAnswer(const CallKey& aKey, std::uint64_t aLink)
   {
     const auto entry = std::find_if(peerCalls_.begin(), peerCalls_.end(), [&](const auto& aEntry) {
-      const auto& callKey = aEntry.second.callKey_;
-      return callKey && callKey->callId_ == aKey.callId_ &&
-             callKey->incarnation_ == aKey.incarnation_ && callKey->host_ == aKey.host_;
+      const CallKey& callKey = aEntry.second.callKey_;
+      return callKey.callId_ == aKey.callId_ && callKey.incarnation_ == aKey.incarnation_ &&
+             callKey.host_ == aKey.host_;
     });
     if (entry == peerCalls_.end()) {
-      return;
+      return false;
     }
     peerCallNumbers_.erase({ entry->second.link_, aKey.callId_ });
     entry->second.link_ = aLink;
     peerCallNumbers_[{ aLink, aKey.callId_ }] = entry->first;
+    return true;
   }
 
-  // The sender has stopped or will reconnect. Calls that must run at most once continue, because
-  // the sender queries their status after reconnecting; all others are cancelled.
+  // The sender has stopped or will reconnect and query the status of its calls. Those that must run
+  // at most once continue; all others are cancelled unless it does so soon.
   void OnLinkEnded(std::uint64_t aLink)
+  {
+    loop_.After(kReconnectPeriod, [this, aLink] { CancelAbandoned(aLink); });
+  }
+
+  // Cancels the repeatable calls whose answers no link of their sender awaits.
+  void CancelAbandoned(std::uint64_t aLink)
   {
     std::vector<std::uint64_t> abandoned;
     for (auto entry = peerCallNumbers_.lower_bound({ aLink, 0 });
          entry != peerCallNumbers_.end() && entry->first.first == aLink;
          ++entry) {
-      if (!peerCalls_.at(entry->second).callKey_) {
+      if (!peerCalls_.at(entry->second).runsOnce_) {
         abandoned.push_back(entry->first.second);
       }
     }
--- a/tests/failure/SilentPathTest.cpp
+++ b/tests/failure/SilentPathTest.cpp
@@ -191,6 +191,23 @@
   CHECK(pair.target_.ReceivedRequests().size() == 2);
 }
 
+// Guards against a repeatable call that is broken off at its target and run once more, or fails
+// because no retry is left, when its connection is closed while it runs.
+TEST_CASE("a repeatable call is answered if its connection is closed while it runs", "[silent]")
+{
+  RelayedPair pair(AnswerWithDelay);
+  Caller caller = pair.MakeCaller();
+  REQUIRE(caller.SendRequest("GET", "/bells/1").status_ == 200);
+  ReceivedResponse answer;
+  std::thread sender([&] { answer = caller.SendRequest("GET", "/bells/slow"); });
+  std::this_thread::sleep_for(milliseconds(100));
+  pair.relay_.CloseFirst();
+  sender.join();
+  CHECK(answer.status_ == 200);
+  CHECK(answer.body_ == "done GET /bells/slow");
+  CHECK(pair.target_.ReceivedRequests().size() == 2);
+}
+
 // Guards against repeatable calls that fail although a new connection to their host works.
 TEST_CASE("a repeatable call continues over a new connection", "[silent]")
 {
