Count lost requests of the soak by each sentence of the rule

Change: the target stand-in records start and end of the work on each request, and whether its connection ended first. The soak counts apart: lost on kept connections, answers that came in part, answers of the host's own after a SIGTERM in place of one at which a target was at work, endings late after sending, and requests without an answer 0.5 s after their deadline. The limits of the exceptions are the rule's. A client for each host sends work of 3 to 6 s, and three clients use a kept connection 3.2 to 4.8 s after each SIGTERM. A lost request is printed with its work, the SIGTERMs of its host and the log lines of all hosts that name it.

Not told apart: a connection that the process never accepted counts as read.

--- a/standins/lib/FleetHttp.cpp
+++ b/standins/lib/FleetHttp.cpp
@@ -90,6 +90,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   bool open_ = false;
+  bool hasReadResponse_ = false;
 };
 
 HttpSession::HttpSession(const Address& aServer)
@@ -117,6 +118,7 @@
   state_->stream_.expires_after(aRequest.timeout_);
   ErrorCode failureCode = ErrorCode::kTargetUnreachable;
   const error_code error = state_->Exchange(request, parser, failureCode);
+  state_->hasReadResponse_ = parser.got_some();
   if (error) {
     state_->Close();
     const auto code = error == beast::error::timeout ? ErrorCode::kDeadlineExceeded : failureCode;
@@ -134,6 +136,11 @@
   return response;
 }
 
+bool HttpSession::HasReadResponse() const
+{
+  return state_->hasReadResponse_;
+}
+
 Result<FetchResponse> FetchHttp(const Address& aServer, const FetchRequest& aRequest)
 {
   return HttpSession(aServer).Fetch(aRequest, false);
--- a/standins/lib/FleetHttp.h
+++ b/standins/lib/FleetHttp.h
@@ -44,6 +44,8 @@
   /// the connection after an error, if the server asks for it, or if aKeepAlive is false. Errors:
   /// those of FetchHttp.
   Result<FetchResponse> Fetch(const FetchRequest& aRequest, bool aKeepAlive = true);
+  /// Whether at least one byte of the last response was read.
+  bool HasReadResponse() const;
 
 private:
   struct State;
--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <stdexcept>
 #include <utility>
 
@@ -21,6 +22,9 @@
 // doesn't read.
 constexpr std::string_view kLargePathEnd = "/large";
 
+// Requests with a number behind this end of the path take so many milliseconds.
+constexpr std::string_view kWorkPathEnd = "/work-";
+
 } // namespace
 
 UserTarget::UserTarget(std::string aId,
@@ -52,6 +56,8 @@
   loop_.Stop();
   thread_.join();
   deeperCalls_.reset();
+  // Its connections report their end to members that are declared later.
+  server_.reset();
 }
 
 std::uint16_t UserTarget::Port() const
@@ -71,6 +77,31 @@
   return startTimes_;
 }
 
+std::vector<TargetWork> UserTarget::Work()
+{
+  const std::lock_guard lock(mutex_);
+  return work_;
+}
+
+void UserTarget::EndWork(std::size_t aIndex, bool aBrokenOff)
+{
+  const std::lock_guard lock(mutex_);
+  TargetWork& work = work_[aIndex];
+  if (work.endedAt_ == TimePoint{}) {
+    work.endedAt_ = loop_.Now();
+    work.brokenOff_ = aBrokenOff;
+  }
+}
+
+Duration UserTarget::ServiceTime(const HttpRequest& aRequest) const
+{
+  const std::size_t at = aRequest.path_.rfind(kWorkPathEnd);
+  if (at == std::string::npos) {
+    return serviceTime_;
+  }
+  return milliseconds(std::atoi(aRequest.path_.c_str() + at + kWorkPathEnd.size()));
+}
+
 void UserTarget::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
 {
   const HttpRequest& request = aExchange->request_;
@@ -86,14 +117,20 @@
     const std::lock_guard lock(mutex_);
     startedRequests_.push_back(request);
     startTimes_.push_back(loop_.Now());
+    work_.push_back({ std::string(FindHeader(request.headers_, "X-Request-Id").value_or("")),
+                      loop_.Now(),
+                      {},
+                      false });
     count = startedRequests_.size();
   }
+  const std::size_t work = count - 1;
+  aExchange->onClosed_ = [this, work] { EndWork(work, true); };
   const unsigned loseOneAnswerIn = loseOneAnswerIn_;
   if (loseOneAnswerIn != 0 && count % loseOneAnswerIn == 0) {
     lostExchanges_.push_back(aExchange);
     return;
   }
-  CallAndAnswer(aExchange, deeperCallCount_);
+  CallAndAnswer(aExchange, work, deeperCallCount_);
 }
 
 void UserTarget::CallDeeper(const Address& aHost, std::string aPath, unsigned aCount)
@@ -105,10 +142,13 @@
   deeperCallCount_ = aCount;
 }
 
-void UserTarget::CallAndAnswer(const std::shared_ptr<HttpExchange>& aExchange, unsigned aCallsLeft)
+void UserTarget::CallAndAnswer(const std::shared_ptr<HttpExchange>& aExchange,
+                               std::size_t aWork,
+                               unsigned aCallsLeft)
 {
   if (aCallsLeft == 0) {
-    loop_.After(serviceTime_, [this, aExchange] { Answer(aExchange); });
+    loop_.After(ServiceTime(aExchange->request_),
+                [this, aExchange, aWork] { Answer(aExchange, aWork); });
     return;
   }
   const HeaderList& headers = aExchange->request_.headers_;
@@ -121,19 +161,21 @@
       { "X-Deadline-Ms", std::string(FindHeader(headers, "X-Deadline-Ms").value_or("1000")) } },
     ""
   };
-  deeperCalls_->Send(call, [this, aExchange, aCallsLeft](const TargetResult& aResult) {
+  deeperCalls_->Send(call, [this, aExchange, aWork, aCallsLeft](const TargetResult& aResult) {
     if (aResult.requestStatus_ == TargetRequestStatus::kAnswered &&
         aResult.response_.status_ == 200) {
-      CallAndAnswer(aExchange, aCallsLeft - 1);
+      CallAndAnswer(aExchange, aWork, aCallsLeft - 1);
       return;
     }
     const std::string id(FindHeader(aExchange->request_.headers_, "X-Request-Id").value_or(""));
+    EndWork(aWork, false);
     aExchange->Respond({ 500, { { "X-Request-Id", id } }, "", std::nullopt });
   });
 }
 
-void UserTarget::Answer(const std::shared_ptr<HttpExchange>& aExchange)
+void UserTarget::Answer(const std::shared_ptr<HttpExchange>& aExchange, std::size_t aWork)
 {
+  EndWork(aWork, false);
   const std::string requestId(
     FindHeader(aExchange->request_.headers_, "X-Request-Id").value_or(""));
   HeaderList headers{ { "X-Request-Id", requestId },
--- a/standins/lib/UserTarget.h
+++ b/standins/lib/UserTarget.h
@@ -19,6 +19,16 @@
 /// Size of the body that a UserTarget answers to a path that ends in "/large".
 inline constexpr std::size_t kLargeAnswerBytes = 600'000;
 
+/// A request as the target worked on it.
+struct TargetWork
+{
+  std::string id_; ///< Value of X-Request-Id.
+  TimePoint startedAt_{};
+  TimePoint endedAt_{};    ///< Of the answer, or of the connection; zero while the target works.
+  bool brokenOff_ = false; ///< The connection ended before the answer.
+  bool operator==(const TargetWork&) const = default;
+};
+
 /// Serves on a free port of 127.0.0.1 and sends heartbeats from construction to destruction, each
 /// on its own thread.
 class UserTarget
@@ -36,7 +46,7 @@
 
   /// Bound port.
   std::uint16_t Port() const;
-  /// Sets the time from a request to its answer.
+  /// Sets the time from a request to its answer. A path that ends in "/work-N" takes N ms instead.
   void SetServiceTime(Duration aServiceTime) { serviceTime_ = aServiceTime; }
   /// Leaves every aCount-th request without an answer, although it counts as started; 0 for none.
   void LoseOneAnswerIn(unsigned aCount) { loseOneAnswerIn_ = aCount; }
@@ -60,12 +70,19 @@
   std::vector<HttpRequest> StartedRequests();
   /// Times at which they arrived, in the same order.
   std::vector<TimePoint> StartTimes();
+  /// The work on them, in the same order.
+  std::vector<TargetWork> Work();
 
 private:
   void OnRequest(const std::shared_ptr<HttpExchange>& aExchange);
   /// Sends the rest of the deeper calls of a request, then answers it after the service time.
-  void CallAndAnswer(const std::shared_ptr<HttpExchange>& aExchange, unsigned aCallsLeft);
-  void Answer(const std::shared_ptr<HttpExchange>& aExchange);
+  void CallAndAnswer(const std::shared_ptr<HttpExchange>& aExchange,
+                     std::size_t aWork,
+                     unsigned aCallsLeft);
+  void Answer(const std::shared_ptr<HttpExchange>& aExchange, std::size_t aWork);
+  Duration ServiceTime(const HttpRequest& aRequest) const;
+  /// Ends work, unless it has ended already.
+  void EndWork(std::size_t aIndex, bool aBrokenOff);
   /// Main function of heartbeatThread_.
   void SendHeartbeats();
 
@@ -77,9 +94,10 @@
   std::unique_ptr<TargetClient> deeperCalls_; ///< Null without deeper calls.
   std::string deeperPath_;
   unsigned deeperCallCount_ = 0;
-  std::mutex mutex_; ///< Guards startedRequests_ and startTimes_, which tests read.
+  std::mutex mutex_; ///< Guards the next three members, which tests read.
   std::vector<HttpRequest> startedRequests_;
   std::vector<TimePoint> startTimes_;
+  std::vector<TargetWork> work_;
   std::vector<std::shared_ptr<HttpExchange>> lostExchanges_; ///< Kept open without an answer.
   std::atomic<Duration> serviceTime_{ milliseconds(5) };
   std::atomic<unsigned> loseOneAnswerIn_{ 0 };
--- a/tests/soak/LostRequestTest.cpp
+++ b/tests/soak/LostRequestTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <future>
 #include <iostream>
 #include <set>
 
@@ -21,6 +22,15 @@
 /// Time beyond a request's deadline in which its answer must have come.
 constexpr Duration kAnswerSlack = milliseconds(500);
 
+/// Time that a process has from SIGTERM to its end.
+constexpr Duration kGrace = seconds(6);
+
+/// Requests sent later than this after a SIGTERM are never excused by the end of the grace time.
+constexpr Duration kLateAfterSignal = seconds(3);
+
+/// A request doesn't count as affected by planned work if a failure began to end this long before.
+constexpr Duration kStability = seconds(5);
+
 /// A period in which a host's process was killed or paused, or its target ended; requests that it
 /// took then may be lost.
 struct Disruption
@@ -28,6 +38,14 @@
   std::size_t host_;
   TimePoint begin_;
   TimePoint end_;
+  bool isPlanned_; ///< The target ended after it had announced that.
+};
+
+/// A SIGTERM of a host's process.
+struct Termination
+{
+  std::size_t host_;
+  TimePoint at_;
 };
 
 /// A request as its client saw it.
@@ -39,10 +57,48 @@
   bool keptConnection_; ///< The connection had carried an earlier request.
   TimePoint sentAt_;
   TimePoint endedAt_;
-  unsigned status_ = 0; ///< 0 without a complete answer.
-  ErrorCode error_{};   ///< Set without a complete answer.
+  unsigned status_ = 0;          ///< 0 without a complete answer.
+  ErrorCode error_{};            ///< Set without a complete answer.
+  bool isSigned_ = false;        ///< The answer is the target's.
+  bool hasPartOfAnswer_ = false; ///< Bytes of an answer came, but not all of them.
 };
 
+standins::FetchRequest MakeRequest(const RequestKind& aKind,
+                                   const std::string& aId,
+                                   const std::string& aPathEnd = "1")
+{
+  standins::FetchRequest request;
+  request.method_ = aKind.repeatable_ ? "GET" : "POST";
+  request.target_ = aKind.path_ + aPathEnd;
+  request.headers_ = { { "Host", "h.example" },
+                       { "X-Request-Id", aId },
+                       { "X-Deadline-Ms",
+                         std::to_string(
+                           std::chrono::duration_cast<milliseconds>(aKind.deadline_).count()) },
+                       { "Authorization", "Token k1" } };
+  request.body_ = std::string(aKind.bodyBytes_, 'b');
+  request.timeout_ = aKind.deadline_ + kAnswerSlack;
+  return request;
+}
+
+/// Sends a request and records in aObserved what the client sees.
+void Observe(standins::HttpSession& aSession,
+             const standins::FetchRequest& aRequest,
+             bool aKeepAlive,
+             Observed& aObserved)
+{
+  aObserved.sentAt_ = Clock::now();
+  const auto reply = aSession.Fetch(aRequest, aKeepAlive);
+  aObserved.endedAt_ = Clock::now();
+  if (reply.has_value()) {
+    aObserved.status_ = reply.assume_value().status_;
+    aObserved.isSigned_ = reply.assume_value().headers_.contains("x-response-signature");
+  } else {
+    aObserved.error_ = reply.assume_error().code_;
+    aObserved.hasPartOfAnswer_ = aSession.HasReadResponse();
+  }
+}
+
 /// Threads that send requests and record what they see, until Stop is called.
 class ObserverThreads
 {
@@ -132,17 +188,12 @@
                          0,
                          {} };
       const auto request = MakeRequest(kind, observed.id_);
-      const auto reply = kind.keepsConnections_
-                           ? kept.Fetch(request)
-                           : standins::FetchHttp(fleet_.CallersOf(host), request);
-      observed.endedAt_ = Clock::now();
-      if (reply.has_value()) {
-        observed.status_ = reply.assume_value().status_;
-      } else {
-        observed.error_ = reply.assume_error().code_;
-      }
       if (kind.keepsConnections_) {
-        isOpen = reply.has_value();
+        Observe(kept, request, true, observed);
+        isOpen = observed.status_ != 0;
+      } else {
+        standins::HttpSession fresh(fleet_.CallersOf(host));
+        Observe(fresh, request, false, observed);
       }
       if (observed.error_ == ErrorCode::kTargetUnreachable) {
         std::this_thread::sleep_for(milliseconds(100));
@@ -151,20 +202,63 @@
     }
   }
 
-  static standins::FetchRequest MakeRequest(const RequestKind& aKind, const std::string& aId)
+  SiteFleet& fleet_;
+  ObserverThreads threads_;
+};
+
+/// A thread for each host that sends requests whose work takes 3 s or longer, until Stop is called.
+/// The work always ends well before the deadline and before 6 s.
+class LongWorkers
+{
+public:
+  LongWorkers(SiteFleet& aFleet, std::uint64_t aSeed)
+    : fleet_(aFleet)
   {
-    standins::FetchRequest request;
-    request.method_ = aKind.repeatable_ ? "GET" : "POST";
-    request.target_ = aKind.path_ + "1";
-    request.headers_ = { { "Host", "h.example" },
-                         { "X-Request-Id", aId },
-                         { "X-Deadline-Ms",
-                           std::to_string(
-                             std::chrono::duration_cast<milliseconds>(aKind.deadline_).count()) },
-                         { "Authorization", "Token k1" } };
-    request.body_ = std::string(aKind.bodyBytes_, 'b');
-    request.timeout_ = aKind.deadline_ + kAnswerSlack;
-    return request;
+    for (std::size_t host = 0; host < SiteFleet::kHosts; ++host) {
+      threads_.Start([this, host, aSeed] { Run(host, aSeed); });
+    }
+  }
+
+  std::vector<Observed> Stop() { return threads_.Stop(); }
+
+private:
+  void Run(std::size_t aHost, std::uint64_t aSeed)
+  {
+    constexpr milliseconds kShortestWork = seconds(3);
+    constexpr milliseconds kLongestWork = seconds(6);
+    constexpr milliseconds kReserve = milliseconds(800);
+    std::mt19937_64 random(aSeed * 1000 + 900 + aHost);
+    const auto& kinds = fleet_.Plan().kinds_;
+    const auto longest = [&](bool aRepeatable) {
+      return &*std::max_element(
+        kinds.begin(), kinds.end(), [&](const RequestKind& aLeft, const RequestKind& aRight) {
+          return std::pair(aLeft.repeatable_ == aRepeatable, aLeft.deadline_) <
+                 std::pair(aRight.repeatable_ == aRepeatable, aRight.deadline_);
+        });
+    };
+    const RequestKind& kind = *longest(aHost % 2 == 0);
+    const milliseconds most =
+      std::min(kLongestWork, std::chrono::duration_cast<milliseconds>(kind.deadline_) - kReserve);
+    standins::HttpSession kept(fleet_.CallersOf(aHost));
+    bool isOpen = false;
+    for (int i = 0; !threads_.IsStopping(); ++i) {
+      Observed observed{ "long" + std::to_string(aHost) + "-" + std::to_string(i),
+                         &kind,
+                         aHost,
+                         isOpen,
+                         {},
+                         {},
+                         0,
+                         {} };
+      const auto workMs = kShortestWork.count() +
+                          static_cast<std::int64_t>(
+                            random() % static_cast<std::uint64_t>((most - kShortestWork).count()));
+      Observe(
+        kept, MakeRequest(kind, observed.id_, "work-" + std::to_string(workMs)), true, observed);
+      isOpen = observed.status_ != 0;
+      threads_.Record(observed);
+      std::this_thread::sleep_for(milliseconds(100));
+    }
   }
 
   SiteFleet& fleet_;
@@ -247,6 +341,9 @@
   }
 
   const std::vector<Disruption>& Disruptions() const { return disruptions_; }
+  const std::vector<Termination>& Terminations() const { return terminations_; }
+  /// Requests on kept connections that were sent late in a drain.
+  const std::vector<Observed>& LateRequests() const { return lateRequests_; }
   int CleanStops() const { return cleanStops_; }
   int KilledStops() const { return killedStops_; }
 
@@ -300,15 +397,51 @@
     });
   }
 
+  /// Opens connections, uses each once, and again when aSignalledAt was long ago.
+  std::vector<std::thread> StartLateClients(std::size_t aHost,
+                                            const std::shared_future<TimePoint>& aSignalledAt)
+  {
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 3; ++i) {
+      clients.emplace_back([this, aHost, aSignalledAt, i] {
+        const auto& kinds = fleet_.Plan().kinds_;
+        const RequestKind& kind = kinds[static_cast<std::size_t>(i) % kinds.size()];
+        standins::HttpSession session(fleet_.CallersOf(aHost));
+        const std::string id = "late" + std::to_string(++lateIds_);
+        const auto first = session.Fetch(MakeRequest(kind, id + "-first"));
+        std::this_thread::sleep_until(aSignalledAt.get() + kLateAfterSignal +
+                                      milliseconds(200 + 800 * i));
+        if (first.has_value()) {
+          Observed observed{ id, &kind, aHost, true, {}, {}, 0, {} };
+          Observe(session, MakeRequest(kind, id), true, observed);
+          const std::lock_guard lock(mutex_);
+          lateRequests_.push_back(observed);
+        }
+      });
+    }
+    return clients;
+  }
+
   /// Stops a host's process as planned, with some more signals during the drain.
   void Terminate(std::size_t aHost, std::uint64_t aRepeats)
   {
+    std::promise<TimePoint> signalledAt;
+    auto lateClients = StartLateClients(aHost, signalledAt.get_future().share());
+    std::this_thread::sleep_for(milliseconds(500));
+    {
+      const std::lock_guard lock(mutex_);
+      terminations_.push_back({ aHost, Clock::now() });
+      signalledAt.set_value(terminations_.back().at_);
+    }
     fleet_.Signal(aHost, SIGTERM);
     for (std::uint64_t i = 0; i < aRepeats; ++i) {
       std::this_thread::sleep_for(milliseconds(600));
       fleet_.Signal(aHost, i % 2 == 0 ? SIGTERM : SIGHUP);
     }
     const bool clean = fleet_.EndAndRestart(aHost, 6) == 0;
+    for (auto& client : lateClients) {
+      client.join();
+    }
     const std::lock_guard lock(mutex_);
     ++(clean ? cleanStops_ : killedStops_);
   }
@@ -327,7 +460,7 @@
     const TimePoint begin = Clock::now();
     fleet_.ReplaceTarget(aHost);
     const std::lock_guard lock(mutex_);
-    disruptions_.push_back({ aHost, begin, Clock::now() });
+    disruptions_.push_back({ aHost, begin, Clock::now(), true });
   }
 
   void Kill(std::size_t aHost)
@@ -336,7 +469,7 @@
     fleet_.Signal(aHost, SIGKILL);
     fleet_.EndAndRestart(aHost, 1);
     const std::lock_guard lock(mutex_);
-    disruptions_.push_back({ aHost, begin, Clock::now() });
+    disruptions_.push_back({ aHost, begin, Clock::now(), false });
   }
 
   void Pause(std::size_t aHost)
@@ -346,7 +479,7 @@
     std::this_thread::sleep_for(milliseconds(1500));
     fleet_.Signal(aHost, SIGCONT);
     const std::lock_guard lock(mutex_);
-    disruptions_.push_back({ aHost, begin, Clock::now() });
+    disruptions_.push_back({ aHost, begin, Clock::now(), false });
   }
 
   SiteFleet& fleet_;
@@ -355,6 +488,9 @@
   std::mutex mutex_; ///< Guards the members below but threads_.
   std::set<std::size_t> busy_;
   std::vector<Disruption> disruptions_;
+  std::vector<Termination> terminations_;
+  std::vector<Observed> lateRequests_;
+  std::atomic<int> lateIds_{ 0 };
   int cleanStops_ = 0;
   int killedStops_ = 0;
   std::vector<std::thread> threads_;
@@ -366,46 +502,119 @@
          aRequest.sentAt_ <= aDisruption.end_;
 }
 
-/// Counts of one run by their causes.
+/// Counts of one run by the sentences of the rule LOST.
 struct LostCounts
 {
   std::size_t passedOn_ = 0; ///< A target started them; their connection ended without an answer.
-  std::size_t read_ = 0; ///< No target started them; the connection ended late without an answer.
-  std::size_t unanswered_ = 0; ///< The connection stayed open without an answer.
+  std::size_t keptPassedOn_ = 0; ///< Of these, those on connections that had carried others.
+  std::size_t cut_ = 0;          ///< Of passedOn_, those of which a part of the answer came.
+  /// No target started them, and the connection ended without an answer later than kReadSlack after
+  /// they were sent. A connection that the process never accepted is included: clients can't tell
+  /// it from one whose request was read.
+  std::size_t read_ = 0;
+  /// After a SIGTERM of their host, a failure of its own took the place of the answer at which a
+  /// target worked. Not counted after the deadline, nor in the last sixth of the grace time if they
+  /// were sent up to kLateAfterSignal after the signal.
+  std::size_t ownAnswers_ = 0;
+  std::size_t unanswered_ = 0; ///< Without an answer kAnswerSlack after the deadline.
   std::map<unsigned, std::size_t> statuses_;
 };
 
-LostCounts CountLost(const std::vector<Observed>& aRequests,
-                     const std::map<std::string, int>& aStarts,
-                     const std::vector<Disruption>& aDisruptions,
-                     TimePoint aStartedAt)
+/// What happened in a run besides the requests that clients saw.
+struct RunRecord
+{
+  const SiteFleet* fleet_;
+  std::map<std::string, int> starts_; ///< By request id.
+  std::multimap<std::string, standins::TargetWork> work_;
+  std::vector<Disruption> disruptions_;
+  std::vector<Termination> terminations_;
+  TimePoint startedAt_;
+};
+
+void PrintLost(const char* aCause, const Observed& aRequest, const RunRecord& aRun)
+{
+  const auto ms = [](Duration aTime) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(aTime).count());
+  };
+  std::cerr << aCause << ": " << aRequest.id_ << " " << aRequest.kind_->path_ << " host "
+            << aRequest.host_ << " kept " << aRequest.keptConnection_ << " sent at "
+            << ms(aRequest.sentAt_ - aRun.startedAt_) << " ms, ended after "
+            << ms(aRequest.endedAt_ - aRequest.sentAt_) << " ms, status " << aRequest.status_
+            << ", part of an answer " << aRequest.hasPartOfAnswer_;
+  if (aRequest.status_ == 0) {
+    std::cerr << ", " << ErrorName(aRequest.error_);
+  }
+  const auto [begin, end] = aRun.work_.equal_range(aRequest.id_);
+  for (auto work = begin; work != end; ++work) {
+    std::cerr << ", work from " << ms(work->second.startedAt_ - aRun.startedAt_) << " to "
+              << ms(work->second.endedAt_ - aRun.startedAt_)
+              << (work->second.brokenOff_ ? " broken off" : "");
+  }
+  for (const Termination& termination : aRun.terminations_) {
+    if (termination.host_ == aRequest.host_) {
+      std::cerr << ", SIGTERM at " << ms(termination.at_ - aRun.startedAt_);
+    }
+  }
+  std::cerr << "\n" << aRun.fleet_->LogLines(aRequest.id_);
+}
+
+/// Whether a failure of the host took the place of an answer at which a target worked, after a
+/// SIGTERM of the host.
+bool IsOwnAnswer(const Observed& aRequest, const RunRecord& aRun)
+{
+  const bool disrupted = std::any_of(
+    aRun.disruptions_.begin(), aRun.disruptions_.end(), [&](const Disruption& aDisruption) {
+      return !aDisruption.isPlanned_ && aDisruption.begin_ <= aRequest.endedAt_ &&
+             aRequest.sentAt_ <= aDisruption.end_ + kStability;
+    });
+  if ((aRequest.status_ != 502 && aRequest.status_ != 504) || aRequest.isSigned_ || disrupted ||
+      aRequest.endedAt_ - aRequest.sentAt_ >= aRequest.kind_->deadline_) {
+    return false;
+  }
+  return std::any_of(
+    aRun.terminations_.begin(), aRun.terminations_.end(), [&](const Termination& aTermination) {
+      const Duration answeredAfter = aRequest.endedAt_ - aTermination.at_;
+      const bool excused =
+        answeredAfter >= kGrace * 5 / 6 && aRequest.sentAt_ - aTermination.at_ <= kLateAfterSignal;
+      const bool concerned = aTermination.host_ == aRequest.host_ &&
+                             answeredAfter >= Duration::zero() &&
+                             answeredAfter <= kGrace + seconds(1);
+      const auto [begin, end] = aRun.work_.equal_range(aRequest.id_);
+      return concerned && !excused && std::any_of(begin, end, [&](const auto& aEntry) {
+               const standins::TargetWork& work = aEntry.second;
+               return work.endedAt_ == TimePoint{} || work.endedAt_ >= aRequest.endedAt_ ||
+                      (work.brokenOff_ && work.endedAt_ >= aTermination.at_);
+             });
+    });
+}
+
+LostCounts CountLost(const std::vector<Observed>& aRequests, const RunRecord& aRun)
 {
   LostCounts counts;
   for (const Observed& request : aRequests) {
     ++counts.statuses_[request.status_];
     const bool disrupted =
-      std::any_of(aDisruptions.begin(), aDisruptions.end(), [&](const Disruption& aDisruption) {
-        return Overlaps(aDisruption, request);
-      });
+      std::any_of(aRun.disruptions_.begin(),
+                  aRun.disruptions_.end(),
+                  [&](const Disruption& aDisruption) { return Overlaps(aDisruption, request); });
+    if (IsOwnAnswer(request, aRun)) {
+      ++counts.ownAnswers_;
+      PrintLost("own answer", request, aRun);
+    }
     if (request.status_ != 0 || disrupted) {
       continue;
     }
-    const bool started = aStarts.contains(request.id_);
+    const bool started = aRun.starts_.contains(request.id_);
     const bool timedOut = request.error_ == ErrorCode::kDeadlineExceeded;
     const bool wasRead = request.endedAt_ - request.sentAt_ > kReadSlack;
     const bool reached = request.error_ == ErrorCode::kTruncatedAnswer;
     counts.unanswered_ += timedOut ? 1 : 0;
     counts.passedOn_ += !timedOut && started ? 1 : 0;
+    counts.keptPassedOn_ += !timedOut && started && request.keptConnection_ ? 1 : 0;
+    counts.cut_ += !timedOut && started && request.hasPartOfAnswer_ ? 1 : 0;
     counts.read_ += !timedOut && !started && reached && wasRead ? 1 : 0;
     if (timedOut || started || (reached && wasRead)) {
-      const auto ms = [](Duration aTime) {
-        return std::to_string(std::chrono::duration_cast<milliseconds>(aTime).count());
-      };
-      std::cerr << "lost: " << request.id_ << " " << request.kind_->path_ << " host "
-                << request.host_ << " kept " << request.keptConnection_ << " sent at "
-                << ms(request.sentAt_ - aStartedAt) << " ms, ended after "
-                << ms(request.endedAt_ - request.sentAt_) << " ms, started " << started << " "
-                << ErrorName(request.error_) << "\n";
+      PrintLost("lost", request, aRun);
     }
   }
   return counts;
@@ -419,24 +628,40 @@
   const TimePoint startedAt = Clock::now();
   SiteClients clients(fleet, aSeed);
   SlowReaders slowReaders(fleet);
+  LongWorkers longWorkers(fleet, aSeed);
   Troubles troubles(fleet, aSeed, aPlannedOnly);
   troubles.RunUntil(startedAt + aLength);
-  const auto requests = clients.Stop();
+  auto requests = clients.Stop();
   const auto slow = slowReaders.Stop();
-  const auto starts = fleet.StartCounts();
-  const LostCounts lost = CountLost(requests, starts, troubles.Disruptions(), startedAt);
-  const LostCounts cut = CountLost(slow, starts, troubles.Disruptions(), startedAt);
-  std::cerr << "seed " << aSeed << ": " << requests.size() << " requests in "
+  const auto longRequests = longWorkers.Stop();
+  const auto& late = troubles.LateRequests();
+  requests.insert(requests.end(), longRequests.begin(), longRequests.end());
+  requests.insert(requests.end(), late.begin(), late.end());
+  const RunRecord run{
+    &fleet,   fleet.StartCounts(), fleet.Work(), troubles.Disruptions(), troubles.Terminations(),
+    startedAt
+  };
+  const auto& starts = run.starts_;
+  const LostCounts lost = CountLost(requests, run);
+  const LostCounts cut = CountLost(slow, run);
+  std::cerr << "seed " << aSeed << ": " << requests.size() << " requests (" << longRequests.size()
+            << " long, " << late.size() << " late in a drain) in "
             << std::chrono::duration_cast<milliseconds>(Clock::now() - startedAt).count() << " ms, "
-            << troubles.CleanStops() << " clean stops, passed on and lost " << lost.passedOn_
-            << ", large answers " << slow.size() << ", cut " << cut.passedOn_ << ", read and lost "
-            << lost.read_ << ", unanswered " << lost.unanswered_ << ", by status";
+            << troubles.CleanStops() << " clean stops, " << troubles.KilledStops()
+            << " killed, passed on and lost " << lost.passedOn_ << ", on kept connections "
+            << lost.keptPassedOn_ << ", cut " << lost.cut_ << ", own answers after SIGTERM "
+            << lost.ownAnswers_ << ", large answers " << slow.size() << ", cut " << cut.passedOn_
+            << ", read and lost " << lost.read_ << ", unanswered " << lost.unanswered_
+            << ", by status";
   for (const auto& [status, count] : lost.statuses_) {
     std::cerr << " " << status << ":" << count;
   }
   std::cerr << "\n";
   CHECK(requests.size() > 100);
   CHECK(lost.passedOn_ == 0);
+  CHECK(lost.keptPassedOn_ == 0);
+  CHECK(lost.cut_ == 0);
+  CHECK(lost.ownAnswers_ == 0);
   CHECK(cut.passedOn_ == 0);
   CHECK(lost.read_ == 0);
   CHECK(lost.unanswered_ == 0);
--- a/tests/soak/SiteFleet.h
+++ b/tests/soak/SiteFleet.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -126,7 +127,26 @@
       host.process_->Signal(aSignal);
     }
   }
-  std::string Log(std::size_t aHost) const { return ReadFile(hosts_[aHost]->logFile_); }
+  /// Log of all processes of a host, the latest last.
+  std::string Log(std::size_t aHost) const
+  {
+    return hosts_[aHost]->earlierLogs_ + ReadFile(hosts_[aHost]->logFile_);
+  }
+
+  /// Lines of the logs of all hosts that name a request.
+  std::string LogLines(const std::string& aRequestId) const
+  {
+    std::string lines;
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      std::istringstream log(Log(host));
+      for (std::string line; std::getline(log, line);) {
+        if (line.find("id=" + aRequestId + " ") != std::string::npos) {
+          lines += "  " + line + "\n";
+        }
+      }
+    }
+    return lines;
+  }
 
   /// Puts a new version of the configuration document with one more route.
   void PutConfiguration()
@@ -172,6 +192,7 @@
       host.starting_ = true;
       code = host.process_->Wait(0);
       host.process_.reset();
+      host.earlierLogs_ += ReadFile(host.logFile_);
       StartProcess(host);
     }
     for (int i = 0; i < 100 && !IsReady(aHost); ++i) {
@@ -206,6 +227,7 @@
     Host& host = *hosts_[aHost];
     const std::lock_guard lock(endedMutex_);
     RecordStarts(*host.target_);
+    RecordWork(host.target_->Work(), true);
     const std::uint16_t port = host.target_->Port();
     host.target_.reset();
     StartTarget(aHost, host, port);
@@ -224,6 +246,17 @@
     return counts;
   }
 
+  /// Work of all targets that ever ran, by request id. Work that the end of its target broke off is
+  /// left out.
+  std::multimap<std::string, standins::TargetWork> Work()
+  {
+    const std::lock_guard lock(endedMutex_);
+    for (auto& host : hosts_) {
+      RecordWork(host->target_->Work(), false);
+    }
+    return std::move(work_);
+  }
+
 private:
   struct Host
   {
@@ -232,7 +265,8 @@
     std::uint16_t callersPort_ = 0;
     std::uint16_t heartbeatPort_ = 0;
     std::string settingsFile_;
-    std::string logFile_;
+    std::string logFile_;     ///< Of the latest process.
+    std::string earlierLogs_; ///< Of the processes before it.
     unsigned targetStarts_ = 0;
     std::unique_ptr<standins::UserTarget> target_;
     std::mutex processMutex_; ///< Guards process_ and starting_.
@@ -322,6 +356,15 @@
       aHost.logFile_);
   }
 
+  void RecordWork(const std::vector<standins::TargetWork>& aWork, bool aTargetEnds)
+  {
+    for (const standins::TargetWork& work : aWork) {
+      if (!aTargetEnds || work.endedAt_ != TimePoint{}) {
+        work_.emplace(work.id_, work);
+      }
+    }
+  }
+
   void RecordStarts(standins::UserTarget& aTarget)
   {
     for (const HttpRequest& request : aTarget.StartedRequests()) {
@@ -335,8 +378,9 @@
   standins::UserStore store_;
   TemporaryDirectory directory_;
   std::vector<std::unique_ptr<Host>> hosts_;
-  std::mutex endedMutex_;                  ///< Guards endedStarts_ and the exchange of targets.
-  std::map<std::string, int> endedStarts_; ///< Of targets that ended.
+  std::mutex endedMutex_; ///< Guards the members below and the exchange of targets.
+  std::map<std::string, int> endedStarts_;                ///< Of targets that ended.
+  std::multimap<std::string, standins::TargetWork> work_; ///< Of targets that ended.
 };
 
 } // namespace peridotquay::testing
