--- a/tests/soak/SiteFleet.h
+++ b/tests/soak/SiteFleet.h
@@ -133,6 +133,9 @@
     return hosts_[aHost]->earlierLogs_ + ReadFile(hosts_[aHost]->logFile_);
   }
 
+  /// Log of the processes of a host that have ended.
+  const std::string& EarlierLog(std::size_t aHost) const { return hosts_[aHost]->earlierLogs_; }
+
   /// Lines of the logs of all hosts that name a request.
   std::string LogLines(const std::string& aRequestId) const
   {
