Count frames of peers, link queues and bodies at the guard

Cause: a connection to the peers' port may declare a frame of 1 MiB and never complete it, each link may queue 8 MiB, and a guard keeps the body of each call that waits or runs; none was part of the process's budget.

Change: partly received frames and queues count in ByteBudget. Within the limit nothing changes. Above it, the largest whose peer has been idle for 1 s is ended with its link; above twice the limit, the largest at once. A guard refuses a call whose body doesn't fit as not run with kLimitReached. FrameReader and PeerLink give large buffers back when they are empty.

Ruled out: not reading a link while there is no room, because its other calls would stand still and the peer would end it as silent after 500 ms.

--- a/peridotquay/connection/FrameReader.cpp
+++ b/peridotquay/connection/FrameReader.cpp
@@ -1,6 +1,7 @@
 // Implementation of FrameReader.
 #include "peridotquay/connection/FrameReader.h"
 
+#include "peridotquay/connection/ByteBudget.h"
 #include "peridotquay/connection/PeerMessage.h"
 
 namespace peridotquay {
@@ -15,6 +16,12 @@
 Result<std::optional<std::string_view>> FrameReader::Next()
 {
   const std::string_view rest = std::string_view(buffer_).substr(consumed_);
+  unfinishedFrameBytes_ = 0;
+  if (rest.empty() && buffer_.capacity() > kUncountedMessageBytes) {
+    buffer_.clear();
+    consumed_ = 0;
+    ShrinkIfEmpty(buffer_);
+  }
   if (rest.size() < 4) {
     return std::optional<std::string_view>();
   }
@@ -29,6 +36,7 @@
     return Fail(ErrorCode::kFrameMalformed, "frame", "minimum 1 byte");
   }
   if (rest.size() - 4 < length) {
+    unfinishedFrameBytes_ = 4 + length;
     return std::optional<std::string_view>();
   }
   consumed_ += 4 + length;
--- a/peridotquay/connection/PeerLink.cpp
+++ b/peridotquay/connection/PeerLink.cpp
@@ -45,7 +45,11 @@
     , events_(std::move(aEvents))
     , peerAddress_(std::move(aPeer))
     , socket_(aLoop.Context())
+    , heldFrame_(settings_.budget_, [this] { End(LinkEndReason::kClosed); })
+    , heldQueue_(settings_.budget_, [this] { End(LinkEndReason::kClosed); })
   {
+    heldFrame_.SetNeedsOtherSide(true);
+    heldQueue_.SetNeedsOtherSide(true);
     static std::atomic<std::uint64_t> next{ 1 };
     number_ = next++;
   }
@@ -92,7 +96,11 @@
         queue.size() + frame.size() > settings_.maxQueuedBytes_) {
       return false;
     }
+    if (queue.empty() && !writing_) {
+      heldQueue_.Touch();
+    }
     queue += frame;
+    CountQueue();
     Write();
     return true;
   }
@@ -140,6 +148,8 @@
     ended_ = true;
     loop_.CancelTimer(handshakeTimer_);
     loop_.CancelTimer(silenceTimer_);
+    heldFrame_.Release();
+    heldQueue_.Release();
     error_code ignored;
     socket_.close(ignored);
   }
@@ -199,10 +209,14 @@
                              boost::asio::buffer(writeBuffer_),
                              [self = shared_from_this()](const error_code& aError, std::size_t) {
                                self->writing_ = false;
+                               self->writeBuffer_.clear();
+                               ShrinkIfEmpty(self->writeBuffer_);
+                               self->heldQueue_.Touch();
                                if (aError) {
                                  self->End(LinkEndReason::kClosed);
                                  return;
                                }
+                               self->CountQueue();
                                self->Write();
                                if (self->closesAfterSending_) {
                                  self->CloseAfterSending();
@@ -210,6 +224,14 @@
                              });
   }
 
+  // Counts the frames that the operating system hasn't accepted yet.
+  void CountQueue()
+  {
+    const std::size_t bytes =
+      framesBeforeHello_.size() + queuedFrames_.size() + writeBuffer_.size();
+    heldQueue_.ReserveAlways(!ended_ && bytes > kUncountedMessageBytes ? bytes : 0);
+  }
+
   void Read()
   {
     socket_.async_read_some(
@@ -223,6 +245,7 @@
           return;
         }
         self->silentSince_ = self->loop_.Now();
+        self->heldFrame_.Touch();
         self->OnBytes(std::string_view(self->readBuffer_.data(), aBytes));
         if (!self->ended_) {
           self->Read();
@@ -240,6 +263,8 @@
         return;
       }
       if (!body.assume_value()) {
+        const std::size_t bytes = reader_.UnfinishedFrameBytes();
+        heldFrame_.ReserveAlways(bytes > kUncountedMessageBytes ? bytes : 0);
         return;
       }
       auto message = DecodePeerMessage(*body.assume_value());
@@ -336,6 +361,8 @@
   PeerLinkEvents events_;
   Address peerAddress_;
   tcp::socket socket_;
+  HeldBytes heldFrame_; ///< Bytes of the frame that is partly received.
+  HeldBytes heldQueue_; ///< Bytes of the queues and of writeBuffer_.
   std::uint64_t number_ = 0;
   Hello peer_;
   FrameReader reader_;
--- a/peridotquay/connection/PeerLink.h
+++ b/peridotquay/connection/PeerLink.h
@@ -1,6 +1,7 @@
 // One TCP connection to or from a peer node.
 #pragma once
 
+#include "peridotquay/connection/ByteBudget.h"
 #include "peridotquay/connection/EventLoop.h"
 #include "peridotquay/connection/PeerMessage.h"
 #include "peridotquay/process/Error.h"
@@ -23,6 +24,9 @@
   Duration silenceTimeout_ = milliseconds(500);
   /// Maximum size of the queue of unsent frames. Send fails for a message that would exceed it.
   std::size_t maxQueuedBytes_ = std::size_t{ 8 } << 20U;
+  /// Counts partly received frames and queues. A link whose peer doesn't go on to send or to read
+  /// may be ended to make room. Null for no limit.
+  std::shared_ptr<ByteBudget> budget_{};
 };
 
 /// Why a connection ended.
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -103,9 +103,10 @@
               .idleTimeout_ = aSettings.targetIdleTimeout_,
               .echoHeader_ = std::string(aDialect.echoHeader_),
               .allowsCloseDelimited_ = aDialect.allowsCloseDelimited_,
-              .budget_ = std::move(aBudget) })
+              .budget_ = aBudget })
   , freshClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
   , pollClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
+  , budget_(std::move(aBudget))
 {
   admission_.settings_.adaptive_ = !aDialect.slotsAreLimit_;
   admission_.settings_.lowerClassShare_ = aDialect.hasContexts_ ? 0 : kRequestShare;
@@ -137,6 +138,13 @@
     Refuse(number, ErrorCode::kNoTarget, 0);
     return;
   }
+  if (budget_ && aCall.body_.size() > kUncountedMessageBytes) {
+    guardedCall.held_ = std::make_unique<HeldBytes>(budget_, nullptr);
+    if (!guardedCall.held_->Reserve(aCall.body_.size())) {
+      Refuse(number, ErrorCode::kLimitReached, 0);
+      return;
+    }
+  }
   if (aCall.depth_ > kMaxCallDepth) {
     Refuse(number, ErrorCode::kDepthExceeded, 0);
     return;
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -110,7 +110,8 @@
     std::string contextToken_;        ///< Empty while the call waits.
     std::uint64_t targetRequest_ = 0; ///< Request number at client_; 0 while the call waits.
     std::uint64_t deadlineTimer_ = 0;
-    bool isLimitedRun_ = false; ///< Began in runLimits_ and must end there.
+    std::unique_ptr<HeldBytes> held_; ///< Bytes of the body, if it is large.
+    bool isLimitedRun_ = false;       ///< Began in runLimits_ and must end there.
   };
 
   void Apply(const AdmissionActions& aActions);
@@ -152,6 +153,7 @@
   TargetClient pollClient_;  ///< Separate, so that polls work while client_ is at its limit.
   std::shared_ptr<const Config> config_;
   AdmissionState admission_;
+  std::shared_ptr<ByteBudget> budget_; ///< For the bodies of calls; null for no limit.
   RunLimitState runLimits_;
   ContextTable contexts_;
   FailureMeter failures_; ///< Failures of the current target.
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -124,6 +124,7 @@
   Result<void> Open()
   {
     PeerLinkSettings links;
+    links.budget_ = budget_;
     links.ownHello_ = {
       kPeerProtocolVersion, settings_.host_, incarnation_, settings_.dataCentre_
     };
--- a/tests/failure/ByteBudgetTest.cpp
+++ b/tests/failure/ByteBudgetTest.cpp
@@ -101,6 +101,19 @@
   return sockets;
 }
 
+// Opens connections as a peer does and sends a part of a frame on each.
+std::vector<RawSocket> SendUnfinishedFrames(UserFleet& aFleet, std::size_t aHost, int aCount)
+{
+  // The frame's length is 1,000,000.
+  const std::string frame = std::string("\x00\x0f\x42\x40", 4) + std::string(900'000, '.');
+  std::vector<RawSocket> sockets;
+  for (int i = 0; i < aCount; ++i) {
+    sockets.emplace_back(aFleet.PeersPort(aHost));
+    sockets.back().Write(frame);
+  }
+  return sockets;
+}
+
 std::string Text(const std::map<unsigned, int>& aStatuses)
 {
   std::string text;
@@ -177,3 +190,39 @@
   CHECK(statuses.size() == 1);
   CHECK(statuses.contains(200));
 }
+
+// Guards against connections that each send a part of a frame and together take the process over
+// the memory of its host.
+TEST_CASE("unfinished frames of many peers don't exhaust the memory", "[users][budget]")
+{
+  UserFleet fleet(2);
+  REQUIRE(fleet.WaitReady());
+  SoundClients clients(fleet, 0, "/call/1", 4);
+  {
+    std::mutex mutex;
+    std::vector<std::vector<RawSocket>> sockets;
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 8; ++thread) {
+      threads.emplace_back([&] {
+        auto opened = SendUnfinishedFrames(fleet, 0, 50);
+        const std::lock_guard lock(mutex);
+        sockets.push_back(std::move(opened));
+      });
+    }
+    for (auto& thread : threads) {
+      thread.join();
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+  std::this_thread::sleep_for(milliseconds(1000));
+  const auto statuses = clients.Stop();
+  const std::size_t peakKb = StatusKb(fleet.ProcessOf(0), "VmHWM");
+  const std::size_t restKb = StatusKb(fleet.ProcessOf(0), "VmRSS");
+  WARN("peak " << peakKb << " KiB, afterwards " << restKb << " KiB, sound " << Text(statuses));
+  CHECK(fleet.ProcessOf(0).HowEnded().empty());
+  CHECK(peakKb > 0);
+  CHECK(peakKb < kHostMemoryKb);
+  CHECK(restKb < kHostMemoryKb / 2);
+  CHECK(statuses.size() == 1);
+  CHECK(statuses.contains(200));
+}
