--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -373,6 +373,7 @@
     parser_->body_limit(client->settings_.maxBodyBytes_);
     parser_->eager(true);
     parser_->skip(isHeadRequest_);
+    held_.Release();
     const std::string rest = std::move(unparsed_);
     unparsed_.clear();
     if (rest.empty()) {
--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -119,8 +119,11 @@
     const std::lock_guard lock(mutex_);
     startedRequests_.push_back(request);
     startTimes_.push_back(loop_.Now());
+    const auto left =
+      ParseNumber(FindHeader(request.headers_, "X-Deadline-Ms").value_or(""), 3'600'000);
     work_.push_back({ std::string(FindHeader(request.headers_, "X-Request-Id").value_or("")),
                       loop_.Now(),
+                      left ? loop_.Now() + milliseconds(*left) : TimePoint{},
                       {},
                       false });
     count = startedRequests_.size();
--- a/standins/lib/UserTarget.h
+++ b/standins/lib/UserTarget.h
@@ -29,6 +29,7 @@
 {
   std::string id_; ///< Value of X-Request-Id.
   TimePoint startedAt_{};
+  TimePoint deadline_{};   ///< By its X-Deadline-Ms; zero without one.
   TimePoint endedAt_{};    ///< Of the answer, or of the connection; zero while the target works.
   bool brokenOff_ = false; ///< The connection ended before the answer.
   bool operator==(const TargetWork&) const = default;
