Bound the connections of operators, readiness checks and heartbeats

Cause: these addresses took as many connections as callers (3,000 and 4,096). Idle ones could hold all file descriptors of the process, and callers waited to be accepted. The memory limit for messages also counted operators' messages, although its comment exempts them.

Change: 64 connections for each of them; operators' messages aren't counted.

--- a/peridotquay/connection/HttpServer.h
+++ b/peridotquay/connection/HttpServer.h
@@ -17,6 +17,10 @@
 
 namespace peridotquay {
 
+/// Maximum number of connections of a server that few clients use: operators, health checks and the
+/// local target's heartbeats. Keeps descriptors for callers, targets and peers.
+inline constexpr std::uint32_t kMaxControlConnections = 64;
+
 /// Settings of one HttpServer.
 struct HttpServerSettings
 {
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -194,6 +194,9 @@
         dispatcher_->OnOutboundRequest(aExchange);
       });
     }
+    // Operators are served even if callers use up the memory for messages.
+    http.maxConnections_ = kMaxControlConnections;
+    http.budget_ = nullptr;
     if (opened.has_value()) {
       opened = open(admin_, settings_.admin_, "admin", [this](const Exchange& aExchange) {
         OnAdmin(aExchange);
--- a/tests/failure/DescriptorTest.cpp
+++ b/tests/failure/DescriptorTest.cpp
@@ -68,3 +68,19 @@
     }
   }
 }
+
+// Guards against callers without an answer because idle connections to the readiness address, or to
+// another one that few clients use, hold all descriptors.
+TEST_CASE("idle connections to the readiness address leave descriptors for callers",
+          "[descriptors]")
+{
+  UserFleet fleet(2, false, true, 256);
+  REQUIRE(fleet.WaitReady());
+  std::vector<RawSocket> idle;
+  for (int i = 0; i < 300; ++i) {
+    idle.emplace_back(fleet.ReadyPort(0));
+  }
+  RawSocket caller(fleet.CallersAddress(0).port_);
+  SendRead(caller, "caller");
+  CHECK(ReadStatus(caller) == "HTTP/1.1 200");
+}
--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -182,6 +182,8 @@
     return { "127.0.0.1", hosts_[aHost]->callersPort_ };
   }
 
+  std::uint16_t ReadyPort(std::size_t aHost) const { return hosts_[aHost]->readyPort_; }
+
   /// Port at which a host accepts connections of other hosts.
   std::uint16_t PeersPort(std::size_t aHost) const
   {
--- a/tests/soak/LostRequestTest.cpp
+++ b/tests/soak/LostRequestTest.cpp
@@ -523,8 +523,8 @@
   /// it from one whose request was read.
   std::size_t read_ = 0;
   /// After a SIGTERM of their host, a failure of its own took the place of the answer at which a
-  /// target worked. Not counted after the deadline that they or the target's work had, nor in the last sixth of the grace time if they
-  /// were sent up to kLateAfterSignal after the signal.
+  /// target worked. Not counted after the deadline that they or the target's work had, nor in the
+  /// last sixth of the grace time if they were sent up to kLateAfterSignal after the signal.
   std::size_t ownAnswers_ = 0;
   std::size_t unanswered_ = 0; ///< Without an answer kAnswerSlack after the deadline.
   std::map<unsigned, std::size_t> statuses_;
