--- a/tests/failure/DescriptorTest.cpp
+++ b/tests/failure/DescriptorTest.cpp
@@ -74,7 +74,7 @@
 TEST_CASE("idle connections to the readiness address leave descriptors for callers",
           "[descriptors]")
 {
-  UserFleet fleet(2, false, true, 256);
+  UserFleet fleet(2, false, true, 128);
   REQUIRE(fleet.WaitReady());
   std::vector<RawSocket> idle;
   for (int i = 0; i < 300; ++i) {
