Refuse calls of other hosts until callers' connections are closed

At the end of a drain the links were closed for sending first of all, so a call that arrived then got no refusal; the host that sent it found the process gone, and a request that may run once got 502 although it had not run. The links are closed last now, or after half of the checks.

--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -47,6 +47,9 @@
 // that had to wait for a core still handles what has arrived.
 constexpr int kMaxCloseChecks = 15;
 
+// Number of these checks when the drain has timed out and little time is left.
+constexpr int kCloseChecksAfterTimeout = 5;
+
 // Limit of the log lines of requests whose connection this process ended. Such requests are rare,
 // and each of them matters.
 constexpr std::uint32_t kMaxUnansweredLinesPerSecond = 100;
@@ -721,6 +724,9 @@
       guard_->Abort();
       control_->AnnounceLeft(HandOver());
     }
+    if (timedOut) {
+      closeChecks_ = kMaxCloseChecks - kCloseChecksAfterTimeout;
+    }
     loop_.After(kLeaveDelay, [this] { CloseConnections(); });
   }
 
@@ -730,9 +736,13 @@
   {
     callers_->Finish();
     outbound_->Finish();
-    hub_->CloseAfterSending();
-    const bool closed = callers_->ConnectionCount() == 0 && outbound_->ConnectionCount() == 0 &&
-                        hub_->OpenLinkCount() == 0;
+    const bool callersClosed =
+      callers_->ConnectionCount() == 0 && outbound_->ConnectionCount() == 0;
+    // Until then, calls of other hosts that arrive are still refused, so that they run elsewhere.
+    if (callersClosed || closeChecks_ >= kMaxCloseChecks / 2) {
+      hub_->CloseAfterSending();
+    }
+    const bool closed = callersClosed && hub_->OpenLinkCount() == 0;
     if (!closed && ++closeChecks_ < kMaxCloseChecks) {
       loop_.After(kDrainCheckInterval, [this] { CloseConnections(); });
       return;
