Don't end answers of silent targets to make room

A target that had sent more than 16 KiB of an answer and then worked for 1 s was ended as soon as others needed room: its caller got 502 for a request that was at work. The rule says that a target's silence is no reason to end an answer sooner. Its bytes stay held until the deadline; other large answers wait meanwhile.

--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -302,7 +302,7 @@
       return;
     }
     const std::size_t bytes = length ? static_cast<std::size_t>(*length) : maxBodyBytes_;
-    held_.SetNeedsOtherSide(true);
+    // A target may be silent while it works, so its answer isn't ended to make room.
     if (held_.ReserveOrWait(bytes, [this] { Read(); })) {
       Read();
     }
