Count progress of an answer that is being written

Found by the review. An answer to a caller, or a link's queue, counted as idle 1 s after its write began, however steadily it was read, and could be ended to make room for another message. Each part that the operating system accepts restarts the idle time now.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -229,7 +229,10 @@
       socket_,
       boost::asio::buffer(writeBuffer_),
       [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
-        self->writtenBytes_ = aBytes;
+        if (aBytes > self->writtenBytes_) {
+          self->writtenBytes_ = aBytes;
+          self->held_.Touch();
+        }
         return boost::asio::transfer_all()(aError, aBytes);
       },
       [self = shared_from_this()](const error_code& aError, std::size_t /*aBytes*/) {
--- a/peridotquay/connection/PeerLink.cpp
+++ b/peridotquay/connection/PeerLink.cpp
@@ -211,23 +211,28 @@
     writing_ = true;
     writeBuffer_.swap(queuedFrames_);
     queuedFrames_.clear();
-    boost::asio::async_write(socket_,
-                             boost::asio::buffer(writeBuffer_),
-                             [self = shared_from_this()](const error_code& aError, std::size_t) {
-                               self->writing_ = false;
-                               self->writeBuffer_.clear();
-                               ShrinkIfEmpty(self->writeBuffer_);
-                               self->heldQueue_.Touch();
-                               if (aError) {
-                                 self->End(LinkEndReason::kClosed);
-                                 return;
-                               }
-                               self->CountQueue();
-                               self->Write();
-                               if (self->closesAfterSending_) {
-                                 self->CloseAfterSending();
-                               }
-                             });
+    boost::asio::async_write(
+      socket_,
+      boost::asio::buffer(writeBuffer_),
+      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+        self->heldQueue_.Touch();
+        return boost::asio::transfer_all()(aError, aBytes);
+      },
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        self->writing_ = false;
+        self->writeBuffer_.clear();
+        ShrinkIfEmpty(self->writeBuffer_);
+        self->heldQueue_.Touch();
+        if (aError) {
+          self->End(LinkEndReason::kClosed);
+          return;
+        }
+        self->CountQueue();
+        self->Write();
+        if (self->closesAfterSending_) {
+          self->CloseAfterSending();
+        }
+      });
   }
 
   // Counts the frames that the operating system hasn't accepted yet.
