Keep half of the memory for messages for answers

Found by the review. Requests hold their bytes until they are answered, and large answers wait for room in the same budget. Enough large requests at once would wait for answers that find no room. Requests are refused beyond half of the budget; a chunked request holds its real size once it is complete, in place of the largest permitted one.

--- a/peridotquay/connection/ByteBudget.cpp
+++ b/peridotquay/connection/ByteBudget.cpp
@@ -53,10 +53,10 @@
   return found;
 }
 
-// Ends idle messages until aBytes fit. Returns whether they do.
-bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes)
+// Ends idle messages until aBytes fit into aLimit. Returns whether they do.
+bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes, std::size_t aLimit)
 {
-  while (aBudget.used_ + aBytes > aBudget.limit_) {
+  while (aBudget.used_ + aBytes > aLimit) {
     HeldBytes* idle = FindIdle(aBudget, kIdleTime);
     if (idle == nullptr) {
       return false;
@@ -72,7 +72,7 @@
 
 void CheckBudget(ByteBudget& aBudget)
 {
-  MakeRoom(aBudget, 0);
+  MakeRoom(aBudget, 0, aBudget.limit_);
   while (aBudget.used_ > aBudget.limit_ * kMaxExcessFactor) {
     HeldBytes* largest = FindIdle(aBudget, Duration::zero());
     if (largest == nullptr) {
@@ -84,7 +84,8 @@
     const auto end = largest->end_;
     end();
   }
-  while (!aBudget.waiting_.empty() && MakeRoom(aBudget, aBudget.waiting_.front()->wantedBytes_)) {
+  while (!aBudget.waiting_.empty() &&
+         MakeRoom(aBudget, aBudget.waiting_.front()->wantedBytes_, aBudget.limit_)) {
     // Making room may have ended the wait of the first holder.
     if (aBudget.waiting_.empty() ||
         aBudget.used_ + aBudget.waiting_.front()->wantedBytes_ > aBudget.limit_) {
@@ -148,7 +149,8 @@
     return true;
   }
   const std::size_t more = aBytes - std::min(aBytes, bytes_);
-  if (more > 0 && (!budget_->waiting_.empty() || !MakeRoom(*budget_, more))) {
+  if (more > 0 &&
+      (!budget_->waiting_.empty() || !MakeRoom(*budget_, more, budget_->requestLimit_))) {
     ++budget_->refusedMessages_;
     LogFull(*budget_);
     return false;
--- a/peridotquay/connection/ByteBudget.h
+++ b/peridotquay/connection/ByteBudget.h
@@ -27,17 +27,23 @@
 /// while it passes from one connection to the next.
 inline constexpr double kMessageMemoryFraction = 0.125;
 
+/// Part of the budget beyond which requests are refused. They hold their bytes until they are
+/// answered, so that answers must find room beside them.
+inline constexpr double kRequestFraction = 0.5;
+
 /// The budget of a process. Used on the loop's thread only.
 struct ByteBudget
 {
   ByteBudget(EventLoop& aLoop, std::size_t aLimit)
     : loop_(aLoop)
     , limit_(aLimit)
+    , requestLimit_(static_cast<std::size_t>(static_cast<double>(aLimit) * kRequestFraction))
   {
   }
 
   EventLoop& loop_;
   std::size_t limit_;                        ///< In bytes.
+  std::size_t requestLimit_;                 ///< In bytes; beyond it, requests don't fit.
   std::size_t used_ = 0;                     ///< Sum of the bytes of all holders.
   std::uint64_t refusedMessages_ = 0;        ///< Messages refused because they didn't fit.
   std::uint64_t endedMessages_ = 0;          ///< Unfinished messages ended to make room.
@@ -60,7 +66,8 @@
   HeldBytes& operator=(const HeldBytes&) = delete;
   ~HeldBytes();
 
-  /// Holds aBytes in place of the bytes held so far, if they fit. To make room, messages whose
+  /// Holds aBytes of a request in place of the bytes held so far, if they fit beside the room that
+  /// is kept for answers. To make room, messages whose
   /// other side has been idle for long are ended. Returns false, and counts a refusal, if there is
   /// no room or others wait for it.
   bool Reserve(std::size_t aBytes);
@@ -81,7 +88,7 @@
 private:
   friend void CheckBudget(ByteBudget& aBudget);
   friend HeldBytes* FindIdle(const ByteBudget& aBudget, Duration aIdleTime);
-  friend bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes);
+  friend bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes, std::size_t aLimit);
   void Set(std::size_t aBytes);
 
   std::shared_ptr<ByteBudget> budget_; ///< Null without a limit.
--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -564,6 +564,9 @@
     parser_.reset();
     requestBegan_ = false;
     held_.SetNeedsOtherSide(false);
+    if (held_.Bytes() > message.body().size()) {
+      held_.ReserveAlways(message.body().size());
+    }
     ShrinkIfEmpty(unparsed_);
     server_.loop_.CancelTimer(timer_);
     timer_ = 0;
