--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -31,6 +31,12 @@
 // Size of the read buffer in bytes.
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
+// Time after which accepting is tried again when there are too many connections or descriptors.
+constexpr Duration kAcceptRetryInterval = milliseconds(20);
+
+// Time after which a caller may repeat a request that was refused for lack of memory.
+constexpr std::uint32_t kFullRetryAfterMs = 1000;
+
 // Time that a caller has to close its side of a connection that the server has closed.
 constexpr Duration kCloseTimeout = milliseconds(500);
 
@@ -102,6 +108,7 @@
   EventLoop& loop_;
   HttpServerSettings settings_;
   Handler handler_;
+  UnansweredHandler unansweredHandler_; ///< May be null.
   tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Session>> sessions_;
   std::uint64_t rejectedRequests_ = 0;
@@ -109,10 +116,14 @@
   bool closeAfterAnswers_ = false;
   bool finishing_ = false; ///< Connections are closed as soon as they have no request.
 
-  State(EventLoop& aLoop, const HttpServerSettings& aSettings, Handler aHandler)
+  State(EventLoop& aLoop,
+        const HttpServerSettings& aSettings,
+        Handler aHandler,
+        UnansweredHandler aUnansweredHandler)
     : loop_(aLoop)
     , settings_(aSettings)
     , handler_(std::move(aHandler))
+    , unansweredHandler_(std::move(aUnansweredHandler))
     , acceptor_(aLoop.Context())
   {
   }
@@ -142,6 +153,7 @@
   Session(HttpServer::State& aServer, tcp::socket aSocket)
     : server_(aServer)
     , socket_(std::move(aSocket))
+    , held_(aServer.settings_.budget_, [this] { EndToMakeRoom(); })
   {
   }
 
@@ -152,13 +164,15 @@
   }
 
   // Closes the connection and calls onClosed_ of a request that has no answer yet.
-  void Close()
+  void Close(CloseReason aReason)
   {
     if (closed_) {
       return;
     }
+    ReportUnanswered(aReason);
     closed_ = true;
     server_.loop_.CancelTimer(timer_);
+    held_.Release();
     error_code ignored;
     socket_.close(ignored);
     if (writing_) {
@@ -180,6 +194,9 @@
     if (closed_) {
       return;
     }
+    if (exchange_) {
+      attempts_ = exchange_->attempts_;
+    }
     exchange_.reset();
     const bool keep = keepAlive_ && !server_.closeAfterAnswers_;
     keepAlive_ = keep;
@@ -202,19 +219,41 @@
     if (!isHeadRequest_ && !bodiless) {
       writeBuffer_ += aResponse.body_;
     }
+    held_.ReserveAlways(writeBuffer_.size() > kUncountedMessageBytes ? writeBuffer_.size() : 0);
+    held_.SetNeedsOtherSide(true);
     RestartTimer(server_.settings_.writeTimeout_, false);
     writing_ = true;
+    writtenBytes_ = 0;
     ++server_.pendingAnswers_;
     boost::asio::async_write(
       socket_,
       boost::asio::buffer(writeBuffer_),
+      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+        if (aBytes > self->writtenBytes_) {
+          self->writtenBytes_ = aBytes;
+          self->held_.Touch();
+        }
+        return boost::asio::transfer_all()(aError, aBytes);
+      },
       [self = shared_from_this()](const error_code& aError, std::size_t /*aBytes*/) {
         self->OnWritten(aError);
       });
   }
 
   // True if the caller has sent a part of a request.
-  bool HasUnfinishedRequest() const { return requestBegan_; }
+  bool HasUnfinishedRequest() const { return requestBegan_ && !discardsInput_; }
+
+  // Adds what this connection holds.
+  void AddContent(HttpServerContent& aContent) const
+  {
+    error_code error;
+    const std::size_t unread = socket_.available(error);
+    ++aContent.connections_;
+    aContent.partlyRead_ += requestBegan_ && !discardsInput_ ? 1 : 0;
+    aContent.handled_ += exchange_ ? 1 : 0;
+    aContent.answering_ += writing_ ? 1 : 0;
+    aContent.unreadBytes_ += error ? 0 : unread;
+  }
 
   // Closes the sending side if the connection has no request. The pending read is cancelled first,
   // because it may already have taken bytes that OnRead hasn't got yet.
@@ -229,12 +268,15 @@
   }
 
   // Answers an invalid request with an error and discards further input.
-  void Reject(ErrorCode aCode)
+  void Reject(ErrorCode aCode, std::uint32_t aRetryAfterMs = 0)
   {
     ++server_.rejectedRequests_;
+    requestId_.clear();
     keepAlive_ = false;
     discardsInput_ = true;
-    Answer(ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted"));
+    parser_.reset();
+    unparsed_ = std::string();
+    Answer(ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted", aRetryAfterMs));
   }
 
   std::shared_ptr<Exchange> exchange_; ///< The request being handled; null if none.
@@ -250,11 +292,63 @@
            socket_.available(error) == 0;
   }
 
+  // Reports the request that this connection holds, if any, before the connection ends.
+  void ReportUnanswered(CloseReason aReason)
+  {
+    const bool isRead = exchange_ || writing_;
+    const bool isPartlyRead = !discardsInput_ && (requestBegan_ || !unparsed_.empty());
+    if (!server_.unansweredHandler_ || (!isRead && !isPartlyRead)) {
+      return;
+    }
+    UnansweredRequest request;
+    request.reason_ = aReason;
+    request.sinceRead_ = server_.loop_.Now() - requestReadAt_;
+    if (isRead) {
+      request.id_ = requestId_;
+      request.stage_ = writing_ ? RequestStage::kAnswering : RequestStage::kHandled;
+      request.attempts_ = exchange_ ? exchange_->attempts_ : attempts_;
+    }
+    if (writing_) {
+      request.answerBytes_ = writeBuffer_.size();
+      request.writtenBytes_ = writtenBytes_;
+    }
+    server_.unansweredHandler_(request);
+  }
+
+  // Ends the message that the caller doesn't go on to send or to read.
+  void EndToMakeRoom()
+  {
+    if (writing_) {
+      Close(CloseReason::kMemoryFull);
+    } else {
+      Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
+    }
+  }
+
+  // Holds the bytes of the whole request once it is known to be large, so that one whose beginning
+  // was accepted can be completed. Rejects the request if they don't fit.
+  bool ReserveBody()
+  {
+    const auto length = parser_->content_length();
+    const std::size_t received = parser_->get().body().size() + unparsed_.size();
+    if (held_.Bytes() > 0 || (length ? *length : received) <= kUncountedMessageBytes) {
+      return true;
+    }
+    if (!held_.Reserve(length ? static_cast<std::size_t>(*length)
+                              : server_.settings_.maxBodyBytes_)) {
+      Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
+      return false;
+    }
+    held_.SetNeedsOtherSide(true);
+    return true;
+  }
+
   // Closes the sending side and discards input until the caller closes too, or for a short time.
   // Closing with unread input would reset the connection, and the caller could lose the answer.
   void StartClose()
   {
     error_code ignored;
+    ReportUnanswered(CloseReason::kClosing);
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     discardsInput_ = true;
     unparsed_.clear();
@@ -274,7 +368,7 @@
       if (aRejectsRequest) {
         self->Reject(ErrorCode::kRequestTooSlow);
       } else {
-        self->Close();
+        self->Close(CloseReason::kWriteTimeout);
       }
     });
   }
@@ -282,7 +376,7 @@
   void Read()
   {
     // Reading continues while a request is handled, to detect that the caller closes the
-    // connection. Pipelined requests are buffered up to the maximum size of one request.
+    // connection. Pipelined requests are buffered up to kUncountedMessageBytes.
     if (reading_ || closed_ || unparsed_.size() > MaxInputBytes()) {
       return;
     }
@@ -297,7 +391,9 @@
 
   std::size_t MaxInputBytes() const
   {
-    return server_.settings_.maxBodyBytes_ + server_.settings_.maxHeaderBytes_;
+    return exchange_ || writing_
+             ? kUncountedMessageBytes
+             : server_.settings_.maxBodyBytes_ + server_.settings_.maxHeaderBytes_;
   }
 
   void OnRead(const error_code& aError, std::size_t aBytes)
@@ -320,13 +416,17 @@
         keepAlive_ = false;
         return;
       }
-      Close();
+      Close(aError == boost::asio::error::eof ? CloseReason::kCallerClosed
+                                              : CloseReason::kCallerReset);
       return;
     }
     if (discardsInput_) {
       Read();
       return;
     }
+    if (!writing_) {
+      held_.Touch();
+    }
     unparsed_.append(readBuffer_.data(), aBytes);
     Parse();
     Read();
@@ -346,6 +446,7 @@
       }
       if (!requestBegan_) {
         requestBegan_ = true;
+        requestReadAt_ = server_.loop_.Now();
         RestartTimer(server_.settings_.readTimeout_, true);
       }
       const std::size_t end = unparsed_.find("\r\n\r\n");
@@ -361,6 +462,12 @@
         return;
       }
       unparsed_.erase(0, headBytes);
+      if (!ReserveBody()) {
+        return;
+      }
+      if (expectsContinue_ && !parser_->is_done()) {
+        SendContinue();
+      }
     }
     ParseBody();
   }
@@ -412,10 +519,8 @@
         Reject(ErrorCode::kMalformedRequest);
         return false;
       }
-      if (!parser_->is_done()) {
-        SendContinue();
-      }
     }
+    expectsContinue_ = expect != message.end();
     // Headers are copied before the body is parsed, because the parser later adds the trailers of a
     // chunked body to the same list.
     headers_.clear();
@@ -442,6 +547,7 @@
         Dispatch();
         return;
       case ParseStatus::kNeedsMore:
+        ReserveBody();
         return;
       case ParseStatus::kBodyTooLarge:
         Reject(ErrorCode::kRequestTooLarge);
@@ -457,10 +563,18 @@
     auto message = parser_->release();
     parser_.reset();
     requestBegan_ = false;
+    held_.SetNeedsOtherSide(false);
+    if (held_.Bytes() > message.body().size()) {
+      held_.ReserveAlways(message.body().size());
+    }
+    ShrinkIfEmpty(unparsed_);
     server_.loop_.CancelTimer(timer_);
     timer_ = 0;
     keepAlive_ = message.keep_alive();
     isHeadRequest_ = message.method() == http::verb::head;
+    requestReadAt_ = server_.loop_.Now();
+    requestId_ = FindHeader(headers_, server_.settings_.requestIdHeader_).value_or("");
+    attempts_ = 0;
     exchange_ = std::make_shared<Exchange>(shared_from_this());
     HttpRequest& request = exchange_->request_;
     request.method_ = std::string(message.method_string());
@@ -477,12 +591,15 @@
     if (closed_) {
       return;
     }
-    writing_ = false;
-    --server_.pendingAnswers_;
     if (aError) {
-      Close();
+      Close(CloseReason::kWriteFailed);
       return;
     }
+    writing_ = false;
+    --server_.pendingAnswers_;
+    writeBuffer_.clear();
+    ShrinkIfEmpty(writeBuffer_);
+    held_.Release();
     if (!keepAlive_) {
       StartClose();
       return;
@@ -499,14 +616,20 @@
   std::string writeBuffer_;
   std::optional<Parser> parser_; ///< Set while the body of a request is being received.
   HeaderList headers_;           ///< Headers of the request in parser_.
+  HeldBytes held_;               ///< Bytes of the request until it is answered, then of the answer.
   std::uint64_t timer_ = 0;
-  bool requestBegan_ = false; ///< The first byte of a request has arrived.
+  TimePoint requestReadAt_{};    ///< Last byte of the request; first one while it is incomplete.
+  std::string requestId_;        ///< Of the last complete request; empty if it isn't known.
+  std::uint32_t attempts_ = 0;   ///< Of the request that is being answered.
+  std::size_t writtenBytes_ = 0; ///< Bytes of writeBuffer_ that the operating system has accepted.
+  bool requestBegan_ = false;    ///< The first byte of a request has arrived.
   bool reading_ = false;
   bool writing_ = false;
   bool keepAlive_ = true;
-  bool isHeadRequest_ = false;  ///< The current request has the method HEAD.
-  bool discardsInput_ = false;  ///< Further input is read and discarded.
-  bool closeRequested_ = false; ///< The pending read is cancelled to close an idle connection.
+  bool isHeadRequest_ = false;   ///< The current request has the method HEAD.
+  bool expectsContinue_ = false; ///< The caller waits before it sends the body of the request.
+  bool discardsInput_ = false;   ///< Further input is read and discarded.
+  bool closeRequested_ = false;  ///< The pending read is cancelled to close an idle connection.
   bool closed_ = false;
 };
 
@@ -534,8 +657,31 @@
   }
 }
 
+// Number of connections up to which further ones are accepted in order to refuse them. The rest
+// waits until some have ended, because refused connections hold descriptors too.
+std::size_t MaxOpenConnections(const HttpServerSettings& aSettings)
+{
+  return aSettings.maxConnections_ + aSettings.maxConnections_ / 8 + 1;
+}
+
+void Accept(const std::shared_ptr<HttpServer::State>& aState);
+
+void AcceptLater(HttpServer::State& aState, const std::weak_ptr<HttpServer::State>& aWeak)
+{
+  aState.loop_.After(kAcceptRetryInterval, [aWeak] {
+    const auto owner = aWeak.lock();
+    if (owner && owner->acceptor_.is_open()) {
+      Accept(owner);
+    }
+  });
+}
+
 void Accept(const std::shared_ptr<HttpServer::State>& aState)
 {
+  if (aState->sessions_.size() >= MaxOpenConnections(aState->settings_)) {
+    AcceptLater(*aState, aState);
+    return;
+  }
   aState->acceptor_.async_accept(
     [weak = std::weak_ptr(aState)](const error_code& aError, tcp::socket aSocket) {
       const auto state = weak.lock();
@@ -544,11 +690,7 @@
       }
       if (aError) {
         // Without free file descriptors, accepting again immediately would loop without pause.
-        state->loop_.After(milliseconds(20), [weak] {
-          if (const auto owner = weak.lock()) {
-            Accept(owner);
-          }
-        });
+        AcceptLater(*state, weak);
         return;
       }
       AddSession(*state, std::move(aSocket));
@@ -576,9 +718,11 @@
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Listen(EventLoop& aLoop,
                                                        const HttpServerSettings& aSettings,
-                                                       Handler aHandler)
+                                                       Handler aHandler,
+                                                       UnansweredHandler aUnansweredHandler)
 {
-  auto state = std::make_shared<State>(aLoop, aSettings, std::move(aHandler));
+  auto state =
+    std::make_shared<State>(aLoop, aSettings, std::move(aHandler), std::move(aUnansweredHandler));
   const std::string text = aSettings.listen_.ip_ + ":" + std::to_string(aSettings.listen_.port_);
   error_code error;
   const auto ip = boost::asio::ip::make_address(aSettings.listen_.ip_, error);
@@ -611,7 +755,7 @@
   error_code ignored;
   state_->acceptor_.close(ignored);
   while (!state_->sessions_.empty()) {
-    (*state_->sessions_.begin())->Close();
+    (*state_->sessions_.begin())->Close(CloseReason::kServerEnded);
   }
 }
 
@@ -643,6 +787,15 @@
     }));
 }
 
+HttpServerContent HttpServer::Content() const
+{
+  HttpServerContent content;
+  for (const auto& session : state_->sessions_) {
+    session->AddContent(content);
+  }
+  return content;
+}
+
 void HttpServer::Finish()
 {
   state_->closeAfterAnswers_ = true;
--- a/peridotquay/connection/PeerLink.cpp
+++ b/peridotquay/connection/PeerLink.cpp
@@ -24,6 +24,11 @@
 // Size of the read buffer in bytes.
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
+// Frames up to this size may take the queue above its maximum by the reserve, so that
+// cancellations, replies about the status of calls and refusals are still sent on a slow link.
+constexpr std::size_t kShortFrameBytes = std::size_t{ 2 } * 1024;
+constexpr std::size_t kShortFrameReserve = std::size_t{ 1 } << 20U;
+
 template<int Name>
 using KeepAliveOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
@@ -45,7 +50,11 @@
     , events_(std::move(aEvents))
     , peerAddress_(std::move(aPeer))
     , socket_(aLoop.Context())
+    , heldFrame_(settings_.budget_, [this] { End(LinkEndReason::kClosed); })
+    , heldQueue_(settings_.budget_, [this] { End(LinkEndReason::kClosed); })
   {
+    heldFrame_.SetNeedsOtherSide(true);
+    heldQueue_.SetNeedsOtherSide(true);
     static std::atomic<std::uint64_t> next{ 1 };
     number_ = next++;
   }
@@ -88,11 +97,16 @@
     }
     std::string& queue = open_ ? queuedFrames_ : framesBeforeHello_;
     const std::string frame = FramePeerMessage(aMessage);
-    if (frame.size() > kMaxFrameBytes + 4 ||
-        queue.size() + frame.size() > settings_.maxQueuedBytes_) {
+    const std::size_t maxQueuedBytes =
+      settings_.maxQueuedBytes_ + (frame.size() <= kShortFrameBytes ? kShortFrameReserve : 0);
+    if (frame.size() > kMaxFrameBytes + 4 || queue.size() + frame.size() > maxQueuedBytes) {
       return false;
     }
+    if (queue.empty() && !writing_) {
+      heldQueue_.Touch();
+    }
     queue += frame;
+    CountQueue();
     Write();
     return true;
   }
@@ -140,6 +154,8 @@
     ended_ = true;
     loop_.CancelTimer(handshakeTimer_);
     loop_.CancelTimer(silenceTimer_);
+    heldFrame_.Release();
+    heldQueue_.Release();
     error_code ignored;
     socket_.close(ignored);
   }
@@ -195,19 +211,36 @@
     writing_ = true;
     writeBuffer_.swap(queuedFrames_);
     queuedFrames_.clear();
-    boost::asio::async_write(socket_,
-                             boost::asio::buffer(writeBuffer_),
-                             [self = shared_from_this()](const error_code& aError, std::size_t) {
-                               self->writing_ = false;
-                               if (aError) {
-                                 self->End(LinkEndReason::kClosed);
-                                 return;
-                               }
-                               self->Write();
-                               if (self->closesAfterSending_) {
-                                 self->CloseAfterSending();
-                               }
-                             });
+    boost::asio::async_write(
+      socket_,
+      boost::asio::buffer(writeBuffer_),
+      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+        self->heldQueue_.Touch();
+        return boost::asio::transfer_all()(aError, aBytes);
+      },
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        self->writing_ = false;
+        self->writeBuffer_.clear();
+        ShrinkIfEmpty(self->writeBuffer_);
+        self->heldQueue_.Touch();
+        if (aError) {
+          self->End(LinkEndReason::kClosed);
+          return;
+        }
+        self->CountQueue();
+        self->Write();
+        if (self->closesAfterSending_) {
+          self->CloseAfterSending();
+        }
+      });
+  }
+
+  // Counts the frames that the operating system hasn't accepted yet.
+  void CountQueue()
+  {
+    const std::size_t bytes =
+      framesBeforeHello_.size() + queuedFrames_.size() + writeBuffer_.size();
+    heldQueue_.ReserveAlways(!ended_ && bytes > kUncountedMessageBytes ? bytes : 0);
   }
 
   void Read()
@@ -223,6 +256,7 @@
           return;
         }
         self->silentSince_ = self->loop_.Now();
+        self->heldFrame_.Touch();
         self->OnBytes(std::string_view(self->readBuffer_.data(), aBytes));
         if (!self->ended_) {
           self->Read();
@@ -240,6 +274,8 @@
         return;
       }
       if (!body.assume_value()) {
+        const std::size_t bytes = reader_.UnfinishedFrameBytes();
+        heldFrame_.ReserveAlways(bytes > kUncountedMessageBytes ? bytes : 0);
         return;
       }
       auto message = DecodePeerMessage(*body.assume_value());
@@ -336,6 +372,8 @@
   PeerLinkEvents events_;
   Address peerAddress_;
   tcp::socket socket_;
+  HeldBytes heldFrame_; ///< Bytes of the frame that is partly received.
+  HeldBytes heldQueue_; ///< Bytes of the queues and of writeBuffer_.
   std::uint64_t number_ = 0;
   Hello peer_;
   FrameReader reader_;
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -108,6 +108,7 @@
     const Route* route_ = nullptr;
     Call call_; ///< As sent to guards; the call id is set for each attempt.
     CompletionHandler completionHandler_;
+    std::weak_ptr<HttpExchange> exchange_; ///< Empty for a call that another host forwarded.
     TimePoint arrivedAt_{};
     TimePoint deadline_{};
     std::uint64_t deadlineTimer_ = 0;
@@ -185,6 +186,8 @@
   /// Returns whether the call may be attempted again, and if so takes the retry from its budget.
   /// The flags tell how far the last attempt got.
   bool AcquireRetry(const CallPointer& aCall, bool aReachedHost, bool aReachedTarget);
+  /// Returns whether a call whose attempt was lost may be attempted again.
+  bool HasRetryLeft(const ActiveCall& aCall) const;
   RetryRatioSettings RetrySettings(const ActiveCall& aCall) const;
   void RetryOrEnd(const CallPointer& aCall, Answer aAnswer, bool aExcludeHost = true);
 
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -100,6 +100,9 @@
   ActiveCall& call = *aCall;
   call.target_ = aTarget;
   ++call.attemptCount_;
+  if (const auto exchange = call.exchange_.lock()) {
+    exchange->attempts_ = call.attemptCount_;
+  }
   call.sentAt_ = now;
   call.queriesStatus_ = false;
   call.statusQueries_ = 0;
@@ -241,6 +244,13 @@
   return SpendRetry(aCall->budget_);
 }
 
+bool Dispatcher::HasRetryLeft(const ActiveCall& aCall) const
+{
+  const auto ratio = retryRatios_.find(aCall.call_.service_);
+  return loop_.Now() < aCall.deadline_ && aCall.budget_.left_ > 0 && ratio != retryRatios_.end() &&
+         HasRetryToken(ratio->second, RetrySettings(aCall), loop_.Now(), true);
+}
+
 void Dispatcher::RetryOrEnd(const CallPointer& aCall, Answer aAnswer, bool aExcludeHost)
 {
   const auto code = static_cast<ErrorCode>(aAnswer.error_);
@@ -294,7 +304,8 @@
   }
   const CallPointer call = entry->second;
   if (call->queriesStatus_) {
-    if (aCall.maybeSent_ && call->statusQueries_ < kMaxStatusQueries) {
+    const std::uint32_t maxQueries = call->call_.repeatable_ ? 1 : kMaxStatusQueries;
+    if (aCall.maybeSent_ && call->statusQueries_ < maxQueries) {
       QueryCallStatus(call);
       return;
     }
@@ -324,7 +335,12 @@
     RetryOrEnd(call, std::move(answer));
     return;
   }
-  if (!call->call_.repeatable_ && !settings_.naive_) {
+  // A repeatable call goes on at a host that can be reached again: running it elsewhere would need
+  // a retry, and lose what has been done. A silent host may not answer the query either, so that
+  // a call with a retry left is sent elsewhere.
+  const bool maySendAgain =
+    call->call_.repeatable_ && aCall.reason_ == LinkEndReason::kSilent && HasRetryLeft(*call);
+  if (!maySendAgain && !settings_.naive_) {
     call->guardProcess_ = aCall.peer_;
     QueryCallStatus(call);
     return;
@@ -364,6 +380,12 @@
     return;
   }
   hub_.EndCall(aReply.callId_);
+  if (call->call_.repeatable_) {
+    // The call has ended, or never arrived; guards don't record repeatable calls.
+    EndAttempt(call, AttemptResult::kFailed, nullptr);
+    RetryOrEnd(call, MakeAnswer(Outcome::kUnknown, ErrorCode::kOutcomeUnknown));
+    return;
+  }
   if (sameIncarnation && aReply.callStatus_ == CallStatus::kNeverArrived) {
     Answer answer = MakeAnswer(Outcome::kNotRun, ErrorCode::kTargetUnreachable);
     answer.retriesUnused_ = call->lentRetries_;
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -89,7 +89,8 @@
 Guard::Guard(EventLoop& aLoop,
              const NodeSettings& aSettings,
              Metrics& aMetrics,
-             const HttpDialect& aDialect)
+             const HttpDialect& aDialect,
+             std::shared_ptr<ByteBudget> aBudget)
   : loop_(aLoop)
   , settings_(aSettings)
   , metrics_(aMetrics)
@@ -101,9 +102,11 @@
               .maxHeaderBytes_ = aSettings.maxHeaderBytes_,
               .idleTimeout_ = aSettings.targetIdleTimeout_,
               .echoHeader_ = std::string(aDialect.echoHeader_),
-              .allowsCloseDelimited_ = aDialect.allowsCloseDelimited_ })
+              .allowsCloseDelimited_ = aDialect.allowsCloseDelimited_,
+              .budget_ = aBudget })
   , freshClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
   , pollClient_(aLoop, { .target_ = aSettings.target_, .maxConnections_ = 2 })
+  , budget_(std::move(aBudget))
 {
   admission_.settings_.adaptive_ = !aDialect.slotsAreLimit_;
   admission_.settings_.lowerClassShare_ = aDialect.hasContexts_ ? 0 : kRequestShare;
@@ -135,6 +138,13 @@
     Refuse(number, ErrorCode::kNoTarget, 0);
     return;
   }
+  if (budget_ && aCall.body_.size() > kUncountedMessageBytes) {
+    guardedCall.held_ = std::make_unique<HeldBytes>(budget_, nullptr);
+    if (!guardedCall.held_->Reserve(aCall.body_.size())) {
+      Refuse(number, ErrorCode::kLimitReached, 0);
+      return;
+    }
+  }
   if (aCall.depth_ > kMaxCallDepth) {
     Refuse(number, ErrorCode::kDepthExceeded, 0);
     return;
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -10,14 +10,17 @@
 #include "peridotquay/process/Events.h"
 #include "peridotquay/process/Guard.h"
 #include "peridotquay/process/LogOutput.h"
+#include "peridotquay/process/LogThrottle.h"
 #include "peridotquay/process/Metrics.h"
 
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <limits>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -26,6 +29,8 @@
 
 namespace {
 
+constexpr double kMebibyte = 1 << 20;
+
 constexpr Duration kTargetPollInterval = seconds(1);
 constexpr Duration kHousekeepingInterval = milliseconds(100);
 constexpr Duration kDrainCheckInterval = milliseconds(10);
@@ -34,11 +39,21 @@
 // and the handed-over request records are sent.
 constexpr Duration kLeaveDelay = milliseconds(300);
 
+// A repeatable call whose link ended goes on for this long, in which its sender can reconnect.
+constexpr Duration kReconnectPeriod = milliseconds(300);
+
 // Number of checks, kDrainCheckInterval apart, after which a process ends although callers or peers
 // haven't closed their side of a connection. Checks are counted in place of time, so that a process
 // that had to wait for a core still handles what has arrived.
 constexpr int kMaxCloseChecks = 15;
 
+// Number of these checks when the drain has timed out and little time is left.
+constexpr int kCloseChecksAfterTimeout = 5;
+
+// Limit of the log lines of requests whose connection this process ended. Such requests are rare,
+// and each of them matters.
+constexpr std::uint32_t kMaxUnansweredLinesPerSecond = 100;
+
 // With port 0 the kernel chooses a TCP port; another one is tried if its number is taken for UDP.
 constexpr int kMaxPortAttempts = 50;
 
@@ -55,6 +70,14 @@
       .count());
 }
 
+// File descriptors that this process may have.
+std::uint64_t DescriptorLimit()
+{
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur
+                                               : std::numeric_limits<std::uint64_t>::max();
+}
+
 // Rendezvous weight of a candidate as successor of a leaving host, by an FNV-1a style hash. It
 // depends on the two names only, so all nodes compute the same value.
 std::uint64_t SuccessorRank(const HostId& aLeaving, const HostId& aCandidate)
@@ -75,8 +98,8 @@
   {
     std::uint64_t link_ = 0;
     std::uint64_t guardCall_ = 0; ///< Call number at the guard.
-    /// Key in deduplication_; set only if the call must run at most once.
-    std::optional<CallKey> callKey_;
+    CallKey callKey_;
+    bool runsOnce_ = false; ///< The call must run at most once; callKey_ is in deduplication_.
   };
 
   NodeSettings settings_;
@@ -84,6 +107,7 @@
   Incarnation incarnation_ = 0;
   EventLoop loop_;
   Metrics metrics_;
+  std::shared_ptr<ByteBudget> budget_; ///< Of all connections except those of operators.
   std::unique_ptr<PeerHub> hub_;
   std::unique_ptr<DatagramSocket> datagram_;
   std::unique_ptr<Guard> guard_;
@@ -102,12 +126,17 @@
   bool draining_ = false;
   bool acceptingRequests_ = true; ///< False once new requests are refused because of a drain.
   bool leaving_ = false;          ///< The departure was announced and the records handed over.
-  int closeChecks_ = 0;           ///< Checks since the process began to close its connections.
+  LogThrottle abandonedThrottle_;
+  LogThrottle unansweredThrottle_{ .maxLinesPerSecond_ = kMaxUnansweredLinesPerSecond };
+  int closeChecks_ = 0; ///< Checks since the process began to close its connections.
 
   State(const NodeSettings& aSettings, const HttpDialect& aDialect)
     : settings_(aSettings)
     , dialect_(aDialect)
     , incarnation_(WallClockMs())
+    , budget_(std::make_shared<ByteBudget>(
+        loop_,
+        static_cast<std::size_t>(kMessageMemoryFraction * aSettings.hostMemoryMb_ * kMebibyte)))
     , startedAt_(Clock::now())
   {
   }
@@ -118,6 +147,7 @@
   Result<void> Open()
   {
     PeerLinkSettings links;
+    links.budget_ = budget_;
     links.ownHello_ = {
       kPeerProtocolVersion, settings_.host_, incarnation_, settings_.dataCentre_
     };
@@ -131,19 +161,26 @@
     if (peers.has_error()) {
       return peers.as_failure();
     }
-    guard_ = std::make_unique<Guard>(loop_, settings_, metrics_, dialect_);
+    guard_ = std::make_unique<Guard>(loop_, settings_, metrics_, dialect_, budget_);
     dispatcher_ = std::make_unique<Dispatcher>(
       loop_, settings_, incarnation_, *guard_, *hub_, metrics_, dialect_);
     HttpServerSettings http;
     http.maxBodyBytes_ = settings_.maxBodyBytes_;
     http.maxHeaderBytes_ = settings_.maxHeaderBytes_;
-    http.maxConnections_ = settings_.maxCallerConnections_;
+    http.maxConnections_ = MaxCallerConnections(settings_, DescriptorLimit());
     http.readTimeout_ = settings_.readTimeout_;
+    http.requestIdHeader_ =
+      dialect_.echoHeader_.empty() ? "Quay-Request-Id" : std::string(dialect_.echoHeader_);
+    http.budget_ = budget_;
     const auto open = [&](std::unique_ptr<HttpServer>& aServer,
                           Address& aAddress,
+                          std::string_view aName,
                           HttpServer::Handler aHandler) -> Result<void> {
       http.listen_ = aAddress;
-      auto server = HttpServer::Listen(loop_, http, std::move(aHandler));
+      auto server = HttpServer::Listen(
+        loop_, http, std::move(aHandler), [this, aName](const UnansweredRequest& aRequest) {
+          OnUnanswered(aName, aRequest);
+        });
       if (server.has_error()) {
         return server.as_failure();
       }
@@ -152,17 +189,21 @@
       return Success();
     };
     using Exchange = std::shared_ptr<HttpExchange>;
-    auto opened = open(callers_, settings_.callers_, [this](const Exchange& aExchange) {
+    auto opened = open(callers_, settings_.callers_, "callers", [this](const Exchange& aExchange) {
       dispatcher_->OnCallerRequest(aExchange);
     });
     if (opened.has_value()) {
-      opened = open(outbound_, settings_.outbound_, [this](const Exchange& aExchange) {
+      opened = open(outbound_, settings_.outbound_, "outbound", [this](const Exchange& aExchange) {
         dispatcher_->OnOutboundRequest(aExchange);
       });
     }
+    // Operators are served even if callers use up the memory for messages.
+    http.maxConnections_ = kMaxControlConnections;
+    http.budget_ = nullptr;
     if (opened.has_value()) {
-      opened =
-        open(admin_, settings_.admin_, [this](const Exchange& aExchange) { OnAdmin(aExchange); });
+      opened = open(admin_, settings_.admin_, "admin", [this](const Exchange& aExchange) {
+        OnAdmin(aExchange);
+      });
     }
     return opened;
   }
@@ -285,6 +326,47 @@
     loop_.After(kHousekeepingInterval, [this] { DoHousekeeping(); });
   }
 
+  // --- Unanswered requests ---
+
+  void OnUnanswered(std::string_view aListener, const UnansweredRequest& aRequest)
+  {
+    const bool abandoned = IsClosedByCaller(aRequest.reason_);
+    metrics_.Add(abandoned ? Counter::kRequestsAbandoned : Counter::kRequestsUnanswered);
+    metrics_.Add(Counter::kAnswersCut, aRequest.writtenBytes_ > 0 ? 1 : 0);
+    std::uint64_t skipped = 0;
+    if (!(abandoned ? abandonedThrottle_ : unansweredThrottle_).Allow(loop_.Now(), skipped)) {
+      return;
+    }
+    const auto readMs = std::chrono::duration_cast<milliseconds>(aRequest.sinceRead_).count();
+    LogEvent(abandoned ? Event::kRequestAbandoned : Event::kRequestUnanswered,
+             { { "id", aRequest.id_ },
+               { "listener", std::string(aListener) },
+               { "reason", std::string(CloseReasonName(aRequest.reason_)) },
+               { "stage", std::string(RequestStageName(aRequest.stage_)) },
+               { "attempts", std::to_string(aRequest.attempts_) },
+               { "read_ms", std::to_string(readMs) },
+               { "answer_bytes", std::to_string(aRequest.answerBytes_) },
+               { "written_bytes", std::to_string(aRequest.writtenBytes_) },
+               { "skipped", std::to_string(skipped) } });
+  }
+
+  void LogContentAtEnd() const
+  {
+    const HttpServerContent callers = callers_->Content();
+    const HttpServerContent outbound = outbound_->Content();
+    LogEvent(Event::kContentAtEnd,
+             { { "connections", std::to_string(callers.connections_ + outbound.connections_) },
+               { "partly_read", std::to_string(callers.partlyRead_ + outbound.partlyRead_) },
+               { "handled", std::to_string(callers.handled_ + outbound.handled_) },
+               { "answering", std::to_string(callers.answering_ + outbound.answering_) },
+               { "unread_bytes", std::to_string(callers.unreadBytes_ + outbound.unreadBytes_) },
+               { "links", std::to_string(hub_->OpenLinkCount()) },
+               { "links_unflushed", std::to_string(hub_->UnflushedLinkCount()) },
+               { "calls", std::to_string(dispatcher_->ActiveCalls()) },
+               { "guard_calls", std::to_string(guard_->ActiveCalls()) },
+               { "checks", std::to_string(closeChecks_) } });
+  }
+
   // --- Peer messages ---
 
   void OnPeerMessage(const PeerSource& aSource, PeerMessage aMessage)
@@ -305,7 +387,7 @@
                                [this, link = aSource.link_, callId](const Answer& aAnswer) {
                                  Answer reply = aAnswer;
                                  reply.callId_ = callId;
-                                 hub_->Reply(link, reply);
+                                 SendAnswer(link, reply);
                                });
     } else if (const auto* handover = std::get_if<RequestHandover>(&aMessage)) {
       dispatcher_->OnHandover(*handover);
@@ -318,9 +400,10 @@
   {
     PeerCall entry;
     entry.link_ = aSource.link_;
-    if (!aCall.repeatable_) {
-      entry.callKey_ = { aSource.hello_.host_, aSource.hello_.incarnation_, aCall.callId_ };
-      switch (RecordArrival(deduplication_, *entry.callKey_, loop_.Now())) {
+    entry.callKey_ = { aSource.hello_.host_, aSource.hello_.incarnation_, aCall.callId_ };
+    entry.runsOnce_ = !aCall.repeatable_;
+    if (entry.runsOnce_) {
+      switch (RecordArrival(deduplication_, entry.callKey_, loop_.Now())) {
         case ArrivalDecision::kRun:
           break;
         case ArrivalDecision::kDrop:
@@ -354,10 +437,30 @@
     const PeerCall call = entry->second;
     peerCalls_.erase(entry);
     peerCallNumbers_.erase({ call.link_, aAnswer.callId_ });
-    if (call.callKey_) {
-      RecordAnswer(deduplication_, *call.callKey_, aAnswer, loop_.Now());
+    if (call.runsOnce_) {
+      RecordAnswer(deduplication_, call.callKey_, aAnswer, loop_.Now());
+    }
+    SendAnswer(call.link_, aAnswer);
+  }
+
+  // Sends an answer to the host that sent the call. If it doesn't fit into a frame or the link's
+  // queue, a short one takes its place: without any, that host would wait until the deadline.
+  void SendAnswer(std::uint64_t aLink, const Answer& aAnswer)
+  {
+    if (hub_->Reply(aLink, aAnswer)) {
+      return;
+    }
+    Answer replacement = aAnswer;
+    replacement.headers_.clear();
+    replacement.body_.clear();
+    replacement.declaredBodyBytes_ = 0;
+    if (aAnswer.outcome_ != Outcome::kNotRun) {
+      replacement.outcome_ = Outcome::kUnknown;
+      replacement.status_ = 0;
+      replacement.error_ = static_cast<std::uint16_t>(ErrorCode::kOutcomeUnknown);
     }
-    hub_->Reply(call.link_, aAnswer);
+    // This reply fails only if the link has ended, which the other host notices itself.
+    hub_->Reply(aLink, replacement);
   }
 
   // Cancels a call. One that must run at most once is recorded as ended with an unknown outcome.
@@ -371,11 +474,11 @@
     peerCallNumbers_.erase(key);
     const PeerCall call = peerCalls_.at(number);
     peerCalls_.erase(number);
-    if (call.callKey_) {
+    if (call.runsOnce_) {
       Answer unknown;
       unknown.callId_ = aCallId;
       unknown.error_ = static_cast<std::uint16_t>(ErrorCode::kCancelled);
-      RecordAnswer(deduplication_, *call.callKey_, unknown, loop_.Now());
+      RecordAnswer(deduplication_, call.callKey_, unknown, loop_.Now());
     }
     guard_->Cancel(call.guardCall_);
   }
@@ -385,41 +488,51 @@
   void OnCallStatusQuery(const PeerSource& aSource, const CallStatusQuery& aQuery)
   {
     const CallKey key{ aSource.hello_.host_, aQuery.incarnation_, aQuery.callId_ };
+    if (RedirectAnswer(key, aSource.link_)) {
+      hub_->Reply(aSource.link_, CallStatusReply{ aQuery.callId_, CallStatus::kRunning });
+      return;
+    }
     CallStatusResult status = QueryCallStatus(deduplication_, key, loop_.Now());
     hub_->Reply(aSource.link_, CallStatusReply{ aQuery.callId_, status.callStatus_ });
-    if (status.callStatus_ == CallStatus::kRunning) {
-      RedirectAnswer(key, aSource.link_);
-    } else if (status.answer_) {
+    if (status.answer_) {
       status.answer_->callId_ = aQuery.callId_;
-      hub_->Reply(aSource.link_, *status.answer_);
+      SendAnswer(aSource.link_, *status.answer_);
     }
   }
 
-  // Redirects the answer of a running call to another link of the same sender.
-  void RedirectAnswer(const CallKey& aKey, std::uint64_t aLink)
+  // Redirects the answer of a running call to another link of the same sender. Returns false if the
+  // call isn't running.
+  bool RedirectAnswer(const CallKey& aKey, std::uint64_t aLink)
   {
     const auto entry = std::find_if(peerCalls_.begin(), peerCalls_.end(), [&](const auto& aEntry) {
-      const auto& callKey = aEntry.second.callKey_;
-      return callKey && callKey->callId_ == aKey.callId_ &&
-             callKey->incarnation_ == aKey.incarnation_ && callKey->host_ == aKey.host_;
+      const CallKey& callKey = aEntry.second.callKey_;
+      return callKey.callId_ == aKey.callId_ && callKey.incarnation_ == aKey.incarnation_ &&
+             callKey.host_ == aKey.host_;
     });
     if (entry == peerCalls_.end()) {
-      return;
+      return false;
     }
     peerCallNumbers_.erase({ entry->second.link_, aKey.callId_ });
     entry->second.link_ = aLink;
     peerCallNumbers_[{ aLink, aKey.callId_ }] = entry->first;
+    return true;
   }
 
-  // The sender has stopped or will reconnect. Calls that must run at most once continue, because
-  // the sender queries their status after reconnecting; all others are cancelled.
+  // The sender has stopped or will reconnect and query the status of its calls. Those that must run
+  // at most once continue; all others are cancelled unless it does so soon.
   void OnLinkEnded(std::uint64_t aLink)
+  {
+    loop_.After(kReconnectPeriod, [this, aLink] { CancelAbandoned(aLink); });
+  }
+
+  // Cancels the repeatable calls whose answers no link of their sender awaits.
+  void CancelAbandoned(std::uint64_t aLink)
   {
     std::vector<std::uint64_t> abandoned;
     for (auto entry = peerCallNumbers_.lower_bound({ aLink, 0 });
          entry != peerCallNumbers_.end() && entry->first.first == aLink;
          ++entry) {
-      if (!peerCalls_.at(entry->second).callKey_) {
+      if (!peerCalls_.at(entry->second).runsOnce_) {
         abandoned.push_back(entry->first.second);
       }
     }
@@ -545,6 +658,9 @@
              { "target_connections", static_cast<double>(guard_->TargetConnections()) },
              { "peer_links", static_cast<double>(hub_->OpenLinkCount()) },
              { "http_rejected", static_cast<double>(callers_->RejectedRequests()) },
+             { "message_bytes", static_cast<double>(budget_->used_) },
+             { "messages_refused", static_cast<double>(budget_->refusedMessages_) },
+             { "messages_ended", static_cast<double>(budget_->endedMessages_) },
              { "datagrams_dropped", static_cast<double>(datagram_->DroppedDatagrams()) },
              { "draining", draining_ ? 1.0 : 0.0 } };
   }
@@ -608,6 +724,9 @@
       guard_->Abort();
       control_->AnnounceLeft(HandOver());
     }
+    if (timedOut) {
+      closeChecks_ = kMaxCloseChecks - kCloseChecksAfterTimeout;
+    }
     loop_.After(kLeaveDelay, [this] { CloseConnections(); });
   }
 
@@ -617,13 +736,18 @@
   {
     callers_->Finish();
     outbound_->Finish();
-    hub_->CloseAfterSending();
-    const bool closed = callers_->ConnectionCount() == 0 && outbound_->ConnectionCount() == 0 &&
-                        hub_->OpenLinkCount() == 0;
+    const bool callersClosed =
+      callers_->ConnectionCount() == 0 && outbound_->ConnectionCount() == 0;
+    // Until then, calls of other hosts that arrive are still refused, so that they run elsewhere.
+    if (callersClosed || closeChecks_ >= kMaxCloseChecks / 2) {
+      hub_->CloseAfterSending();
+    }
+    const bool closed = callersClosed && hub_->OpenLinkCount() == 0;
     if (!closed && ++closeChecks_ < kMaxCloseChecks) {
       loop_.After(kDrainCheckInterval, [this] { CloseConnections(); });
       return;
     }
+    LogContentAtEnd();
     LogEvent(Event::kNodeStopped, { { "reason", "drained" } });
     loop_.Stop();
   }
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -16,7 +16,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 25> kKnownKeys = { "host",
+// File descriptors kept for connections to and from peers, the platform and operators, for refused
+// callers and for files.
+constexpr std::uint32_t kOtherDescriptors = 256;
+
+constexpr std::array<std::string_view, 26> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
                                                           "service",
@@ -33,6 +37,7 @@
                                                           "caller_connections",
                                                           "max_body_bytes",
                                                           "max_header_bytes",
+                                                          "host_memory_mb",
                                                           "read_timeout_ms",
                                                           "drain_timeout_ms",
                                                           "seed",
@@ -284,6 +289,7 @@
     aDocument, "max_body_bytes", 0, std::int64_t{ 960 } * 1024, settings.maxBodyBytes_));
   BOOST_OUTCOME_TRYV(ReadInteger(
     aDocument, "max_header_bytes", 1024, std::int64_t{ 48 } * 1024, settings.maxHeaderBytes_));
+  BOOST_OUTCOME_TRYV(ReadInteger(aDocument, "host_memory_mb", 32, 1 << 20, settings.hostMemoryMb_));
   BOOST_OUTCOME_TRYV(
     ReadMilliseconds(aDocument, "read_timeout_ms", 10, 600000, settings.readTimeout_));
   BOOST_OUTCOME_TRYV(
@@ -313,6 +319,14 @@
   aSettings.drainAcceptPeriod_ = std::min<Duration>(kMaxDrainAcceptPeriod, aGrace * 2 / 5);
 }
 
+std::uint32_t MaxCallerConnections(const NodeSettings& aSettings, std::uint64_t aDescriptors)
+{
+  const std::uint64_t reserved =
+    std::min<std::uint64_t>(aSettings.maxTargetConnections_ + kOtherDescriptors, aDescriptors / 2);
+  const std::uint64_t left = std::max<std::uint64_t>(aDescriptors - reserved, 1);
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(aSettings.maxCallerConnections_, left));
+}
+
 Result<NodeSettings> ParseNodeSettings(const std::string& aFile)
 {
   BOOST_OUTCOME_TRY(text, ReadWholeFile(aFile));
--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <stdexcept>
 #include <utility>
 
@@ -14,13 +15,18 @@
 namespace {
 
 constexpr Duration kHeartbeatInterval = milliseconds(200);
-constexpr std::uint64_t kSlots = 50;
 constexpr std::uint64_t kStartedMs = 1;
 
 // Requests with this path end get an answer larger than the buffers of a connection whose caller
 // doesn't read.
 constexpr std::string_view kLargePathEnd = "/large";
 
+// Requests with this path end get an answer that stops before its declared end.
+constexpr std::string_view kUnfinishedPathEnd = "/unfinished";
+
+// Requests with a number behind this end of the path take so many milliseconds.
+constexpr std::string_view kWorkPathEnd = "/work-";
+
 } // namespace
 
 UserTarget::UserTarget(std::string aId,
@@ -52,6 +58,8 @@
   loop_.Stop();
   thread_.join();
   deeperCalls_.reset();
+  // Its connections report their end to members that are declared later.
+  server_.reset();
 }
 
 std::uint16_t UserTarget::Port() const
@@ -71,6 +79,31 @@
   return startTimes_;
 }
 
+std::vector<TargetWork> UserTarget::Work()
+{
+  const std::lock_guard lock(mutex_);
+  return work_;
+}
+
+void UserTarget::EndWork(std::size_t aIndex, bool aBrokenOff)
+{
+  const std::lock_guard lock(mutex_);
+  TargetWork& work = work_[aIndex];
+  if (work.endedAt_ == TimePoint{}) {
+    work.endedAt_ = loop_.Now();
+    work.brokenOff_ = aBrokenOff;
+  }
+}
+
+Duration UserTarget::ServiceTime(const HttpRequest& aRequest) const
+{
+  const std::size_t at = aRequest.path_.rfind(kWorkPathEnd);
+  if (at == std::string::npos) {
+    return serviceTime_;
+  }
+  return milliseconds(std::atoi(aRequest.path_.c_str() + at + kWorkPathEnd.size()));
+}
+
 void UserTarget::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
 {
   const HttpRequest& request = aExchange->request_;
@@ -86,14 +119,23 @@
     const std::lock_guard lock(mutex_);
     startedRequests_.push_back(request);
     startTimes_.push_back(loop_.Now());
+    const auto left =
+      ParseNumber(FindHeader(request.headers_, "X-Deadline-Ms").value_or(""), 3'600'000);
+    work_.push_back({ std::string(FindHeader(request.headers_, "X-Request-Id").value_or("")),
+                      loop_.Now(),
+                      left ? loop_.Now() + milliseconds(*left) : TimePoint{},
+                      {},
+                      false });
     count = startedRequests_.size();
   }
+  const std::size_t work = count - 1;
+  aExchange->onClosed_ = [this, work] { EndWork(work, true); };
   const unsigned loseOneAnswerIn = loseOneAnswerIn_;
   if (loseOneAnswerIn != 0 && count % loseOneAnswerIn == 0) {
     lostExchanges_.push_back(aExchange);
     return;
   }
-  CallAndAnswer(aExchange, deeperCallCount_);
+  CallAndAnswer(aExchange, work, deeperCallCount_);
 }
 
 void UserTarget::CallDeeper(const Address& aHost, std::string aPath, unsigned aCount)
@@ -105,10 +147,13 @@
   deeperCallCount_ = aCount;
 }
 
-void UserTarget::CallAndAnswer(const std::shared_ptr<HttpExchange>& aExchange, unsigned aCallsLeft)
+void UserTarget::CallAndAnswer(const std::shared_ptr<HttpExchange>& aExchange,
+                               std::size_t aWork,
+                               unsigned aCallsLeft)
 {
   if (aCallsLeft == 0) {
-    loop_.After(serviceTime_, [this, aExchange] { Answer(aExchange); });
+    loop_.After(ServiceTime(aExchange->request_),
+                [this, aExchange, aWork] { Answer(aExchange, aWork); });
     return;
   }
   const HeaderList& headers = aExchange->request_.headers_;
@@ -121,24 +166,26 @@
       { "X-Deadline-Ms", std::string(FindHeader(headers, "X-Deadline-Ms").value_or("1000")) } },
     ""
   };
-  deeperCalls_->Send(call, [this, aExchange, aCallsLeft](const TargetResult& aResult) {
+  deeperCalls_->Send(call, [this, aExchange, aWork, aCallsLeft](const TargetResult& aResult) {
     if (aResult.requestStatus_ == TargetRequestStatus::kAnswered &&
         aResult.response_.status_ == 200) {
-      CallAndAnswer(aExchange, aCallsLeft - 1);
+      CallAndAnswer(aExchange, aWork, aCallsLeft - 1);
       return;
     }
     const std::string id(FindHeader(aExchange->request_.headers_, "X-Request-Id").value_or(""));
+    EndWork(aWork, false);
     aExchange->Respond({ 500, { { "X-Request-Id", id } }, "", std::nullopt });
   });
 }
 
-void UserTarget::Answer(const std::shared_ptr<HttpExchange>& aExchange)
+void UserTarget::Answer(const std::shared_ptr<HttpExchange>& aExchange, std::size_t aWork)
 {
+  EndWork(aWork, false);
   const std::string requestId(
     FindHeader(aExchange->request_.headers_, "X-Request-Id").value_or(""));
   HeaderList headers{ { "X-Request-Id", requestId },
                       { "X-Response-Signature", id_ + "." + requestId },
-                      { "X-Server-Load", "1,0," + std::to_string(kSlots) } };
+                      { "X-Server-Load", "1,0," + std::to_string(slots_) } };
   if (statedLimit_ >= 0) {
     headers.emplace_back("Server-Limit", std::to_string(statedLimit_));
   }
@@ -152,20 +199,27 @@
   if (aExchange->request_.path_.ends_with(kLargePathEnd)) {
     body.resize(kLargeAnswerBytes, '.');
   }
-  aExchange->Respond({ 200, headers, body, std::nullopt });
+  std::optional<std::uint64_t> declaredLength;
+  if (aExchange->request_.path_.ends_with(kUnfinishedPathEnd)) {
+    body.resize(kSentAnswerBytes, '.');
+    declaredLength = kUnfinishedAnswerBytes;
+  }
+  aExchange->Respond({ 200, headers, body, declaredLength });
 }
 
 std::string UserTarget::ReportBody(bool aDraining,
                                    std::uint64_t aSequence,
                                    std::uint64_t aStartedMs) const
 {
-  const nlohmann::json body = {
-    { "service", service_ },    { "address", "127.0.0.1:" + std::to_string(Port()) },
-    { "zone", "z0" },           { "version", "v1" },
-    { "capacity", kSlots },     { "state", aDraining ? "draining" : "ready" },
-    { "cold_remaining_ms", 0 }, { "sequence", aSequence },
-    { "born", aStartedMs }
-  };
+  const nlohmann::json body = { { "service", service_ },
+                                { "address", "127.0.0.1:" + std::to_string(Port()) },
+                                { "zone", "z0" },
+                                { "version", "v1" },
+                                { "capacity", slots_.load() },
+                                { "state", aDraining ? "draining" : "ready" },
+                                { "cold_remaining_ms", 0 },
+                                { "sequence", aSequence },
+                                { "born", aStartedMs } };
   return body.dump();
 }
 
