--- a/peridotquay/connection/ByteBudget.h
+++ b/peridotquay/connection/ByteBudget.h
@@ -67,9 +67,9 @@
   ~HeldBytes();
 
   /// Holds aBytes of a request in place of the bytes held so far, if they fit beside the room that
-  /// is kept for answers. To make room, messages whose
-  /// other side has been idle for long are ended. Returns false, and counts a refusal, if there is
-  /// no room or others wait for it.
+  /// is kept for answers. To make room, messages whose other side has been idle for long are ended.
+  /// Returns false, and counts a refusal, if there is no room, or if answers
+  /// wait for it.
   bool Reserve(std::size_t aBytes);
   /// Holds aBytes even above the limit, for bytes that are there already.
   void ReserveAlways(std::size_t aBytes);
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -459,7 +459,7 @@
       replacement.status_ = 0;
       replacement.error_ = static_cast<std::uint16_t>(ErrorCode::kOutcomeUnknown);
     }
-    // This reply fails only if the link has ended, which the other host notices itself.
+    // Fails only if the link has ended or its reserve for short frames is used up too.
     hub_->Reply(aLink, replacement);
   }
 
