Treat an answer with an invalid status as damaged

Cause: the parser of answers takes any three digits as a status. A target in trouble sent 000; 001, 099, 600 and 999 would have reached the caller as the target's answer (000 became 502, because 0 means no status). Change: an answer whose status isn't 100 to 599, or is 101, which no request asks for, ends the connection and counts as truncated: its outcome is unknown, also if it claims that the request didn't run.

--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -262,6 +262,10 @@
     answerBegan_ = true;
     unparsed_.append(readBuffer_.data(), aBytes);
     const ParseStatus status = ParseBytes(*parser_, unparsed_, maxHeaderBytes_);
+    if (HasInvalidStatus()) {
+      End(TargetRequestStatus::kTruncated);
+      return;
+    }
     if (status == ParseStatus::kNeedsMore) {
       held_.Touch();
       ReadOnIfRoom();
@@ -279,14 +283,23 @@
       End(TargetRequestStatus::kTruncated);
       return;
     }
-    // Interim answers (1xx other than 101) precede the final one.
-    if (parser_->get().result_int() / 100 == 1 && parser_->get().result_int() != 101) {
+    // Interim answers precede the final one.
+    if (parser_->get().result_int() / 100 == 1) {
       ParseNextAnswer();
       return;
     }
     FinishAnswer();
   }
 
+  // True if the head of an answer has arrived and its status is none that an answer may have. The
+  // parser accepts any three digits. Status 101 would end HTTP on this connection, which no request
+  // asks for.
+  bool HasInvalidStatus() const
+  {
+    const unsigned status = parser_->get().result_int();
+    return parser_->is_header_done() && (status < 100 || status > 599 || status == 101);
+  }
+
   // Reads on once the bytes of the whole answer are held, if it is known to be large. Until then
   // the operating system's flow control stops the target.
   void ReadOnIfRoom()
--- a/tests/connection/HttpServerTest.cpp
+++ b/tests/connection/HttpServerTest.cpp
@@ -388,6 +388,38 @@
   }
 }
 
+// Guards against a status that HTTP doesn't define (000 was seen) that reaches a caller, and
+// against a connection with such an answer that is used again.
+TEST_CASE("an answer with an invalid status is damaged and ends its connection", "[target]")
+{
+  for (const std::string status : { "000", "001", "099", "101", "600", "999" }) {
+    INFO(status);
+    RawListener listener;
+    std::string afterAnswer;
+    std::thread target([&] {
+      RawSocket socket = listener.Accept();
+      socket.ReadUntil("\r\n\r\n");
+      socket.Write("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+      afterAnswer = socket.ReadUntil("\r\n\r\n");
+    });
+    EventLoop loop;
+    TargetClientSettings settings;
+    settings.target_ = { "127.0.0.1", listener.Port() };
+    TargetClient client(loop, settings);
+    TargetResult result;
+    client.Send({ "GET", "/", {}, "" }, [&](TargetResult aResult) {
+      result = std::move(aResult);
+      loop.Stop();
+    });
+    loop.Run();
+    target.join();
+    CHECK(result.requestStatus_ == TargetRequestStatus::kTruncated);
+    CHECK(result.response_.body_.empty());
+    CHECK(client.ConnectionCount() == 0);
+    CHECK(afterAnswer.empty());
+  }
+}
+
 // Guards against an answer to an earlier request that is matched with the next one, and against a
 // reset connection that passes as the regular end of an answer without length.
 TEST_CASE("answers with another echo header value or ended by a reset are not accepted", "[target]")
