Begin pipelined requests of a connection concurrently

Cause: HttpServer did not parse while a request was handled or its answer written, so a pipelined request waited for all earlier ones.

Change: RequestPipeline decides which requests of a connection begin, the order of answers and which answer closes; HttpServer drives it. With maxPipelined_ 1, the default, requests run one after the other as before. Begun requests are each reported and ended when their caller leaves, also while its input isn't read.

HttpServerTest.cpp is unchanged.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -5,11 +5,15 @@
 
 #include "peridotquay/connection/KeepAlive.h"
 #include "peridotquay/connection/MessageBytes.h"
+#include "peridotquay/connection/RequestPipeline.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -17,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace peridotquay {
 
@@ -40,6 +45,19 @@
 // Time that a caller has to close its side of a connection that the server has closed.
 constexpr Duration kCloseTimeout = milliseconds(500);
 
+// Interval at which a caller is checked while its input isn't read. A caller that leaves must be
+// noticed within 0.5 s.
+constexpr Duration kCallerCheckInterval = milliseconds(100);
+
+// Whether the other side has closed or reset a connection, whose input may be unread.
+bool IsClosedByPeer(int aSocket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
+}
+
 std::string ToLower(std::string_view aText)
 {
   std::string text(aText);
@@ -112,6 +130,7 @@
   tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Session>> sessions_;
   std::uint64_t rejectedRequests_ = 0;
+  PipelineCounts pipelining_;
   std::size_t pendingAnswers_ = 0;
   bool closeAfterAnswers_ = false;
   bool finishing_ = false; ///< Connections are closed as soon as they have no request.
@@ -135,17 +154,58 @@
 class Exchange final : public HttpExchange
 {
 public:
-  explicit Exchange(const std::shared_ptr<Session>& aSession)
+  Exchange(const std::shared_ptr<Session>& aSession, std::uint64_t aNumber)
     : session_(aSession)
+    , number_(aNumber)
   {
   }
   void Respond(const HttpResponse& aResponse) override;
 
 private:
   std::weak_ptr<Session> session_;
+  std::uint64_t number_; ///< In the pipeline of the session.
   bool answered_ = false;
 };
 
+// Appends an answer that keeps its connection open to an empty buffer. Returns the size of its
+// head.
+std::size_t WriteAnswer(std::string& aBuffer, const HttpResponse& aResponse, bool aIsHeadRequest)
+{
+  aBuffer = "HTTP/1.1 " + std::to_string(aResponse.status_) + " ";
+  aBuffer += http::obsolete_reason(http::int_to_status(aResponse.status_));
+  aBuffer += "\r\n";
+  for (const auto& [name, value] : aResponse.headers_) {
+    aBuffer += name;
+    aBuffer += ": ";
+    aBuffer += value;
+    aBuffer += "\r\n";
+  }
+  const bool bodiless = aResponse.status_ == 204 || aResponse.status_ == 304;
+  if (!bodiless || aResponse.declaredLength_) {
+    aBuffer += "Content-Length: " +
+               std::to_string(aResponse.declaredLength_.value_or(aResponse.body_.size())) + "\r\n";
+  }
+  aBuffer += "\r\n";
+  const std::size_t headBytes = aBuffer.size();
+  if (!aIsHeadRequest && !bodiless) {
+    aBuffer += aResponse.body_;
+  }
+  return headBytes;
+}
+
+// What a Session keeps of a request in its pipeline.
+struct Slot
+{
+  std::shared_ptr<Exchange> exchange_; ///< Null once it is answered, and for a rejected request.
+  std::string requestId_;              ///< Empty if it isn't known.
+  TimePoint readAt_{};
+  std::uint32_t attempts_ = 0;   ///< Valid once it is answered.
+  bool isHeadRequest_ = false;   ///< The request has the method HEAD.
+  std::size_t requestBytes_ = 0; ///< Part of Session::requestBytes_.
+  std::string answer_;           ///< While the answer waits for earlier ones; else empty.
+  std::size_t headBytes_ = 0;    ///< Size of the head of the answer.
+};
+
 // One accepted connection.
 class Session final : public std::enable_shared_from_this<Session>
 {
@@ -154,16 +214,17 @@
     : server_(aServer)
     , socket_(std::move(aSocket))
     , held_(aServer.settings_.budget_, [this] { EndToMakeRoom(); })
+    , slots_(std::size_t{ aServer.settings_.maxPipelined_ } + 1)
   {
   }
 
   void Start()
   {
-    RestartTimer(server_.settings_.idleTimeout_, false);
+    StartTimer(timer_, server_.settings_.idleTimeout_, false);
     Read();
   }
 
-  // Closes the connection and calls onClosed_ of a request that has no answer yet.
+  // Closes the connection and calls onClosed_ of the requests that have no answer yet.
   void Close(CloseReason aReason)
   {
     if (closed_) {
@@ -172,77 +233,49 @@
     ReportUnanswered(aReason);
     closed_ = true;
     server_.loop_.CancelTimer(timer_);
-    held_.Release();
+    server_.loop_.CancelTimer(writeTimer_);
+    server_.loop_.CancelTimer(callerTimer_);
     error_code ignored;
     socket_.close(ignored);
-    if (writing_) {
-      --server_.pendingAnswers_;
-    }
     const auto self = shared_from_this();
     server_.sessions_.erase(self);
-    if (exchange_) {
-      const auto exchange = std::move(exchange_);
-      if (exchange->onClosed_) {
-        auto function = std::move(exchange->onClosed_);
-        function();
-      }
-    }
+    Drop(0);
+    held_.Release();
   }
 
-  void Answer(const HttpResponse& aResponse)
+  // True if the request was begun, isn't answered and may still be answered.
+  bool Awaits(std::uint64_t aNumber) const
   {
-    if (closed_) {
-      return;
+    const auto position = FindRequest(pipeline_, aNumber);
+    return !closed_ && position && !pipeline_.requests_[*position].answered_;
+  }
+
+  // Sends the answer as soon as those before it are sent. The request must be awaited.
+  void Answer(std::uint64_t aNumber, const HttpResponse& aResponse)
+  {
+    Slot& slot = SlotOf(aNumber);
+    if (slot.exchange_) {
+      slot.attempts_ = slot.exchange_->attempts_;
     }
-    if (exchange_) {
-      attempts_ = exchange_->attempts_;
-    }
-    exchange_.reset();
-    const bool keep = keepAlive_ && !server_.closeAfterAnswers_;
-    keepAlive_ = keep;
-    writeBuffer_ = "HTTP/1.1 " + std::to_string(aResponse.status_) + " ";
-    writeBuffer_ += http::obsolete_reason(http::int_to_status(aResponse.status_));
-    writeBuffer_ += "\r\n";
-    for (const auto& [name, value] : aResponse.headers_) {
-      writeBuffer_ += name;
-      writeBuffer_ += ": ";
-      writeBuffer_ += value;
-      writeBuffer_ += "\r\n";
-    }
-    const bool bodiless = aResponse.status_ == 204 || aResponse.status_ == 304;
-    if (!bodiless || aResponse.declaredLength_) {
-      writeBuffer_ += "Content-Length: " +
-                      std::to_string(aResponse.declaredLength_.value_or(aResponse.body_.size())) +
-                      "\r\n";
-    }
-    writeBuffer_ += keep ? "\r\n" : "Connection: close\r\n\r\n";
-    if (!isHeadRequest_ && !bodiless) {
-      writeBuffer_ += aResponse.body_;
-    }
-    held_.ReserveAlways(writeBuffer_.size() > kUncountedMessageBytes ? writeBuffer_.size() : 0);
-    held_.SetNeedsOtherSide(true);
-    RestartTimer(server_.settings_.writeTimeout_, false);
-    writing_ = true;
-    writtenBytes_ = 0;
+    slot.exchange_.reset();
+    requestBytes_ -= slot.requestBytes_;
+    slot.requestBytes_ = 0;
+    const bool waits = aNumber != pipeline_.firstNumber_;
+    server_.pipelining_.waitedAnswers_ += waits ? 1 : 0;
+    std::string& buffer = waits ? slot.answer_ : writeBuffer_;
+    slot.headBytes_ = WriteAnswer(buffer, aResponse, slot.isHeadRequest_);
+    SetAnswer(pipeline_, aNumber, buffer.size());
     ++server_.pendingAnswers_;
-    boost::asio::async_write(
-      socket_,
-      boost::asio::buffer(writeBuffer_),
-      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
-        if (aBytes > self->writtenBytes_) {
-          self->writtenBytes_ = aBytes;
-          self->held_.Touch();
-        }
-        return boost::asio::transfer_all()(aError, aBytes);
-      },
-      [self = shared_from_this()](const error_code& aError, std::size_t /*aBytes*/) {
-        self->OnWritten(aError);
-      });
+    if (!SendNext()) {
+      UpdateHeld();
+    }
   }
 
   // True if the caller has sent a part of a request.
   bool HasUnfinishedRequest() const { return requestBegan_ && !discardsInput_; }
 
+  std::size_t UnsentAnswerBytes() const { return pipeline_.answerBytes_; }
+
   // Adds what this connection holds.
   void AddContent(HttpServerContent& aContent) const
   {
@@ -250,8 +283,10 @@
     const std::size_t unread = socket_.available(error);
     ++aContent.connections_;
     aContent.partlyRead_ += requestBegan_ && !discardsInput_ ? 1 : 0;
-    aContent.handled_ += exchange_ ? 1 : 0;
-    aContent.answering_ += writing_ ? 1 : 0;
+    for (const PipelinedRequest& request : pipeline_.requests_) {
+      aContent.handled_ += request.answered_ ? 0 : 1;
+      aContent.answering_ += request.answered_ ? 1 : 0;
+    }
     aContent.unreadBytes_ += error ? 0 : unread;
   }
 
@@ -267,58 +302,165 @@
     socket_.cancel(ignored);
   }
 
-  // Answers an invalid request with an error and discards further input.
+  // Answers an invalid request with an error, after the requests before it, and discards further
+  // input. Only discards it if the answer that closes the connection was chosen already.
   void Reject(ErrorCode aCode, std::uint32_t aRetryAfterMs = 0)
   {
-    ++server_.rejectedRequests_;
-    requestId_.clear();
-    keepAlive_ = false;
+    StopTimer(timer_);
     discardsInput_ = true;
     parser_.reset();
     unparsed_ = std::string();
-    Answer(ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted", aRetryAfterMs));
+    incomingBytes_ = 0;
+    held_.SetNeedsOtherSide(pipeline_.sending_);
+    if (pipeline_.closing_) {
+      UpdateHeld();
+      return;
+    }
+    ++server_.rejectedRequests_;
+    const std::uint64_t number = BeginRequest(pipeline_, false, true);
+    Slot& slot = SlotOf(number);
+    slot.requestId_.clear();
+    slot.readAt_ = requestReadAt_;
+    slot.attempts_ = 0;
+    slot.isHeadRequest_ = false;
+    Answer(number,
+           ErrorResponse(aCode, Outcome::kNotRun, "request was not accepted", aRetryAfterMs));
   }
 
-  std::shared_ptr<Exchange> exchange_; ///< The request being handled; null if none.
-
 private:
   using Parser = http::request_parser<http::string_body>;
 
+  Slot& SlotOf(std::uint64_t aNumber) { return slots_[aNumber % slots_.size()]; }
+
   // True if the connection holds no request, read or unread, and no answer that is being sent.
   bool IsIdle() const
   {
     error_code error;
-    return !exchange_ && !writing_ && !requestBegan_ && unparsed_.empty() &&
+    return pipeline_.requests_.empty() && !requestBegan_ && unparsed_.empty() &&
            socket_.available(error) == 0;
   }
 
-  // Reports the request that this connection holds, if any, before the connection ends.
+  // Reports the requests that this connection holds before it ends. Input that didn't begin as a
+  // request is reported only if nothing else is.
   void ReportUnanswered(CloseReason aReason)
   {
-    const bool isRead = exchange_ || writing_;
-    const bool isPartlyRead = !discardsInput_ && (requestBegan_ || !unparsed_.empty());
-    if (!server_.unansweredHandler_ || (!isRead && !isPartlyRead)) {
+    if (!server_.unansweredHandler_) {
       return;
     }
-    UnansweredRequest request;
-    request.reason_ = aReason;
-    request.sinceRead_ = server_.loop_.Now() - requestReadAt_;
-    if (isRead) {
-      request.id_ = requestId_;
-      request.stage_ = writing_ ? RequestStage::kAnswering : RequestStage::kHandled;
-      request.attempts_ = exchange_ ? exchange_->attempts_ : attempts_;
+    if (!pipeline_.requests_.empty()) {
+      ReportRequests(aReason, 0);
+    } else if (!discardsInput_ && (requestBegan_ || !unparsed_.empty())) {
+      UnansweredRequest request;
+      request.reason_ = aReason;
+      request.sinceRead_ = server_.loop_.Now() - requestReadAt_;
+      server_.unansweredHandler_(request);
+    }
+  }
+
+  // Reports the requests in the pipeline behind the first aSkipped ones.
+  void ReportRequests(CloseReason aReason, std::size_t aSkipped)
+  {
+    for (std::size_t i = aSkipped; i < pipeline_.requests_.size(); ++i) {
+      const Slot& slot = SlotOf(pipeline_.firstNumber_ + i);
+      const bool isSent = i == 0 && pipeline_.sending_;
+      UnansweredRequest request;
+      request.id_ = slot.requestId_;
+      request.reason_ = aReason;
+      request.stage_ =
+        pipeline_.requests_[i].answered_ ? RequestStage::kAnswering : RequestStage::kHandled;
+      request.attempts_ = slot.exchange_ ? slot.exchange_->attempts_ : slot.attempts_;
+      request.sinceRead_ = server_.loop_.Now() - slot.readAt_;
+      request.answerBytes_ = isSent ? writeBuffer_.size() : slot.answer_.size();
+      request.writtenBytes_ = isSent ? writtenBytes_ : 0;
+      request.before_ = i;
+      server_.unansweredHandler_(request);
+    }
+  }
+
+  // Drops the requests behind the first aKept ones and calls onClosed_ of those without an answer.
+  void Drop(std::size_t aKept)
+  {
+    std::vector<std::shared_ptr<Exchange>> exchanges;
+    for (std::size_t i = aKept; i < pipeline_.requests_.size(); ++i) {
+      Slot& slot = SlotOf(pipeline_.firstNumber_ + i);
+      server_.pendingAnswers_ -= pipeline_.requests_[i].answered_ ? 1 : 0;
+      requestBytes_ -= slot.requestBytes_;
+      slot.requestBytes_ = 0;
+      slot.answer_ = std::string();
+      if (slot.exchange_) {
+        exchanges.push_back(std::move(slot.exchange_));
+      }
+    }
+    DropRequests(pipeline_, aKept);
+    for (const auto& exchange : exchanges) {
+      if (exchange->onClosed_) {
+        const auto function = std::move(exchange->onClosed_);
+        function();
+      }
     }
-    if (writing_) {
-      request.answerBytes_ = writeBuffer_.size();
-      request.writtenBytes_ = writtenBytes_;
+  }
+
+  // The caller closed its sending side while an answer is being sent. It may still read the answers
+  // that are ready, but waits for no other.
+  void OnCallerClosed()
+  {
+    const std::size_t kept = CountDeliverable(pipeline_);
+    if (server_.unansweredHandler_) {
+      ReportRequests(CloseReason::kCallerClosed, kept);
     }
-    server_.unansweredHandler_(request);
+    Drop(kept);
+    UpdateHeld();
+  }
+
+  // Updates the bytes that the connection holds. Small answers aren't counted.
+  void UpdateHeld()
+  {
+    const std::size_t answers = pipeline_.answerBytes_;
+    held_.ReserveAlways(incomingBytes_ + requestBytes_ +
+                        (answers > kUncountedMessageBytes ? answers : 0));
+  }
+
+  // Starts to send the next answer if it is ready and no other is being sent. Returns whether it
+  // did.
+  bool SendNext()
+  {
+    const auto next = StartNextAnswer(pipeline_, server_.closeAfterAnswers_);
+    if (!next) {
+      return false;
+    }
+    Slot& slot = SlotOf(next->number_);
+    if (!slot.answer_.empty()) {
+      writeBuffer_ = std::move(slot.answer_);
+      slot.answer_ = std::string();
+    }
+    if (next->closes_) {
+      StopTimer(timer_);
+      writeBuffer_.insert(slot.headBytes_ - 2, "Connection: close\r\n");
+    }
+    UpdateHeld();
+    held_.SetNeedsOtherSide(true);
+    StartTimer(writeTimer_, server_.settings_.writeTimeout_, false);
+    writtenBytes_ = 0;
+    boost::asio::async_write(
+      socket_,
+      boost::asio::buffer(writeBuffer_),
+      [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+        if (aBytes > self->writtenBytes_) {
+          self->writtenBytes_ = aBytes;
+          self->held_.Touch();
+        }
+        return boost::asio::transfer_all()(aError, aBytes);
+      },
+      [self = shared_from_this()](const error_code& aError, std::size_t /*aBytes*/) {
+        self->OnWritten(aError);
+      });
+    return true;
   }
 
   // Ends the message that the caller doesn't go on to send or to read.
   void EndToMakeRoom()
   {
-    if (writing_) {
+    if (pipeline_.sending_) {
       Close(CloseReason::kMemoryFull);
     } else {
       Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
@@ -331,14 +473,18 @@
   {
     const auto length = parser_->content_length();
     const std::size_t received = parser_->get().body().size() + unparsed_.size();
-    if (held_.Bytes() > 0 || (length ? *length : received) <= kUncountedMessageBytes) {
+    if (incomingBytes_ > 0 || (length ? *length : received) <= kUncountedMessageBytes) {
       return true;
     }
-    if (!held_.Reserve(length ? static_cast<std::size_t>(*length)
-                              : server_.settings_.maxBodyBytes_)) {
+    const std::size_t bytes =
+      length ? static_cast<std::size_t>(*length) : server_.settings_.maxBodyBytes_;
+    // The caller has just sent bytes, so this connection must not be ended to make room for itself.
+    held_.Touch();
+    if (!held_.Reserve(held_.Bytes() + bytes)) {
       Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
       return false;
     }
+    incomingBytes_ = bytes;
     held_.SetNeedsOtherSide(true);
     return true;
   }
@@ -352,15 +498,21 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     discardsInput_ = true;
     unparsed_.clear();
-    RestartTimer(kCloseTimeout, false);
+    StartTimer(timer_, kCloseTimeout, false);
     Read();
   }
 
+  void StopTimer(std::uint64_t& aTimer)
+  {
+    server_.loop_.CancelTimer(aTimer);
+    aTimer = 0;
+  }
+
   // After aTimeout, closes the connection or, if aRejectsRequest, rejects the request as too slow.
-  void RestartTimer(Duration aTimeout, bool aRejectsRequest)
+  void StartTimer(std::uint64_t& aTimer, Duration aTimeout, bool aRejectsRequest)
   {
-    server_.loop_.CancelTimer(timer_);
-    timer_ = server_.loop_.After(aTimeout, [weak = weak_from_this(), aRejectsRequest] {
+    server_.loop_.CancelTimer(aTimer);
+    aTimer = server_.loop_.After(aTimeout, [weak = weak_from_this(), aRejectsRequest] {
       const auto self = weak.lock();
       if (!self || self->closed_) {
         return;
@@ -375,9 +527,15 @@
 
   void Read()
   {
-    // Reading continues while a request is handled, to detect that the caller closes the
-    // connection. Pipelined requests are buffered up to kUncountedMessageBytes.
-    if (reading_ || closed_ || unparsed_.size() > MaxInputBytes()) {
+    // Reading continues while requests are handled, to detect that the caller closes the
+    // connection. Requests that must wait are buffered up to kUncountedMessageBytes.
+    if (reading_ || closed_) {
+      return;
+    }
+    if (unparsed_.size() > MaxInputBytes()) {
+      if (server_.settings_.maxPipelined_ > 1) {
+        CheckCallerLater();
+      }
       return;
     }
     reading_ = true;
@@ -389,11 +547,36 @@
       });
   }
 
+  // While input isn't read, its end isn't seen. The state of the socket tells instead that the
+  // caller has left, so that its requests don't run on.
+  void CheckCallerLater()
+  {
+    if (callerTimer_ != 0) {
+      return;
+    }
+    callerTimer_ = server_.loop_.After(kCallerCheckInterval, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self || self->closed_) {
+        return;
+      }
+      self->callerTimer_ = 0;
+      if (self->reading_) {
+        return;
+      }
+      if (!IsClosedByPeer(self->socket_.native_handle())) {
+        self->CheckCallerLater();
+      } else if (self->pipeline_.sending_) {
+        self->OnCallerClosed();
+      } else {
+        self->Close(CloseReason::kCallerClosed);
+      }
+    });
+  }
+
   std::size_t MaxInputBytes() const
   {
-    return exchange_ || writing_
-             ? kUncountedMessageBytes
-             : server_.settings_.maxBodyBytes_ + server_.settings_.maxHeaderBytes_;
+    return waits_ ? kUncountedMessageBytes
+                  : server_.settings_.maxBodyBytes_ + server_.settings_.maxHeaderBytes_;
   }
 
   void OnRead(const error_code& aError, std::size_t aBytes)
@@ -411,9 +594,8 @@
       return;
     }
     if (aError) {
-      // If the caller closed only its sending side, the current answer can still be delivered.
-      if (writing_ && aError == boost::asio::error::eof) {
-        keepAlive_ = false;
+      if (pipeline_.sending_ && aError == boost::asio::error::eof) {
+        OnCallerClosed();
         return;
       }
       Close(aError == boost::asio::error::eof ? CloseReason::kCallerClosed
@@ -424,7 +606,7 @@
       Read();
       return;
     }
-    if (!writing_) {
+    if (!pipeline_.sending_) {
       held_.Touch();
     }
     unparsed_.append(readBuffer_.data(), aBytes);
@@ -432,44 +614,108 @@
     Read();
   }
 
+  // Returns whether the next request of the connection must wait for earlier ones.
+  bool MustWait(bool aMayOverlap)
+  {
+    const auto& settings = server_.settings_;
+    const PipelineWait wait =
+      WaitOf(pipeline_,
+             aMayOverlap,
+             { settings.maxPipelined_ },
+             { server_.closeAfterAnswers_,
+               settings.budget_ && settings.budget_->used_ > settings.budget_->requestLimit_ });
+    waits_ = wait != PipelineWait::kNone;
+    if (waits_ && !waitCounted_ && settings.maxPipelined_ > 1 && wait != PipelineWait::kClosing) {
+      waitCounted_ = true;
+      ++(wait == PipelineWait::kOverlap ? server_.pipelining_.heldForOrder_
+                                        : server_.pipelining_.heldForLimit_);
+    }
+    return waits_;
+  }
+
+  // Begins the requests that have arrived and don't have to wait for earlier ones.
   void Parse()
   {
-    if (closed_ || exchange_ || writing_ || unparsed_.empty()) {
-      return;
+    while (ParseNext()) {
     }
-    if (!parser_) {
-      // Empty lines before a request line are ignored, as RFC 9112 recommends.
-      const std::size_t start = std::min(unparsed_.find_first_not_of("\r\n"), unparsed_.size());
-      unparsed_.erase(0, start);
-      if (unparsed_.empty()) {
-        return;
-      }
-      if (!requestBegan_) {
-        requestBegan_ = true;
-        requestReadAt_ = server_.loop_.Now();
-        RestartTimer(server_.settings_.readTimeout_, true);
-      }
-      const std::size_t end = unparsed_.find("\r\n\r\n");
-      const std::size_t headBytes = end == std::string::npos ? unparsed_.size() : end + 4;
-      if (headBytes > server_.settings_.maxHeaderBytes_) {
-        Reject(ErrorCode::kHeadersTooLarge);
-        return;
-      }
-      if (end == std::string::npos) {
-        return;
+  }
+
+  // Returns whether a request began.
+  bool ParseNext()
+  {
+    if (closed_ || discardsInput_) {
+      return false;
+    }
+    if (!parser_ && !ParseNextHead()) {
+      return false;
+    }
+    if (headWaits_) {
+      if (MustWait(nextMayOverlap_)) {
+        StopTimer(timer_);
+        return false;
       }
-      if (!ParseHead(std::string_view(unparsed_).substr(0, headBytes))) {
-        return;
+      headWaits_ = false;
+      if (timer_ == 0) {
+        StartTimer(timer_, server_.settings_.readTimeout_, true);
       }
-      unparsed_.erase(0, headBytes);
       if (!ReserveBody()) {
-        return;
+        return false;
       }
       if (expectsContinue_ && !parser_->is_done()) {
         SendContinue();
       }
     }
-    ParseBody();
+    return ParseBody();
+  }
+
+  // Parses the head of the next request. Returns false if it is incomplete, invalid, or may not be
+  // parsed yet.
+  bool ParseNextHead()
+  {
+    if (unparsed_.empty() || (!requestBegan_ && MustWait(true))) {
+      return false;
+    }
+    // Empty lines before a request line are ignored, as RFC 9112 recommends.
+    const std::size_t start = std::min(unparsed_.find_first_not_of("\r\n"), unparsed_.size());
+    unparsed_.erase(0, start);
+    if (unparsed_.empty()) {
+      return false;
+    }
+    if (!requestBegan_) {
+      requestBegan_ = true;
+      requestReadAt_ = server_.loop_.Now();
+      StartTimer(timer_, server_.settings_.readTimeout_, true);
+    }
+    const std::size_t end = unparsed_.find("\r\n\r\n");
+    const std::size_t headBytes = end == std::string::npos ? unparsed_.size() : end + 4;
+    if (headBytes > server_.settings_.maxHeaderBytes_) {
+      Reject(ErrorCode::kHeadersTooLarge);
+      return false;
+    }
+    if (end == std::string::npos || !ParseHead(std::string_view(unparsed_).substr(0, headBytes))) {
+      return false;
+    }
+    unparsed_.erase(0, headBytes);
+    headWaits_ = true;
+    isBehind_ = !pipeline_.requests_.empty();
+    nextMayOverlap_ = isBehind_ && MayOverlap();
+    return true;
+  }
+
+  // Whether the request in parser_, whose head is complete, may overlap with earlier ones. The
+  // caller of one that expects "100 Continue" must not get it before the earlier answers.
+  bool MayOverlap() const
+  {
+    const auto& message = parser_->get();
+    if (expectsContinue_ || message.version() == 10 || !server_.settings_.mayOverlap_) {
+      return false;
+    }
+    HttpRequest request;
+    request.method_ = std::string(message.method_string());
+    request.path_ = std::string(message.target());
+    request.headers_ = headers_;
+    RemoveHopByHopHeaders(request.headers_);
+    return server_.settings_.mayOverlap_(request);
   }
 
   bool ParseHead(std::string_view aHead)
@@ -533,29 +779,38 @@
 
   void SendContinue()
   {
-    // No other write is running while a request arrives, so the bytes can't interleave.
+    // The pipeline is empty, so no other write is running and the bytes can't interleave.
     static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
     boost::asio::async_write(socket_,
                              boost::asio::buffer(kContinue.data(), kContinue.size()),
                              [self = shared_from_this()](const error_code&, std::size_t) {});
   }
 
-  void ParseBody()
+  // Returns whether the request is complete and began.
+  bool ParseBody()
   {
     switch (ParseBytes(*parser_, unparsed_, server_.settings_.maxHeaderBytes_)) {
       case ParseStatus::kComplete:
+        // A limit may have been reached while the body arrived. The caller has sent its part, so
+        // the request isn't ended to make room.
+        if (MustWait(nextMayOverlap_)) {
+          StopTimer(timer_);
+          held_.SetNeedsOtherSide(pipeline_.sending_);
+          return false;
+        }
         Dispatch();
-        return;
+        return true;
       case ParseStatus::kNeedsMore:
         ReserveBody();
-        return;
+        return false;
       case ParseStatus::kBodyTooLarge:
         Reject(ErrorCode::kRequestTooLarge);
-        return;
+        return false;
       case ParseStatus::kMalformed:
         Reject(ErrorCode::kMalformedRequest);
-        return;
+        return false;
     }
+    return false;
   }
 
   void Dispatch()
@@ -563,27 +818,41 @@
     auto message = parser_->release();
     parser_.reset();
     requestBegan_ = false;
-    held_.SetNeedsOtherSide(false);
-    if (held_.Bytes() > message.body().size()) {
-      held_.ReserveAlways(message.body().size());
+    waitCounted_ = false;
+    held_.SetNeedsOtherSide(pipeline_.sending_);
+    const std::size_t reservedBytes = std::exchange(incomingBytes_, 0);
+    const std::size_t requestBytes = std::min(reservedBytes, message.body().size());
+    requestBytes_ += requestBytes;
+    if (requestBytes != reservedBytes) {
+      UpdateHeld();
     }
     ShrinkIfEmpty(unparsed_);
-    server_.loop_.CancelTimer(timer_);
-    timer_ = 0;
-    keepAlive_ = message.keep_alive();
-    isHeadRequest_ = message.method() == http::verb::head;
+    StopTimer(timer_);
     requestReadAt_ = server_.loop_.Now();
-    requestId_ = FindHeader(headers_, server_.settings_.requestIdHeader_).value_or("");
-    attempts_ = 0;
-    exchange_ = std::make_shared<Exchange>(shared_from_this());
-    HttpRequest& request = exchange_->request_;
+    server_.pipelining_.begunBehind_ += pipeline_.requests_.empty() ? 0 : 1;
+    // Pipelining over HTTP/1.0 is undefined, so such a request behind others is the last.
+    const bool isLast = !message.keep_alive() || (isBehind_ && message.version() == 10);
+    const std::uint64_t number = BeginRequest(pipeline_, nextMayOverlap_, isLast);
+    Slot& slot = SlotOf(number);
+    slot.requestId_ = FindHeader(headers_, server_.settings_.requestIdHeader_).value_or("");
+    slot.readAt_ = requestReadAt_;
+    slot.attempts_ = 0;
+    slot.isHeadRequest_ = message.method() == http::verb::head;
+    slot.requestBytes_ = requestBytes;
+    const auto exchange = std::make_shared<Exchange>(shared_from_this(), number);
+    slot.exchange_ = exchange;
+    exchange->mayOverlap_ = nextMayOverlap_;
+    HttpRequest& request = exchange->request_;
     request.method_ = std::string(message.method_string());
     request.path_ = std::string(message.target());
     request.headers_ = std::move(headers_);
     RemoveHopByHopHeaders(request.headers_);
     RemoveHeader(request.headers_, "Content-Length");
     request.body_ = std::move(message.body());
-    server_.handler_(exchange_);
+    server_.handler_(exchange);
+    if (const auto position = FindRequest(pipeline_, number)) {
+      pipeline_.requests_[*position].mayOverlap_ = exchange->mayOverlap_ && message.version() != 10;
+    }
   }
 
   void OnWritten(const error_code& aError)
@@ -595,16 +864,22 @@
       Close(CloseReason::kWriteFailed);
       return;
     }
-    writing_ = false;
     --server_.pendingAnswers_;
     writeBuffer_.clear();
     ShrinkIfEmpty(writeBuffer_);
-    held_.Release();
-    if (!keepAlive_) {
+    StopTimer(writeTimer_);
+    const bool closes = FinishAnswer(pipeline_);
+    if (!SendNext()) {
+      UpdateHeld();
+      held_.SetNeedsOtherSide(incomingBytes_ > 0);
+    }
+    if (closes) {
       StartClose();
       return;
     }
-    RestartTimer(server_.settings_.idleTimeout_, false);
+    if (pipeline_.requests_.empty() && !requestBegan_) {
+      StartTimer(timer_, server_.settings_.idleTimeout_, false);
+    }
     Parse();
     Read();
   }
@@ -612,22 +887,29 @@
   HttpServer::State& server_;
   tcp::socket socket_;
   std::array<char, kReadBytes> readBuffer_;
-  std::string unparsed_; ///< Received bytes that no parser has taken.
-  std::string writeBuffer_;
-  std::optional<Parser> parser_; ///< Set while the body of a request is being received.
+  std::string unparsed_;         ///< Received bytes that no parser has taken.
+  std::string writeBuffer_;      ///< The answer that is being sent.
+  std::optional<Parser> parser_; ///< Set from the head of a request until the request begins.
   HeaderList headers_;           ///< Headers of the request in parser_.
-  HeldBytes held_;               ///< Bytes of the request until it is answered, then of the answer.
-  std::uint64_t timer_ = 0;
-  TimePoint requestReadAt_{};    ///< Last byte of the request; first one while it is incomplete.
-  std::string requestId_;        ///< Of the last complete request; empty if it isn't known.
-  std::uint32_t attempts_ = 0;   ///< Of the request that is being answered.
-  std::size_t writtenBytes_ = 0; ///< Bytes of writeBuffer_ that the operating system has accepted.
-  bool requestBegan_ = false;    ///< The first byte of a request has arrived.
+  HeldBytes
+    held_; ///< Bytes of requests until they are answered, and of answers until they're sent.
+  std::size_t incomingBytes_ = 0; ///< Held for the request in parser_.
+  std::size_t requestBytes_ = 0;  ///< Held for requests that have begun and aren't answered.
+  RequestPipeline pipeline_;
+  std::vector<Slot> slots_;      ///< Of the requests in pipeline_, by number modulo the size.
+  std::uint64_t timer_ = 0;      ///< Limits an idle connection, a request that arrives, or a close.
+  std::uint64_t writeTimer_ = 0; ///< Set while an answer is being sent.
+  std::uint64_t callerTimer_ = 0; ///< Set while input isn't read, see CheckCallerLater.
+  TimePoint requestReadAt_{};     ///< Last byte of the request; first one while it is incomplete.
+  std::size_t writtenBytes_ = 0;  ///< Bytes of writeBuffer_ that the operating system has accepted.
+  bool requestBegan_ = false;     ///< The first byte of a request has arrived; it hasn't begun yet.
   bool reading_ = false;
-  bool writing_ = false;
-  bool keepAlive_ = true;
-  bool isHeadRequest_ = false;   ///< The current request has the method HEAD.
   bool expectsContinue_ = false; ///< The caller waits before it sends the body of the request.
+  bool headWaits_ = false;       ///< The request in parser_ may still have to wait for its body.
+  bool isBehind_ = false;        ///< It arrived while earlier ones were outstanding.
+  bool nextMayOverlap_ = false;  ///< It may overlap with these.
+  bool waits_ = false;           ///< The next request must wait for earlier ones.
+  bool waitCounted_ = false;     ///< This is in PipelineCounts.
   bool discardsInput_ = false;   ///< Further input is read and discarded.
   bool closeRequested_ = false;  ///< The pending read is cancelled to close an idle connection.
   bool closed_ = false;
@@ -636,12 +918,12 @@
 void Exchange::Respond(const HttpResponse& aResponse)
 {
   const auto session = session_.lock();
-  if (answered_ || !session || session->exchange_.get() != this) {
+  if (answered_ || !session || !session->Awaits(number_)) {
     return;
   }
   answered_ = true;
   onClosed_ = nullptr;
-  session->Answer(aResponse);
+  session->Answer(number_, aResponse);
 }
 
 void AddSession(HttpServer::State& aState, tcp::socket aSocket)
@@ -774,11 +1056,25 @@
   return state_->rejectedRequests_;
 }
 
+PipelineCounts HttpServer::Pipelining() const
+{
+  return state_->pipelining_;
+}
+
 std::size_t HttpServer::PendingAnswerCount() const
 {
   return state_->pendingAnswers_;
 }
 
+std::size_t HttpServer::UnsentAnswerBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& session : state_->sessions_) {
+    bytes += session->UnsentAnswerBytes();
+  }
+  return bytes;
+}
+
 std::size_t HttpServer::UnfinishedRequestCount() const
 {
   return static_cast<std::size_t>(
--- a/peridotquay/connection/HttpServer.h
+++ b/peridotquay/connection/HttpServer.h
@@ -35,6 +35,13 @@
   /// Counts requests until they are answered, and answers until they are sent. A request that
   /// doesn't fit is refused with kLimitReached. Null for no limit.
   std::shared_ptr<ByteBudget> budget_{};
+  /// Maximum number of requests of one connection that have begun and whose answers aren't sent
+  /// yet. With 1, each request begins when the answer before it was sent.
+  std::uint32_t maxPipelined_ = 1;
+  /// Whether a request may run at the same time as others of its connection. Called for a request
+  /// that arrives while earlier ones are outstanding, with its head only. HttpExchange::mayOverlap_
+  /// tells the same of a request that came first. Null if none may.
+  std::function<bool(const HttpRequest&)> mayOverlap_{};
 };
 
 /// One request and the connection to answer it on. Used only on the loop's thread.
@@ -51,6 +58,10 @@
 
   HttpRequest request_;
   std::uint32_t attempts_ = 0; ///< Attempts to pass the request on. The handler may set it.
+  /// Whether requests behind this one may begin before it is answered. The handler may set it
+  /// before it returns. It isn't taken from HttpServerSettings::mayOverlap_ for a request that came
+  /// first, so that a connection without pipelining doesn't pay for the look-up.
+  bool mayOverlap_ = false;
   /// Called if the connection closes before Respond was called. The handler may set it.
   std::function<void()> onClosed_;
 };
@@ -66,8 +77,19 @@
   bool operator==(const HttpServerContent&) const = default;
 };
 
-/// A listening socket and its connections. Requests of one connection are handled in order, one at
-/// a time. Invalid requests are answered with an error and never reach the handler.
+/// Counts of pipelined requests since the start.
+struct PipelineCounts
+{
+  std::uint64_t begunBehind_ = 0;   ///< Requests that began before an earlier one was answered.
+  std::uint64_t waitedAnswers_ = 0; ///< Answers that were ready before an earlier one.
+  std::uint64_t heldForOrder_ = 0;  ///< Requests that waited because they or others can't overlap.
+  std::uint64_t heldForLimit_ = 0;  ///< Requests that waited because of a limit.
+  bool operator==(const PipelineCounts&) const = default;
+};
+
+/// A listening socket and its connections. Requests of one connection begin in order, several at a
+/// time if the settings allow it, and are answered in order. Invalid requests are answered with an
+/// error and never reach the handler.
 class HttpServer
 {
 public:
@@ -93,13 +115,17 @@
   /// Number of requests answered with an error without calling the handler: malformed, too large,
   /// too slow, or on a connection above maxConnections_.
   std::uint64_t RejectedRequests() const;
-  /// Number of answers that the operating system hasn't completely accepted yet.
+  PipelineCounts Pipelining() const;
+  /// Number of answers that the operating system hasn't completely accepted yet, including those
+  /// that wait for earlier ones.
   std::size_t PendingAnswerCount() const;
+  /// Size of these answers.
+  std::size_t UnsentAnswerBytes() const;
   /// Number of connections on which a request has begun to arrive and isn't complete.
   std::size_t UnfinishedRequestCount() const;
   /// What the open connections hold.
   HttpServerContent Content() const;
-  /// From now on, each answer ends its connection.
+  /// From now on, the answer of the last request that has begun ends its connection.
   void CloseAfterAnswers();
   /// Stops listening and closes each connection without a request. Requests that have arrived are
   /// handled and answered first, also those on connections that wait to be accepted. To be repeated
--- a/peridotquay/connection/UnansweredRequest.h
+++ b/peridotquay/connection/UnansweredRequest.h
@@ -17,7 +17,7 @@
   kCallerReset,  ///< The caller reset the connection, or can't be reached any more.
   kWriteFailed,  ///< The answer couldn't be sent, because the caller had closed or reset.
   kWriteTimeout, ///< The caller didn't read the answer in time.
-  kClosing,      ///< The request arrived after the answer that ends the connection was chosen.
+  kClosing,      ///< The request didn't begin before the answer that ends the connection.
   kServerEnded,  ///< The server ended.
   kMemoryFull    ///< The caller didn't read the answer while memory was needed for others.
 };
@@ -27,7 +27,7 @@
 {
   kPartlyRead, ///< Its last byte hadn't been read, or it waited behind an earlier request.
   kHandled,    ///< It was read and had no answer yet.
-  kAnswering   ///< Its answer was being sent.
+  kAnswering   ///< Its answer was being sent, or waited for earlier answers.
 };
 
 /// A request whose connection ended before the operating system had accepted its whole answer.
@@ -42,6 +42,7 @@
   Duration sinceRead_{};
   std::size_t answerBytes_ = 0;  ///< Size of the answer with its head; 0 without an answer.
   std::size_t writtenBytes_ = 0; ///< Bytes of the answer that the operating system has accepted.
+  std::size_t before_ = 0;       ///< Earlier requests of the connection without a complete answer.
   bool operator==(const UnansweredRequest&) const = default;
 };
 
