Let callers pipeline repeatable requests (pipelined_requests)

Cause: the callers' server of a node ran the requests of a connection one after the other.

Change: setting pipelined_requests (default 8) for the callers' listener; the outbound and admin listeners keep 1. Requests may overlap if their route is known and repeatable. The dispatcher states this for the first request from the route that it looks up anyway, so connections without pipelining have no second look-up. Requests behind a closing answer are counted as requests_not_begun and logged as 6007 at Info level, no longer as 6006. Gauges show overlapped and waiting requests and unsent answer bytes.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -63,14 +63,24 @@
   guard_.onContextClosed_ = nullptr;
 }
 
+const Route* Dispatcher::FindRequestRoute(const HttpRequest& aRequest) const
+{
+  return config_->routesByHost_ ? FindHostRoute(*config_,
+                                                FindHeader(aRequest.headers_, "Host").value_or(""),
+                                                WithoutQuery(aRequest.path_))
+                                : FindRoute(*config_, WithoutQuery(aRequest.path_));
+}
+
+bool Dispatcher::MayOverlap(const HttpRequest& aRequest) const
+{
+  const Route* route = config_ ? FindRequestRoute(aRequest) : nullptr;
+  return route != nullptr && route->repeatable_;
+}
+
 bool Dispatcher::FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const
 {
   aCall.config_ = config_;
-  aCall.route_ = config_->routesByHost_
-                   ? FindHostRoute(*config_,
-                                   FindHeader(aRequest.headers_, "Host").value_or(""),
-                                   WithoutQuery(aRequest.path_))
-                   : FindRoute(*config_, WithoutQuery(aRequest.path_));
+  aCall.route_ = FindRequestRoute(aRequest);
   if (aCall.route_ == nullptr) {
     return false;
   }
@@ -220,6 +230,7 @@
   if (!FindCallRoute(request, *call)) {
     refusal = Refusal{ ErrorCode::kNoRoute };
   }
+  aExchange->mayOverlap_ = call->route_ != nullptr && call->route_->repeatable_;
   if (!refusal) {
     refusal = Authenticate(request, *call);
   }
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -54,6 +54,9 @@
 
   /// Handles a request from a caller.
   void OnCallerRequest(const std::shared_ptr<HttpExchange>& aExchange);
+  /// Whether a caller's request may run at the same time as others of its connection: its route is
+  /// known and repeatable. Needs only the head of the request.
+  bool MayOverlap(const HttpRequest& aRequest) const;
   /// Handles a deeper call of the local target.
   void OnOutboundRequest(const std::shared_ptr<HttpExchange>& aExchange);
   /// Handles a caller's request that another host forwarded because this host issued its id.
@@ -155,6 +158,8 @@
   bool MayRefuseForGood() const;
   const ServiceId& ChooseService(const Route& aRoute);
   std::optional<Refusal> ReadCallHeaders(const HttpRequest& aRequest, ActiveCall& aCall) const;
+  /// Null if no route matches. config_ must be set.
+  const Route* FindRequestRoute(const HttpRequest& aRequest) const;
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool MayServeRunningCall(const HttpRequest& aRequest) const;
   void RegisterCall(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -67,6 +67,7 @@
   X(6004, PeerConnectionSilent, kWarning) \
   X(6005, RequestAbandoned, kInfo) \
   X(6006, RequestUnanswered, kWarning) \
+  X(6007, RequestNotBegun, kInfo) \
   X(6010, MessageMemoryFull, kWarning)
 // clang-format on
 
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -172,6 +172,10 @@
     http.requestIdHeader_ =
       dialect_.echoHeader_.empty() ? "Quay-Request-Id" : std::string(dialect_.echoHeader_);
     http.budget_ = budget_;
+    http.maxPipelined_ = settings_.pipelinedRequests_;
+    http.mayOverlap_ = [this](const HttpRequest& aRequest) {
+      return dispatcher_->MayOverlap(aRequest);
+    };
     const auto open = [&](std::unique_ptr<HttpServer>& aServer,
                           Address& aAddress,
                           std::string_view aName,
@@ -192,6 +196,8 @@
     auto opened = open(callers_, settings_.callers_, "callers", [this](const Exchange& aExchange) {
       dispatcher_->OnCallerRequest(aExchange);
     });
+    http.maxPipelined_ = 1;
+    http.mayOverlap_ = nullptr;
     if (opened.has_value()) {
       opened = open(outbound_, settings_.outbound_, "outbound", [this](const Exchange& aExchange) {
         dispatcher_->OnOutboundRequest(aExchange);
@@ -331,14 +337,20 @@
   void OnUnanswered(std::string_view aListener, const UnansweredRequest& aRequest)
   {
     const bool abandoned = IsClosedByCaller(aRequest.reason_);
-    metrics_.Add(abandoned ? Counter::kRequestsAbandoned : Counter::kRequestsUnanswered);
+    const bool notBegun = aRequest.reason_ == CloseReason::kClosing;
+    metrics_.Add(abandoned  ? Counter::kRequestsAbandoned
+                 : notBegun ? Counter::kRequestsNotBegun
+                            : Counter::kRequestsUnanswered);
     metrics_.Add(Counter::kAnswersCut, aRequest.writtenBytes_ > 0 ? 1 : 0);
     std::uint64_t skipped = 0;
-    if (!(abandoned ? abandonedThrottle_ : unansweredThrottle_).Allow(loop_.Now(), skipped)) {
+    if (!(abandoned || notBegun ? abandonedThrottle_ : unansweredThrottle_)
+           .Allow(loop_.Now(), skipped)) {
       return;
     }
     const auto readMs = std::chrono::duration_cast<milliseconds>(aRequest.sinceRead_).count();
-    LogEvent(abandoned ? Event::kRequestAbandoned : Event::kRequestUnanswered,
+    LogEvent(abandoned  ? Event::kRequestAbandoned
+             : notBegun ? Event::kRequestNotBegun
+                        : Event::kRequestUnanswered,
              { { "id", aRequest.id_ },
                { "listener", std::string(aListener) },
                { "reason", std::string(CloseReasonName(aRequest.reason_)) },
@@ -347,6 +359,7 @@
                { "read_ms", std::to_string(readMs) },
                { "answer_bytes", std::to_string(aRequest.answerBytes_) },
                { "written_bytes", std::to_string(aRequest.writtenBytes_) },
+               { "before", std::to_string(aRequest.before_) },
                { "skipped", std::to_string(skipped) } });
   }
 
@@ -644,6 +657,7 @@
   {
     const AdmissionState& admission = guard_->Admission();
     const ControlStatus status = control_->Status();
+    const PipelineCounts pipelining = callers_->Pipelining();
     return { { "freshness_ms", static_cast<double>(status.freshnessAgeMs_) },
              { "platform_reachable", status.platformReachable_ ? 1.0 : 0.0 },
              { "hosts", static_cast<double>(status.membersAlive_) },
@@ -658,6 +672,11 @@
              { "target_connections", static_cast<double>(guard_->TargetConnections()) },
              { "peer_links", static_cast<double>(hub_->OpenLinkCount()) },
              { "http_rejected", static_cast<double>(callers_->RejectedRequests()) },
+             { "pipelined_begun", static_cast<double>(pipelining.begunBehind_) },
+             { "pipelined_answers_waited", static_cast<double>(pipelining.waitedAnswers_) },
+             { "pipelined_held_for_order", static_cast<double>(pipelining.heldForOrder_) },
+             { "pipelined_held_for_limit", static_cast<double>(pipelining.heldForLimit_) },
+             { "answer_bytes_unsent", static_cast<double>(callers_->UnsentAnswerBytes()) },
              { "message_bytes", static_cast<double>(budget_->used_) },
              { "messages_refused", static_cast<double>(budget_->refusedMessages_) },
              { "messages_ended", static_cast<double>(budget_->endedMessages_) },
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -20,7 +20,7 @@
 // callers and for files.
 constexpr std::uint32_t kOtherDescriptors = 256;
 
-constexpr std::array<std::string_view, 26> kKnownKeys = { "host",
+constexpr std::array<std::string_view, 27> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
                                                           "service",
@@ -35,6 +35,7 @@
                                                           "log_directory",
                                                           "target_connections",
                                                           "caller_connections",
+                                                          "pipelined_requests",
                                                           "max_body_bytes",
                                                           "max_header_bytes",
                                                           "host_memory_mb",
@@ -283,6 +284,8 @@
     ReadInteger(aDocument, "target_connections", 1, 65535, settings.maxTargetConnections_));
   BOOST_OUTCOME_TRYV(
     ReadInteger(aDocument, "caller_connections", 1, 65535, settings.maxCallerConnections_));
+  BOOST_OUTCOME_TRYV(
+    ReadInteger(aDocument, "pipelined_requests", 1, 64, settings.pipelinedRequests_));
   // A body and its headers are sent in one frame of at most 1 MiB, so the sum of both limits is
   // below that.
   BOOST_OUTCOME_TRYV(ReadInteger(
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -29,6 +29,7 @@
   std::string logDirectory_;                  ///< If empty, logs go to standard error.
   std::uint32_t maxTargetConnections_ = 400;  ///< Simultaneous connections to the local target.
   std::uint32_t maxCallerConnections_ = 4096; ///< Simultaneous connections of callers.
+  std::uint32_t pipelinedRequests_ = 8;       ///< Simultaneous requests of a caller's connection.
   /// Maximum size of a request or answer body. A body is sent in one frame of at most 1 MiB.
   std::size_t maxBodyBytes_ = std::size_t{ 768 } * 1024;
   std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -34,6 +34,7 @@
 seed = 7
 naive = true
 host_memory_mb = 300
+pipelined_requests = 4
 )";
 
 /// Returns the error of the valid settings with the first aFrom replaced by aTo.
@@ -76,6 +77,7 @@
   expected.logDirectory_ = "/tmp";
   expected.maxTargetConnections_ = 200;
   expected.maxCallerConnections_ = 100;
+  expected.pipelinedRequests_ = 4;
   expected.maxBodyBytes_ = 1000;
   expected.maxHeaderBytes_ = 2000;
   expected.hostMemoryMb_ = 300;
