--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -16,7 +16,9 @@
 // length in an array header.
 constexpr std::size_t kMaxArrayElements = 65536;
 
-// VisitFields passes all fields of a type to the visitor (Encoder or Decoder) in wire order.
+// VisitFields passes all fields of a type to the visitor (Encoder or Decoder) in wire order. In
+// Extended<N>, the last N fields were added later: they are left out while they have their default
+// values, so that older hosts read the message, and decoding accepts messages without them.
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, Hello& aItem)
 {
@@ -47,20 +49,21 @@
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, Answer& aItem)
 {
-  aVisit(aItem.callId_,
-         aItem.outcome_,
-         aItem.error_,
-         aItem.retryAfterMs_,
-         aItem.status_,
-         aItem.headers_,
-         aItem.body_,
-         aItem.declaredBodyBytes_,
-         aItem.retriesUnused_,
-         aItem.inFlight_,
-         aItem.limit_,
-         aItem.queued_,
-         aItem.level_,
-         aItem.failurePercent_);
+  aVisit.template Extended<1>(aItem.callId_,
+                              aItem.outcome_,
+                              aItem.error_,
+                              aItem.retryAfterMs_,
+                              aItem.status_,
+                              aItem.headers_,
+                              aItem.body_,
+                              aItem.declaredBodyBytes_,
+                              aItem.retriesUnused_,
+                              aItem.inFlight_,
+                              aItem.limit_,
+                              aItem.queued_,
+                              aItem.level_,
+                              aItem.failurePercent_,
+                              aItem.workPercent_);
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, Cancel& aItem)
@@ -189,9 +192,16 @@
   aVisit(aItem.account_, aItem.used_);
 }
 template<typename Visitor>
+void VisitFields(Visitor& aVisit, LoadReport& aItem)
+{
+  aVisit.template Extended<1>(
+    aItem.running_, aItem.queued_, aItem.limit_, aItem.workPercent_, aItem.ageMs_);
+}
+template<typename Visitor>
 void VisitFields(Visitor& aVisit, RateReport& aItem)
 {
-  aVisit(aItem.host_, aItem.incarnation_, aItem.sequence_, aItem.uses_);
+  aVisit.template Extended<1>(
+    aItem.host_, aItem.incarnation_, aItem.sequence_, aItem.uses_, aItem.load_);
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, RateReports& aItem)
@@ -328,6 +338,20 @@
     (Write(aFields), ...);
   }
 
+  template<std::size_t kAdded, typename... T>
+  void Extended(T&... aFields)
+  {
+    std::size_t index = 0;
+    std::size_t count = 0;
+    ((++index,
+      count =
+        index <= sizeof...(T) - kAdded || !(aFields == std::remove_cv_t<T>{}) ? index : count),
+     ...);
+    packer_.pack_array(static_cast<std::uint32_t>(count));
+    index = 0;
+    ((index++ < count ? Write(aFields) : void()), ...);
+  }
+
   template<typename T>
   void Write(T& aItem)
   {
@@ -385,6 +409,19 @@
     (Read(*element++, aFields), ...);
   }
 
+  template<std::size_t kAdded, typename... T>
+  void Extended(T&... aFields)
+  {
+    if (object_.type != msgpack::type::ARRAY || object_.via.array.size > sizeof...(T) ||
+        object_.via.array.size < sizeof...(T) - kAdded) {
+      valid_ = false;
+      return;
+    }
+    std::size_t index = 0;
+    ((index < object_.via.array.size ? Read(object_.via.array.ptr[index++], aFields) : void()),
+     ...);
+  }
+
   template<typename T>
   void Read(const msgpack::object& aObject, T& aItem)
   {
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -2,6 +2,7 @@
 // datagrams and decodes them. "Peer" means another node.
 #pragma once
 
+#include "peridotquay/request/LoadReport.h"
 #include "peridotquay/request/Outcome.h"
 #include "peridotquay/version/Ids.h"
 #include "peridotquay/version/TargetView.h"
@@ -99,6 +100,9 @@
   AdmissionLevel level_;
   /// Percentage of the target's recent answers that were failures.
   std::uint32_t failurePercent_ = 0;
+  /// Duration of work that the target stated last, in percent of the usual one; 0 if it stated
+  /// none.
+  std::uint32_t workPercent_ = 0;
   bool operator==(const Answer&) const = default;
 };
 
@@ -317,6 +321,8 @@
   Incarnation incarnation_ = 0;
   std::uint64_t sequence_ = 0;   ///< Increases within an incarnation.
   std::vector<AccountUse> uses_; ///< Only accounts that were used.
+  /// Load of the host's target; empty if the target doesn't state its duration of work.
+  std::optional<LoadReport> load_;
   bool operator==(const RateReport&) const = default;
 };
 
--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -4,12 +4,15 @@
 
 #include "peridotquay/connection/PeerMessage.h"
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/RateShare.h"
 #include "peridotquay/version/Config.h"
 #include "peridotquay/version/TargetView.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace peridotquay {
 
@@ -35,6 +38,11 @@
   /// Sets the state of the local target, on platforms where the target reports it to the control
   /// plane. Unlike the others, it must be called on the socket thread.
   std::function<void(const LocalTarget&)> setTarget_;
+  /// Returns the load of the local target if it states its duration of work. Must be called on the
+  /// socket thread.
+  std::function<std::optional<LoadReport>()> statedLoad_;
+  /// Passes on loads of other hosts' targets. Must be called on the socket thread.
+  std::function<void(const std::vector<ReceivedLoad>&)> deliverLoads_;
   /// Event loop of the socket thread, for a control plane that runs on it.
   EventLoop* loop_ = nullptr;
 };
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -42,6 +42,7 @@
 {
   routing_.dataCentre_ = aSettings.dataCentre_;
   routing_.region_ = aSettings.region_;
+  routing_.settings_.evenLoad_ = aSettings.evenLoad_;
   routing_.random_ = aSettings.randomSeed_ != 0
                        ? aSettings.randomSeed_
                        : static_cast<std::uint64_t>(Clock::now().time_since_epoch().count()) | 1U;
@@ -608,6 +609,18 @@
   return targets_.get();
 }
 
+void Dispatcher::OnLoads(const std::vector<ReceivedLoad>& aLoads)
+{
+  if (!targets_ || settings_.naive_) {
+    return;
+  }
+  metrics_.Add(Counter::kLoadReports, aLoads.size());
+  for (const ReceivedLoad& load : aLoads) {
+    RecordLoadReport(
+      routing_, *targets_, load.host_, load.incarnation_, load.report_, load.measuredAt_);
+  }
+}
+
 std::string Dispatcher::Explain(std::string_view aPath, std::string_view aAccount)
 {
   // The query and the records of other hosts may hold any bytes.
@@ -645,6 +658,13 @@
     json["tokens"] = now < tokens->second.expiresAt_ ? tokens->second.tokens_ : 0;
     json["over_rate"] = now < tokens->second.refusedUntil_;
   }
+  json["even_load"] = IsLoadEven(routing_, route->service_);
+  if (json["even_load"]) {
+    const ServiceLoad& load = routing_.loads_.at(route->service_).load_;
+    json["utilisation"] = load.utilisation_;
+    json["leaving_data_centre"] = load.leaving_[0];
+    json["leaving_region"] = load.leaving_[1];
+  }
   json["targets"] = nlohmann::json::array();
   if (targets_ && targets_->targets_.contains(route->service_)) {
     for (const Target& target : targets_->targets_.at(route->service_)) {
@@ -660,6 +680,15 @@
         entry["latency_ms"] = stats->second.latencySeconds_ * 1000;
         entry["reported_load"] = stats->second.reportedLoad_;
         entry["ejected"] = now < stats->second.ejectedUntil_;
+        const TargetLoadEstimate& load = stats->second.load_;
+        if (load.measuredAt_ != TimePoint{}) {
+          entry["report_age_ms"] =
+            std::chrono::duration_cast<milliseconds>(now - load.measuredAt_).count();
+          entry["work_percent"] = load.report_.workPercent_;
+          entry["reported_calls"] = load.report_.running_ + load.report_.queued_;
+          entry["expected_calls"] = load.calls_;
+          entry["limit"] = load.report_.limit_;
+        }
       }
       const auto level = admissionLevels_.find(target.host_);
       if (level != admissionLevels_.end() &&
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -15,6 +15,7 @@
 #include "peridotquay/process/Settings.h"
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/NaivePolicy.h"
+#include "peridotquay/request/RateShare.h"
 #include "peridotquay/request/RetryBudget.h"
 #include "peridotquay/request/RouteChoice.h"
 #include "peridotquay/request/TokenCache.h"
@@ -26,6 +27,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -71,6 +73,8 @@
   /// Sets the configuration in force; an older version is ignored.
   void SetConfig(std::shared_ptr<const Config> aConfig);
   void SetTargets(std::shared_ptr<const TargetView> aTargets);
+  /// Records loads of targets that their hosts reported.
+  void OnLoads(const std::vector<ReceivedLoad>& aLoads);
   /// Sets the time at which the configuration was last known to be the latest.
   void SetFreshness(TimePoint aFreshAsOf);
   /// Adds granted tokens, which were requested at aRequestedAt, and resumes calls that wait for
@@ -180,6 +184,8 @@
   bool IsLeaving(const Target& aTarget) const;
   Duration AnswerReserve(const Target& aTarget) const;
   void SendAttempt(const CallPointer& aCall, const Target& aTarget);
+  /// Counts an attempt whose target was chosen by load, and logs when that begins or ceases.
+  void RecordChoice(const ServiceId& aService, const Target& aTarget);
   void EndAttempt(const CallPointer& aCall, AttemptResult aResult, const Answer* aAnswer);
   void OnAttemptAnswer(const CallPointer& aCall, Answer aAnswer);
   void QueryCallStatus(const CallPointer& aCall);
@@ -221,6 +227,7 @@
   TimePoint freshAsOf_{};
   Duration suspendedTimeAtFreshness_{}; ///< SuspendedTime() when freshAsOf_ was set.
   RoutingState routing_;
+  std::set<ServiceId> evenServices_; ///< Services whose last call was distributed by load.
   TokenCache tokens_;
   NaiveState naive_;
   /// By host of the guard; only hosts in targets_.
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -117,7 +117,8 @@
   call.call_.deadlineMs_ = static_cast<std::uint32_t>(std::max<std::int64_t>(1, leftMs));
   attempts_[call.attemptCallId_] = aCall;
   if (!settings_.naive_) {
-    RecordCallSent(routing_, aTarget);
+    RecordCallSent(routing_, aTarget, now);
+    RecordChoice(call.call_.service_, aTarget);
   }
   if (aTarget.host_ != settings_.host_) {
     hub_.SendCall(aTarget.peer_, call.attemptCallId_, call.call_);
@@ -129,6 +130,28 @@
     [this](Answer aAnswer) { OnAnswer(std::move(aAnswer), 0); });
 }
 
+void Dispatcher::RecordChoice(const ServiceId& aService, const Target& aTarget)
+{
+  if (routing_.loads_.empty() && evenServices_.empty()) {
+    return;
+  }
+  const bool even = IsLoadEven(routing_, aService);
+  if (even) {
+    metrics_.Add(Counter::kAttemptsByLoad);
+    metrics_.Add(Counter::kAttemptsByLoadFar, aTarget.dataCentre_ == settings_.dataCentre_ ? 0 : 1);
+  }
+  if (even == evenServices_.contains(aService)) {
+    return;
+  }
+  if (even) {
+    evenServices_.insert(aService);
+  } else {
+    evenServices_.erase(aService);
+  }
+  LogEvent(Event::kDistributionChanged,
+           { { "service", aService.value_ }, { "by_load", even ? "true" : "false" } });
+}
+
 void Dispatcher::OnAnswer(Answer aAnswer, std::uint64_t aLink)
 {
   const auto entry = attempts_.find(aAnswer.callId_);
@@ -162,12 +185,17 @@
     return;
   }
   const TimePoint now = loop_.Now();
+  const LoadReport report =
+    aAnswer == nullptr
+      ? LoadReport{}
+      : LoadReport{ aAnswer->inFlight_, aAnswer->queued_, aAnswer->limit_, aAnswer->workPercent_ };
   RecordCallEnded(routing_,
                   call.target_,
                   aResult,
                   now - call.sentAt_,
                   aAnswer == nullptr ? -1 : ReportedLoadFraction(*aAnswer),
-                  now);
+                  now,
+                  report.limit_ == 0 ? nullptr : &report);
   if (aAnswer != nullptr && aAnswer->limit_ != 0) {
     RecordFailureFraction(routing_, call.target_, aAnswer->failurePercent_ / 100.0, now);
     const auto [level, isNew] = admissionLevels_.try_emplace(call.target_.host_);
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -314,6 +314,10 @@
   metrics_.RecordTime(Stage::kTarget, loop_.Now() - guardedCall.startedAt_);
   if (const auto load = dialect_.load_(aResult.response_)) {
     SetSlots(load->slots_);
+    // An answer of the previous target at this address says nothing about the current one.
+    if (!target_ || guardedCall.targetId_ == target_->id_) {
+      workPercent_ = load->workPercent_.value_or(0);
+    }
   }
   ApplyNotice(guardedCall, aResult.response_.headers_);
   if (const auto hint = dialect_.refusal_(aResult.response_)) {
@@ -486,6 +490,18 @@
     aAnswer.level_.admittedFraction_ = 1 + DeeperOverload(runLimits_, loop_.Now());
   }
   aAnswer.failurePercent_ = FailurePercent(failures_, loop_.Now());
+  aAnswer.workPercent_ = workPercent_;
+}
+
+std::optional<LoadReport> Guard::StatedLoad() const
+{
+  if (settings_.naive_ || workPercent_ == 0) {
+    return std::nullopt;
+  }
+  return LoadReport{ admission_.running_,
+                     static_cast<std::uint32_t>(admission_.queued_),
+                     EffectiveLimit(admission_),
+                     workPercent_ };
 }
 
 void Guard::ScheduleQueueCheck()
@@ -649,6 +665,7 @@
     // Open connections lead to the previous target at this address.
     client_.CloseIdleConnections();
     failures_ = {};
+    workPercent_ = 0;
     ResetStartRate(admission_.startRate_);
   }
   SetSlots(aTarget.slots_);
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -91,6 +91,9 @@
   const AdmissionState& Admission() const;
   const TargetHealth& Health() const;
   std::size_t TargetConnections() const;
+  /// Load of the target for the hosts that choose targets; empty if the target doesn't state its
+  /// duration of work.
+  std::optional<LoadReport> StatedLoad() const;
 
   /// Called with the id of a target that states in an answer that it leaves.
   std::function<void(const std::string&)> onTargetLeaving_;
@@ -156,7 +159,8 @@
   std::shared_ptr<ByteBudget> budget_; ///< For the bodies of calls; null for no limit.
   RunLimitState runLimits_;
   ContextTable contexts_;
-  FailureMeter failures_; ///< Failures of the current target.
+  FailureMeter failures_;         ///< Failures of the current target.
+  std::uint32_t workPercent_ = 0; ///< As the current target stated it last; 0 if it stated none.
   std::map<std::uint64_t, GuardedCall> calls_;
   std::uint64_t nextCallNumber_ = 1;
   TargetHealth health_;
--- a/peridotquay/process/HttpDialect.h
+++ b/peridotquay/process/HttpDialect.h
@@ -30,6 +30,9 @@
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
   std::uint32_t slots_ = 0;
+  /// Present duration of work on the target's machine in percent of the usual one; empty if the
+  /// target doesn't state it.
+  std::optional<std::uint32_t> workPercent_;
   bool operator==(const TargetLoad&) const = default;
 };
 
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -266,6 +266,10 @@
       });
     };
     callbacks.setTarget_ = [this](const LocalTarget& aTarget) { guard_->SetTarget(aTarget); };
+    callbacks.statedLoad_ = [this] { return guard_->StatedLoad(); };
+    callbacks.deliverLoads_ = [this](const std::vector<ReceivedLoad>& aLoads) {
+      dispatcher_->OnLoads(aLoads);
+    };
     callbacks.loop_ = &loop_;
     return callbacks;
   }
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -20,7 +20,7 @@
 // callers and for files.
 constexpr std::uint32_t kOtherDescriptors = 256;
 
-constexpr std::array<std::string_view, 26> kKnownKeys = { "host",
+constexpr std::array<std::string_view, 27> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
                                                           "service",
@@ -42,6 +42,7 @@
                                                           "drain_timeout_ms",
                                                           "seed",
                                                           "naive",
+                                                          "even_load",
                                                           "accept_while_draining_ms",
                                                           "stop_grace_s",
                                                           "target_idle_timeout_ms",
@@ -183,6 +184,27 @@
   return Success();
 }
 
+Result<void> ReadEvenLoad(const Document& aDocument, EvenLoad& aOut)
+{
+  static constexpr std::array<std::pair<std::string_view, EvenLoad>, 3> kValues = {
+    { { "stated", EvenLoad::kStated }, { "always", EvenLoad::kAlways }, { "off", EvenLoad::kOff } }
+  };
+  std::string text;
+  BOOST_OUTCOME_TRYV(ReadString(aDocument, "even_load", text));
+  const auto* node = aDocument.table_->get("even_load");
+  if (node == nullptr) {
+    return Success();
+  }
+  for (const auto& [name, value] : kValues) {
+    if (name == text) {
+      aOut = value;
+      return Success();
+    }
+  }
+  return FailAt(
+    aDocument, *node, ErrorCode::kOutOfRange, "even_load", "\"stated\", \"always\" or \"off\"");
+}
+
 Result<Address> ReadAddressNode(const Document& aDocument,
                                 const toml::node& aNode,
                                 std::string_view aKey)
@@ -297,6 +319,7 @@
   BOOST_OUTCOME_TRYV(ReadInteger(
     aDocument, "seed", 0, std::numeric_limits<std::int64_t>::max(), settings.randomSeed_));
   BOOST_OUTCOME_TRYV(ReadBool(aDocument, "naive", settings.naive_));
+  BOOST_OUTCOME_TRYV(ReadEvenLoad(aDocument, settings.evenLoad_));
   BOOST_OUTCOME_TRYV(ReadMilliseconds(
     aDocument, "accept_while_draining_ms", 0, 600000, settings.drainAcceptPeriod_));
   std::uint32_t graceSeconds = 0;
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -3,6 +3,7 @@
 
 #include "peridotquay/process/Error.h"
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/LoadReport.h"
 #include "peridotquay/version/Ids.h"
 
 #include <cstdint>
@@ -45,6 +46,7 @@
   /// Runs the baseline that the product is compared with: round robin, three retries at every hop,
   /// a token bucket for each process, no load shedding.
   bool naive_ = false;
+  EvenLoad evenLoad_ = EvenLoad::kStated; ///< Services whose calls are distributed by load.
   bool operator==(const NodeSettings&) const = default;
 };
 
--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace peridotquay {
 
@@ -270,7 +271,7 @@
 RateReport MakeOwnReport(RateShareState& aState)
 {
   const bool full = aState.sequence_ % kFullReportInterval == 0;
-  RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {} };
+  RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {}, aState.ownLoad_ };
   for (auto& [id, share] : aState.accounts_) {
     if (share.used_ != share.reported_ || (full && share.used_ >= 1)) {
       report.uses_.push_back({ id, static_cast<std::uint64_t>(std::max(0.0, share.used_)) });
@@ -283,12 +284,14 @@
 
 /// Collects the reports to relay and marks them as relayed: the region's if aToOtherRegions,
 /// otherwise those of the data centre, which go to the other data centres of the region.
-std::vector<RateReport> TakeUnrelayedReports(RateShareState& aState, bool aToOtherRegions)
+std::vector<RateReport> TakeUnrelayedReports(RateShareState& aState,
+                                             bool aToOtherRegions,
+                                             TimePoint aNow)
 {
   std::vector<RateReport> reports;
   std::uint64_t& ownRelayed = aToOtherRegions ? aState.ownRelayedFar_ : aState.ownRelayedNear_;
   if (aState.sequence_ > ownRelayed) {
-    RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {} };
+    RateReport report{ aState.host_, aState.incarnation_, aState.sequence_, {}, aState.ownLoad_ };
     for (const auto& [id, share] : aState.accounts_) {
       if (share.changedInReport_ > ownRelayed) {
         report.uses_.push_back({ id, static_cast<std::uint64_t>(std::max(0.0, share.reported_)) });
@@ -306,7 +309,12 @@
     if (!isIncluded || peer.silent_ || peer.sequence_ <= relayed) {
       continue;
     }
-    RateReport report{ host, peer.incarnation_, peer.sequence_, {} };
+    RateReport report{ host, peer.incarnation_, peer.sequence_, {}, peer.load_ };
+    if (report.load_) {
+      // The load was measured when the host reported it, not when this host relays it.
+      report.load_->ageMs_ += static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(aNow - peer.lastReceivedAt_).count());
+    }
     for (const auto& [id, use] : peer.uses_) {
       if (use.changedInReport_ > relayed) {
         report.uses_.push_back({ id, static_cast<std::uint64_t>(use.used_) });
@@ -431,6 +439,13 @@
   peer.sequence_ = aReport.sequence_;
   peer.lastReceivedAt_ = aNow;
   aState.lastReceivedAt_ = aNow;
+  peer.load_ = aReport.load_;
+  if (aReport.load_) {
+    aState.receivedLoads_.push_back({ aReport.host_,
+                                      aReport.incarnation_,
+                                      *aReport.load_,
+                                      aNow - milliseconds(aReport.load_->ageMs_) });
+  }
   // The first report after a start names all use since the start.
   peer.allUsesKnown_ = isNewIncarnation ? aReport.sequence_ <= 1 : peer.allUsesKnown_;
   for (const AccountUse& use : aReport.uses_) {
@@ -535,13 +550,13 @@
       !DataCentreRelay(aState, aNow)) {
     aState.relayedNearAt_ = aNow;
     AddOutgoingReports(
-      outgoing, aState.host_, TakeUnrelayedReports(aState, false), NearRelays(aState, aNow));
+      outgoing, aState.host_, TakeUnrelayedReports(aState, false, aNow), NearRelays(aState, aNow));
   }
   if (aNow - aState.relayedFarAt_ >= aState.settings_.farRelayInterval_ &&
       !RegionRelay(aState, aNow)) {
     aState.relayedFarAt_ = aNow;
     AddOutgoingReports(
-      outgoing, aState.host_, TakeUnrelayedReports(aState, true), FarRelays(aState, aNow));
+      outgoing, aState.host_, TakeUnrelayedReports(aState, true, aNow), FarRelays(aState, aNow));
   }
   return outgoing;
 }
@@ -685,4 +700,9 @@
   return forwarded;
 }
 
+std::vector<ReceivedLoad> TakeReceivedLoads(RateShareState& aState)
+{
+  return std::exchange(aState.receivedLoads_, {});
+}
+
 } // namespace peridotquay
--- a/peridotquay/request/RateShare.h
+++ b/peridotquay/request/RateShare.h
@@ -84,8 +84,9 @@
   /// An account that isn't in uses_ wasn't used: this host received the peer's reports from its
   /// start on, or one that names all accounts with use.
   bool allUsesKnown_ = false;
-  std::uint64_t relayedNear_ = 0; ///< Sequence of its last report relayed within the region.
-  std::uint64_t relayedFar_ = 0;  ///< Sequence of its last report relayed to other regions.
+  std::uint64_t relayedNear_ = 0;  ///< Sequence of its last report relayed within the region.
+  std::uint64_t relayedFar_ = 0;   ///< Sequence of its last report relayed to other regions.
+  std::optional<LoadReport> load_; ///< Load of its target in its last report.
 };
 
 /// Data centre and region of a host.
@@ -120,6 +121,15 @@
   TimePoint expiresAt_{};
 };
 
+/// Load of another host's target, as it was reported.
+struct ReceivedLoad
+{
+  HostId host_;
+  Incarnation incarnation_ = 0;
+  LoadReport report_;
+  TimePoint measuredAt_{}; ///< By this host's clock; later by the time that messages travelled.
+};
+
 /// Rate limiting state of one host. Changed only through the functions below.
 struct RateShareState
 {
@@ -145,6 +155,9 @@
   /// Number of searches for relays; they select the host that is tried where none is known.
   std::uint64_t nearRelaySearches_ = 0;
   std::uint64_t farRelaySearches_ = 0;
+  /// Present load of this host's target for its reports; set by the owner.
+  std::optional<LoadReport> ownLoad_;
+  std::vector<ReceivedLoad> receivedLoads_; ///< Loads in reports since the last TakeReceivedLoads.
 };
 
 /// Reports and the hosts to which they must be sent.
@@ -199,4 +212,7 @@
                                               const RateReports& aReports,
                                               TimePoint aNow);
 
+/// Returns the loads of targets that the reports applied since the last call stated.
+std::vector<ReceivedLoad> TakeReceivedLoads(RateShareState& aState);
+
 } // namespace peridotquay
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -1,4 +1,5 @@
-// Power of two choices among the nearest usable targets.
+// Power of two choices among the nearest usable targets, or among all targets in proportion to the
+// shares of LoadEstimate.h where targets state their duration of work.
 #include "peridotquay/request/RouteChoice.h"
 
 #include "peridotquay/request/Random.h"
@@ -343,6 +344,143 @@
   aStats.consecutiveFailures_ = aSettings.failuresToEject_ > 0 ? aSettings.failuresToEject_ - 1 : 0;
 }
 
+/// Draws of a target by its share before a call falls back to the choice among all targets.
+constexpr int kMaxDraws = 6;
+
+/// Whether a report of the target counts for its service.
+bool IsReportUsed(const RoutingState& aState, const LoadReport& aReport)
+{
+  switch (aState.settings_.evenLoad_) {
+    case EvenLoad::kStated:
+      return aReport.workPercent_ > 0;
+    case EvenLoad::kAlways:
+      return aReport.limit_ > 0;
+    case EvenLoad::kOff:
+      break;
+  }
+  return false;
+}
+
+/// Connects the table to the view and to the stats of the targets.
+void BuildTable(RoutingState& aState, ServiceTable& aTable, const std::vector<Target>& aTargets)
+{
+  aTable.firstTarget_ = aTargets.data();
+  aTable.targetCount_ = aTargets.size();
+  aTable.owner_ = &aState;
+  aTable.stats_.clear();
+  aTable.load_.targets_.clear();
+  aTable.load_.refreshedAt_ = {};
+  std::vector<const DataCentreId*> groups;
+  for (const Target& target : aTargets) {
+    TargetStats& stats = aState.stats_[target.host_];
+    if (stats.incarnation_ != target.incarnation_) {
+      stats = {};
+      stats.incarnation_ = target.incarnation_;
+    }
+    const auto group = std::find_if(groups.begin(), groups.end(), [&](const DataCentreId* aGroup) {
+      return *aGroup == target.dataCentre_;
+    });
+    ServiceTarget entry;
+    entry.estimate_ = &stats.load_;
+    entry.tier_ = Tier(aState, target);
+    entry.group_ = static_cast<std::size_t>(group - groups.begin());
+    entry.announcedSlots_ = target.slots_;
+    if (group == groups.end()) {
+      groups.push_back(&target.dataCentre_);
+    }
+    aTable.load_.targets_.push_back(entry);
+    aTable.stats_.push_back(&stats);
+  }
+  aTable.load_.groupCount_ = groups.size();
+}
+
+/// Sets which fraction of its share each target may get.
+void SetAllowed(const RoutingState& aState,
+                ServiceTable& aTable,
+                const std::vector<Target>& aTargets,
+                TimePoint aNow)
+{
+  double minFailureFraction = 1;
+  bool anyEjected = false;
+  for (std::size_t i = 0; i < aTargets.size(); ++i) {
+    if (Accepts(aTargets[i])) {
+      minFailureFraction =
+        std::min(minFailureFraction, RecentFailureFraction(aTable.stats_[i], aNow));
+      anyEjected = anyEjected || aTable.stats_[i]->ejectedUntil_ > aNow;
+    }
+  }
+  const std::vector<HostId> ejected =
+    anyEjected ? EjectedHosts(aState, aTargets, aNow) : std::vector<HostId>{};
+  for (std::size_t i = 0; i < aTargets.size(); ++i) {
+    const Target& target = aTargets[i];
+    const bool usable = Accepts(target) && (!anyEjected || !Contains(ejected, target.host_)) &&
+                        RecentFailureFraction(aTable.stats_[i], aNow) <=
+                          minFailureFraction + kMaxExcessFailureFraction;
+    aTable.load_.targets_[i].allowed_ =
+      usable ? SlowStartFraction(aState.settings_, target, aNow) : 0;
+  }
+}
+
+/// Chooses the better of two targets that are drawn by their shares; null if the service isn't
+/// distributed by load, or no draw hits a target that this call may use.
+const Target* ChooseByShares(RoutingState& aState,
+                             const TargetView& aView,
+                             const ServiceId& aService,
+                             const std::vector<Target>& aTargets,
+                             const std::vector<HostId>& aExclude,
+                             TimePoint aNow)
+{
+  const auto found = aState.loads_.find(aService);
+  if (found == aState.loads_.end() || aState.settings_.evenLoad_ == EvenLoad::kOff) {
+    return nullptr;
+  }
+  ServiceTable& table = found->second;
+  if (table.firstTarget_ != aTargets.data() || table.targetCount_ != aTargets.size() ||
+      table.owner_ != &aState) {
+    BuildTable(aState, table, aTargets);
+  }
+  const LoadEstimateSettings& settings = aState.settings_.estimate_;
+  if (aNow - table.load_.refreshedAt_ >= settings.refreshInterval_ ||
+      table.load_.refreshedAt_ == TimePoint{}) {
+    SetAllowed(aState, table, aTargets, aNow);
+    RefreshShares(settings, table.load_, aView.hosts_.size(), aNow);
+  }
+  if (!table.load_.stated_ && aState.settings_.evenLoad_ == EvenLoad::kStated) {
+    return nullptr;
+  }
+  const std::size_t tier = DrawTier(table.load_, aState.random_);
+  if (tier == kTierCount) {
+    return nullptr;
+  }
+  std::optional<std::size_t> best;
+  std::uint32_t drawn = 0;
+  for (int draw = 0; draw < kMaxDraws && drawn < settings.comparedTargets_; ++draw) {
+    const std::size_t position = DrawTarget(table.load_, tier, aState.random_);
+    if (table.stats_[position]->refusedUntil_ > aNow ||
+        (!aExclude.empty() && Contains(aExclude, aTargets[position].host_))) {
+      continue;
+    }
+    ++drawn;
+    if (!best ||
+        ExpectedWait(table.load_.targets_[position]) < ExpectedWait(table.load_.targets_[*best])) {
+      best = position;
+    }
+  }
+  return best ? &aTargets[*best] : nullptr;
+}
+
+void ApplyReport(RoutingState& aState,
+                 const ServiceId& aService,
+                 TargetStats& aStats,
+                 const LoadReport& aReport,
+                 TimePoint aMeasuredAt)
+{
+  if (IsReportUsed(aState, aReport)) {
+    ApplyLoadReport(aStats.load_, aReport, aMeasuredAt);
+    aState.loads_.try_emplace(aService);
+  }
+}
+
 } // namespace
 
 std::optional<Target> ChooseTarget(RoutingState& aState,
@@ -356,6 +494,12 @@
   if (found == aView.targets_.end()) {
     return std::nullopt;
   }
+  if (!aState.loads_.empty()) {
+    if (const Target* target =
+          ChooseByShares(aState, aView, aService, found->second, aExclude, aNow)) {
+      return *target;
+    }
+  }
   const std::vector<HostId> ejected = EjectedHosts(aState, found->second, aNow);
 
   double minFailureFraction = 1;
@@ -408,7 +552,7 @@
   return std::nullopt;
 }
 
-void RecordCallSent(RoutingState& aState, const Target& aTarget)
+void RecordCallSent(RoutingState& aState, const Target& aTarget, TimePoint aNow)
 {
   // Calls are sent to the newest incarnation, which is a lower one if the host's clock was set
   // back.
@@ -418,6 +562,7 @@
     stats.incarnation_ = aTarget.incarnation_;
   }
   ++stats.inFlight_;
+  AddSentCall(stats.load_, aNow);
 }
 
 void RecordCallEnded(RoutingState& aState,
@@ -425,7 +570,8 @@
                      AttemptResult aResult,
                      Duration aLatency,
                      double aLoad,
-                     TimePoint aNow)
+                     TimePoint aNow,
+                     const LoadReport* aReport)
 {
   TargetStats* stats = FindOrCreateStats(aState, aTarget);
   if (stats == nullptr) {
@@ -436,6 +582,15 @@
     stats->reportedLoad_ = aLoad;
     stats->reportedAt_ = aNow;
   }
+  if (aReport != nullptr) {
+    ApplyReport(aState, aTarget.service_, *stats, *aReport, aNow);
+    const auto table = aState.loads_.find(aTarget.service_);
+    if (aResult == AttemptResult::kAnswered && table != aState.loads_.end()) {
+      RecordWork(table->second.load_,
+                 ToSeconds(aLatency),
+                 aReport->workPercent_ == 0 ? 100 : aReport->workPercent_);
+    }
+  }
   switch (aResult) {
     case AttemptResult::kAnswered:
       RecordLatency(*stats, aLatency, aNow);
@@ -475,8 +630,50 @@
   }
 }
 
+void RecordLoadReport(RoutingState& aState,
+                      const TargetView& aView,
+                      const HostId& aHost,
+                      Incarnation aIncarnation,
+                      const LoadReport& aReport,
+                      TimePoint aMeasuredAt)
+{
+  if (!IsReportUsed(aState, aReport)) {
+    return;
+  }
+  const auto known = aState.stats_.find(aHost);
+  if (known != aState.stats_.end() && known->second.incarnation_ == aIncarnation &&
+      known->second.load_.measuredAt_ != TimePoint{}) {
+    ApplyLoadReport(known->second.load_, aReport, aMeasuredAt);
+    return;
+  }
+  // The first report: the view tells to which service the target belongs.
+  for (const auto& [service, targets] : aView.targets_) {
+    for (const Target& target : targets) {
+      if (target.host_ == aHost && target.incarnation_ == aIncarnation) {
+        if (TargetStats* stats = FindOrCreateStats(aState, target)) {
+          ApplyReport(aState, service, *stats, aReport, aMeasuredAt);
+        }
+        return;
+      }
+    }
+  }
+}
+
+bool IsLoadEven(const RoutingState& aState, const ServiceId& aService)
+{
+  const auto table = aState.loads_.find(aService);
+  return table != aState.loads_.end() && aState.settings_.evenLoad_ != EvenLoad::kOff &&
+         (table->second.load_.stated_ || aState.settings_.evenLoad_ == EvenLoad::kAlways);
+}
+
 void RemoveAbsentHosts(RoutingState& aState, const TargetView& aView)
 {
+  std::erase_if(aState.loads_,
+                [&aView](const auto& aEntry) { return !aView.targets_.contains(aEntry.first); });
+  // The targets and the stats to which the tables refer may be gone.
+  for (auto& [service, table] : aState.loads_) {
+    table.firstTarget_ = nullptr;
+  }
   std::erase_if(aState.stats_, [&aView](const auto& aEntry) {
     if (aEntry.second.inFlight_ > 0) {
       return false;
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/LoadEstimate.h"
 #include "peridotquay/version/Ids.h"
 #include "peridotquay/version/TargetView.h"
 
@@ -32,6 +33,8 @@
   double slackFractionWithinRegion_ = 0;
   double slackFractionBetweenRegions_ = 0;
   double maxSpillLoad_ = 3.0; ///< Load from which calls go elsewhere regardless of their slack.
+  EvenLoad evenLoad_ = EvenLoad::kStated;
+  LoadEstimateSettings estimate_;
   bool operator==(const RoutingSettings&) const = default;
 };
 
@@ -51,6 +54,20 @@
   /// After a refusal the target is avoided until this time if the service has other targets.
   TimePoint refusedUntil_{};
   Incarnation incarnation_ = 0; ///< A later incarnation resets these stats.
+  TargetLoadEstimate load_;     ///< Used only for services of RoutingState::loads_.
+};
+
+struct RoutingState;
+
+/// Loads of the targets of one service, and the view and stats to which its positions refer.
+struct ServiceTable
+{
+  ServiceLoad load_;
+  std::vector<TargetStats*> stats_; ///< Parallel to load_.targets_; owned by RoutingState::stats_.
+  // The table is built again when one of these differs.
+  const Target* firstTarget_ = nullptr;
+  std::size_t targetCount_ = 0;
+  const RoutingState* owner_ = nullptr;
 };
 
 /// Routing state of one node. Changed only through the functions below.
@@ -61,6 +78,8 @@
   RegionId region_;
   std::map<HostId, TargetStats> stats_;
   std::uint64_t random_ = 1; ///< State of the random generator; seeded by the owner.
+  /// Services of which a load was reported that counts by RoutingSettings::evenLoad_.
+  std::map<ServiceId, ServiceTable> loads_;
 };
 
 /// Chooses a target of the service, or none if no target is usable. aExclude holds the hosts that
@@ -86,16 +105,28 @@
 };
 
 /// Records that a call was sent to the target.
-void RecordCallSent(RoutingState& aState, const Target& aTarget);
+void RecordCallSent(RoutingState& aState, const Target& aTarget, TimePoint aNow = {});
 
 /// Records how a call to the target ended. aLoad is the load that the guard reported with the
-/// answer, negative if it reported none.
+/// answer, negative if it reported none. aReport is the same in full, null if there is none.
 void RecordCallEnded(RoutingState& aState,
                      const Target& aTarget,
                      AttemptResult aResult,
                      Duration aLatency,
                      double aLoad,
-                     TimePoint aNow);
+                     TimePoint aNow,
+                     const LoadReport* aReport = nullptr);
+
+/// Records a load that a target's guard reported to all hosts, measured at aMeasuredAt.
+void RecordLoadReport(RoutingState& aState,
+                      const TargetView& aView,
+                      const HostId& aHost,
+                      Incarnation aIncarnation,
+                      const LoadReport& aReport,
+                      TimePoint aMeasuredAt);
+
+/// Whether calls to the service are distributed by the estimated loads of its targets.
+bool IsLoadEven(const RoutingState& aState, const ServiceId& aService);
 
 /// Records the fraction of a target's recent answers that failed, as its guard reported it.
 void RecordFailureFraction(RoutingState& aState,
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -57,7 +57,9 @@
            10,
            50,
            3,
-           { Importance::kHigh, 0.5 } };
+           { Importance::kHigh, 0.5 },
+           12,
+           250 };
 }
 
 // One message of each type.
@@ -86,7 +88,9 @@
            ShareRequest{ 1, { "acc" }, 2, 0.5, 10 },
            ShareGrant{ 1, { "acc" }, 3, 10, 1000, 0 },
            DataCentreSummary{ { "dc1" }, 2, 100, true, { SampleMember() } },
-           RateReports{ { "h2" }, { { { "h1" }, 7, 3, { { { "parish" }, 12 } } } } },
+           RateReports{
+             { "h2" },
+             { { { "h1" }, 7, 3, { { { "parish" }, 12 } }, LoadReport{ 60, 4, 72, 130, 150 } } } },
            RateLevels{ 7, 3, { { { "parish" }, 12 } } },
            FeedQuery{ 4, { 5, 6 } },
            FeedAnswer{ 4, 700, 300, { 8, 9 } },
@@ -108,6 +112,31 @@
   }
 }
 
+// Guards against hosts of different versions that reject each other's messages: a message whose
+// added fields have their default values has the form that older hosts send and read.
+TEST_CASE("added fields are optional at the end of a message", "[codec]")
+{
+  Answer answer = SampleAnswer();
+  const std::string stated = EncodePeerMessage(answer);
+  answer.workPercent_ = 0;
+  const std::string old = EncodePeerMessage(answer);
+  CHECK(static_cast<unsigned char>(old[2]) == 0x9e);
+  CHECK(stated.size() - old.size() == 2);
+  CHECK(std::get<Answer>(DecodePeerMessage(old).assume_value()) == answer);
+
+  RateReport report{ { "h1" }, 7, 3, { { { "parish" }, 12 } }, LoadReport{ 60, 4, 72, 130, 0 } };
+  const std::string own = EncodePeerMessage(RateReports{ { "h2" }, { report } });
+  report.load_->ageMs_ = 150;
+  const std::string relayed = EncodePeerMessage(RateReports{ { "h2" }, { report } });
+  report.load_.reset();
+  const std::string without = EncodePeerMessage(RateReports{ { "h2" }, { report } });
+  CHECK(own.size() - without.size() == 6);
+  CHECK(relayed.size() - without.size() == 8);
+  const auto decoded = DecodePeerMessage(without);
+  REQUIRE(decoded.has_value());
+  CHECK(std::get<RateReports>(decoded.assume_value()).reports_.front() == report);
+}
+
 // Guards against a malformed body that crashes the process or makes it read outside the frame.
 TEST_CASE("decoding a mutated body returns an error or a valid message and never throws", "[codec]")
 {
--- a/tests/platform/PlatformDialectTest.cpp
+++ b/tests/platform/PlatformDialectTest.cpp
@@ -40,14 +40,31 @@
   CHECK_FALSE(refusal({ 200, {}, "", std::nullopt }));
 }
 
-// Guards against a malformed load header that is read as a load.
-TEST_CASE("a load header needs exactly three numbers", "[platform]")
+// Guards against a malformed load header that is read as a load, and against a stated duration of
+// work that makes the guard discard the slots.
+TEST_CASE("a load header needs three numbers and may state the duration of work", "[platform]")
 {
   const auto load = [](const char* aText) {
     return PlatformDialect().load_({ 200, { { "X-Server-Load", aText } }, "", std::nullopt });
   };
-  CHECK(load("3,0,8") == TargetLoad{ 3, 0, 8 });
-  for (const char* text : { "", "3", "3,0", "3,0,", "3,0,8,1", "a,0,8", "3;0;8", "3,0,-1" }) {
+  CHECK(load("3,0,8") == TargetLoad{ 3, 0, 8, {} });
+  CHECK(load("3,0,8,1") == TargetLoad{ 3, 0, 8, 1 });
+  CHECK(load("3,0,8,250") == TargetLoad{ 3, 0, 8, 250 });
+  CHECK(load("3,0,8,62.6") == TargetLoad{ 3, 0, 8, 63 });
+  for (const char* text : { "",
+                            "3",
+                            "3,0",
+                            "3,0,",
+                            "a,0,8",
+                            "3;0;8",
+                            "3,0,-1",
+                            "3,0,8,",
+                            "3,0,8,x",
+                            "3,0,8,0",
+                            "3,0,8,-5",
+                            "3,0,8,1e9",
+                            "3,0,8,100,1",
+                            "3,0,8,inf" }) {
     INFO(text);
     CHECK_FALSE(load(text));
   }
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -33,6 +33,7 @@
 drain_timeout_ms = 2500
 seed = 7
 naive = true
+even_load = "always"
 host_memory_mb = 300
 )";
 
@@ -83,6 +84,7 @@
   expected.drainTimeout_ = milliseconds(2500);
   expected.randomSeed_ = 7;
   expected.naive_ = true;
+  expected.evenLoad_ = EvenLoad::kAlways;
   CHECK(settings == expected);
   CHECK(Failure(ParseNodeSettings("/nonexistent/x.toml")).code_ == ErrorCode::kFileUnreadable);
 }
@@ -101,6 +103,8 @@
   CheckError(FailureWith(":9002", ":0"), ErrorCode::kOutOfRange, "seeds", 10);
   CheckError(FailureWith(":8003", ":8000"), ErrorCode::kContradiction, "admin", 8);
   CheckError(FailureWith("naive = true", "naive = "), ErrorCode::kSyntax, "TOML", 21);
+  CheckError(FailureWith("\"always\"", "\"on\""), ErrorCode::kOutOfRange, "even_load", 22);
+  CheckError(FailureWith("\"always\"", "true"), ErrorCode::kWrongType, "even_load", 22);
   CHECK(FailureWith("region = \"r1\"\n", "").code_ == ErrorCode::kMissingSetting);
   CHECK(FailureWith("= 1500", "= 9").allowed_ == "10 to 600000");
 }
--- /dev/null
+++ b/tests/request/LoadEstimateTest.cpp
@@ -0,0 +1,244 @@
+// Tests of the estimated loads of targets and of the choice by them. The loads of the work plan are
+// measured by bench/even_load_trials.
+#include "peridotquay/request/LoadEstimate.h"
+
+#include "peridotquay/request/RouteChoice.h"
+
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+using namespace peridotquay;
+
+namespace {
+
+const TimePoint kNow{ seconds(1000) };
+const ServiceId kService{ "ledger" };
+
+/// Targets of one service with the same reported calls in each tier.
+struct Table
+{
+  std::vector<TargetLoadEstimate> estimates_;
+  ServiceLoad load_;
+
+  /// Adds targets of one data centre that run aRunning of 100 calls.
+  void Add(std::size_t aCount, std::size_t aTier, std::uint32_t aRunning)
+  {
+    const std::size_t first = estimates_.size();
+    estimates_.resize(first + aCount);
+    load_.targets_.resize(estimates_.size());
+    for (std::size_t i = 0; i < estimates_.size(); ++i) {
+      load_.targets_[i].estimate_ = &estimates_[i];
+      if (i >= first) {
+        load_.targets_[i].tier_ = aTier;
+        load_.targets_[i].group_ = aTier;
+        ApplyLoadReport(estimates_[i], { aRunning, 0, 100, 100 }, kNow);
+      }
+    }
+    load_.groupCount_ = kTierCount;
+  }
+};
+
+Target MakeTarget(int aNumber, const std::string& aDataCentre = "north")
+{
+  Target target;
+  target.host_ = { "h" + std::to_string(aNumber) };
+  target.incarnation_ = 1;
+  target.dataCentre_ = { aDataCentre };
+  target.region_ = { aDataCentre == "far" ? "r2" : "r1" };
+  target.service_ = kService;
+  return target;
+}
+
+RoutingState MakeState(EvenLoad aMode)
+{
+  RoutingState state;
+  state.dataCentre_ = { "north" };
+  state.region_ = { "r1" };
+  state.settings_.evenLoad_ = aMode;
+  return state;
+}
+
+} // namespace
+
+// Load: reports stop, for example because a link is cut. Guards against a last report that keeps
+// all calls at, or away from, a target for good.
+TEST_CASE("a report that gets old decays to the mean of the service", "[load]")
+{
+  Table table;
+  table.Add(10, 0, 50);
+  ApplyLoadReport(table.estimates_[0], { 100, 40, 100, 100 }, kNow + milliseconds(1));
+  ApplyLoadReport(table.estimates_[1], { 0, 0, 100, 100 }, kNow + milliseconds(1));
+  RefreshShares({}, table.load_, 79, kNow + milliseconds(20));
+  CHECK(table.estimates_[0].calls_ > 120);
+  CHECK(table.estimates_[1].calls_ < 20);
+  CHECK(table.load_.targets_[0].share_ < 0.2 * table.load_.targets_[2].share_);
+  CHECK(table.load_.targets_[1].share_ > 2 * table.load_.targets_[2].share_);
+  for (int i = 2; i < 250; ++i) {
+    RefreshShares({}, table.load_, 79, kNow + i * milliseconds(20));
+  }
+  const double mean = table.load_.utilisation_[0] * 100;
+  CHECK(table.estimates_[0].calls_ == Approx(mean).margin(8));
+  CHECK(table.estimates_[1].calls_ == Approx(mean).margin(8));
+  // Later they count as unknown, which is the mean.
+  RefreshShares({}, table.load_, 79, kNow + seconds(20));
+  CHECK_FALSE(table.load_.stated_);
+}
+
+// Load: many hosts choose at the same moment. Guards against own calls that a report which was
+// measured before them hides, and against reports that overtake each other.
+TEST_CASE("own calls since the report are added and late reports ignored", "[load]")
+{
+  TargetLoadEstimate estimate;
+  AddSentCall(estimate, kNow - milliseconds(100));
+  AddSentCall(estimate, kNow + milliseconds(5));
+  AddSentCall(estimate, kNow + milliseconds(6));
+  CHECK(ApplyLoadReport(estimate, { 10, 2, 100, 100 }, kNow));
+  CHECK(estimate.calls_ == 14);
+  CHECK_FALSE(ApplyLoadReport(estimate, { 99, 0, 100, 100 }, kNow - milliseconds(1)));
+  CHECK(estimate.calls_ == 14);
+}
+
+// Load: targets of different speeds, and one that states a false speed. Guards against slow targets
+// that get as many calls as fast ones, and against a false statement that attracts calls to a busy
+// target.
+TEST_CASE("shares follow the speed, except at a target busier than the others", "[load]")
+{
+  Table table;
+  table.Add(8, 0, 70);
+  ApplyLoadReport(table.estimates_[0], { 70, 0, 100, 50 }, kNow + milliseconds(1));
+  ApplyLoadReport(table.estimates_[1], { 70, 0, 100, 300 }, kNow + milliseconds(1));
+  ApplyLoadReport(table.estimates_[2], { 75, 0, 100, 1 }, kNow + milliseconds(1));
+  RefreshShares({}, table.load_, 79, kNow + milliseconds(1));
+  const auto share = [&](std::size_t aTarget) { return table.load_.targets_[aTarget].share_; };
+  CHECK(share(0) > 1.4 * share(3));
+  CHECK(share(1) < 0.6 * share(3));
+  CHECK(share(2) <= share(3));
+}
+
+// Load: a burst at the callers of one data centre. Guards against all hosts that switch to farther
+// targets at once, and against calls that stay there.
+TEST_CASE("the share of farther targets rises and falls with the excess", "[load]")
+{
+  Table table;
+  table.Add(4, 0, 80);
+  table.Add(4, 1, 20);
+  table.Add(8, 2, 20);
+  TimePoint now = kNow;
+  const auto run = [&](std::uint32_t aNear, Duration aTime) {
+    double largestStep = 0;
+    for (const TimePoint end = now + aTime; now < end;) {
+      now += milliseconds(20);
+      for (std::size_t i = 0; i < 4; ++i) {
+        ApplyLoadReport(table.estimates_[i], { aNear, 0, 100, 100 }, now);
+      }
+      const double before = table.load_.leaving_[0];
+      RefreshShares({}, table.load_, 79, now);
+      largestStep = std::max(largestStep, std::abs(table.load_.leaving_[0] - before));
+    }
+    return largestStep;
+  };
+  run(80, seconds(1));
+  CHECK(table.load_.leaving_ == std::array<double, 2>{ 0, 0 });
+  run(92, milliseconds(100));
+  CHECK(table.load_.leaving_[0] > 0);
+  CHECK(table.load_.leaving_[0] < 0.03);
+  // A jump of the utilisation by 0.38 moves half of that at once and the rest gradually.
+  CHECK(run(130, milliseconds(500)) < 0.21);
+  CHECK(table.load_.leaving_[0] > 0.3);
+  CHECK(table.load_.leaving_[0] < 0.5);
+  CHECK(table.load_.leaving_[1] == 0);
+  run(60, seconds(2));
+  CHECK(table.load_.leaving_[0] == 0);
+}
+
+// Guards against another choice at services whose targets don't state their duration of work.
+TEST_CASE("services without a stated duration of work keep their choice", "[load]")
+{
+  CHECK(rc::check("random calls and reports", [] {
+    RoutingState off = MakeState(EvenLoad::kOff);
+    RoutingState stated = MakeState(EvenLoad::kStated);
+    off.random_ = stated.random_ = *rc::gen::arbitrary<std::uint64_t>();
+    TargetView view;
+    for (int i = 0; i < 6; ++i) {
+      view.targets_[kService].push_back(MakeTarget(i, i < 3 ? "north" : "far"));
+    }
+    TimePoint now = kNow;
+    for (int i = 0; i < 50; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 300));
+      const LoadReport report{ *rc::gen::inRange(0U, 200U), 0, 100, 0 };
+      RecordLoadReport(stated, view, { "h1" }, 1, report, now);
+      const auto one = ChooseTarget(off, view, kService, {}, now, milliseconds(500));
+      const auto two = ChooseTarget(stated, view, kService, {}, now, milliseconds(500));
+      RC_ASSERT(one == two);
+      for (RoutingState* state : { &off, &stated }) {
+        RecordCallSent(*state, *one, now);
+        RecordCallEnded(*state,
+                        *one,
+                        AttemptResult::kAnswered,
+                        milliseconds(20),
+                        report.running_ / 100.0,
+                        now,
+                        state == &stated ? &report : nullptr);
+      }
+    }
+  }));
+}
+
+// Guards against the choice of a target that drains, was tried already or failed, against choosing
+// none although one is usable, and against use of a view that was replaced.
+TEST_CASE("the choice by load picks a usable target if there is one", "[load]")
+{
+  CHECK(rc::check("random views, reports and results", [] {
+    RoutingState state = MakeState(EvenLoad::kStated);
+    state.random_ = *rc::gen::arbitrary<std::uint64_t>();
+    TargetView view;
+    TimePoint now = kNow;
+    for (int i = 0; i < 60; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 100));
+      if (i % 15 == 0) {
+        std::vector<Target> targets;
+        for (int j = *rc::gen::inRange(0, 3); j < 6; j += *rc::gen::inRange(1, 3)) {
+          targets.push_back(MakeTarget(j, *rc::gen::element<std::string>("north", "south", "far")));
+          targets.back().state_ = *rc::gen::element(
+            TargetState::kCold, TargetState::kReady, TargetState::kDraining, TargetState::kLeft);
+          targets.back().incarnation_ = *rc::gen::inRange(1, 3);
+        }
+        view.targets_[kService] = targets;
+        RemoveAbsentHosts(state, view);
+      }
+      std::vector<HostId> exclude;
+      bool exists = false;
+      for (const Target& target : view.targets_.at(kService)) {
+        RecordLoadReport(state,
+                         view,
+                         target.host_,
+                         target.incarnation_,
+                         { *rc::gen::inRange(0U, 200U), 0, *rc::gen::inRange(0U, 100U), 150 },
+                         now);
+        const bool isExcluded = *rc::gen::inRange(0, 4) == 0;
+        if (isExcluded) {
+          exclude.push_back(target.host_);
+        }
+        exists = exists || (!isExcluded && target.state_ <= TargetState::kReady);
+      }
+      const auto chosen = ChooseTarget(state, view, kService, exclude, now);
+      RC_ASSERT(chosen.has_value() == exists);
+      if (chosen) {
+        RC_ASSERT(chosen->state_ <= TargetState::kReady);
+        RC_ASSERT(std::find(exclude.begin(), exclude.end(), chosen->host_) == exclude.end());
+        RecordCallSent(state, *chosen, now);
+        const LoadReport report{ 5, 0, 100, 90 };
+        RecordCallEnded(state,
+                        *chosen,
+                        *rc::gen::element(AttemptResult::kAnswered,
+                                          AttemptResult::kRefused,
+                                          AttemptResult::kUnreachable),
+                        milliseconds(5),
+                        0.05,
+                        now,
+                        &report);
+      }
+    }
+  }));
+}
--- a/tests/request/RateShareTest.cpp
+++ b/tests/request/RateShareTest.cpp
@@ -360,6 +360,37 @@
   CHECK(bytesPerHost(80) < 1.5 * few);
 }
 
+// Guards against loads of targets that reach only a part of the hosts or count as newer than they
+// are after a relay, and against their bytes on the links between regions.
+TEST_CASE("all hosts get the loads of all targets with their age", "[rate]")
+{
+  const auto run = [](bool aStated) {
+    Fleet fleet(80, 51, 51, 1);
+    fleet.Run(30, seconds(5), 80);
+    for (std::size_t i = 0; aStated && i < fleet.hosts_.size(); ++i) {
+      fleet.hosts_[i].ownLoad_ = LoadReport{ static_cast<std::uint32_t>(i), 4, 72, 130 };
+    }
+    fleet.regionBytes_ = 0;
+    fleet.Run(30, seconds(10), 80);
+    return fleet;
+  };
+  Fleet fleet = run(true);
+  std::map<HostId, TimePoint> newest;
+  for (const ReceivedLoad& load : TakeReceivedLoads(fleet.hosts_[5])) {
+    CHECK(load.report_.running_ == std::stoul(load.host_.value_.substr(1)));
+    CHECK(load.measuredAt_ <= fleet.now_);
+    newest[load.host_] = std::max(newest[load.host_], load.measuredAt_);
+  }
+  CHECK(newest.size() == 79);
+  for (const auto& [host, measuredAt] : newest) {
+    INFO(host.value_);
+    CHECK(fleet.now_ - measuredAt <= milliseconds(900));
+  }
+  CHECK(TakeReceivedLoads(fleet.hosts_[5]).empty());
+  const std::size_t added = fleet.regionBytes_ - run(false).regionBytes_;
+  CHECK(static_cast<double>(added) / 10 / 80 < 40);
+}
+
 // Guards against a region whose reports never arrive because its first hosts are down permanently.
 TEST_CASE("regions exchange reports although the first hosts of both are down", "[rate]")
 {
