Let even_load_trials vary the bounds of near and far shares

Cause: the p99 wait at 300 hosts is as high as before the change, and the bounds for leaving a data centre or region were a possible reason.

--- a/bench/even_load_trials.cpp
+++ b/bench/even_load_trials.cpp
@@ -4,7 +4,7 @@
 //
 // Usage: even_load_trials [--seed N] [--hosts N] [--scene NAME] [--variant NAME] [--load X]
 //        [--staleness SECONDS] [--seconds N] [--cpu 1] [--draws N] [--correction SECONDS]
-//        [--share-time SECONDS] [--direct X]
+//        [--share-time SECONDS] [--direct X] [--leave-centre X] [--leave-region X]
 #include "peridotquay/request/NaivePolicy.h"
 #include "peridotquay/request/Random.h"
 #include "peridotquay/request/RouteChoice.h"
@@ -574,6 +574,8 @@
       estimate.correctionTime_ =
         FromSeconds(number("--correction", ToSeconds(estimate.correctionTime_)));
       estimate.shareTime_ = FromSeconds(number("--share-time", ToSeconds(estimate.shareTime_)));
+      estimate.leaveUtilisation_ = { number("--leave-centre", estimate.leaveUtilisation_[0]),
+                                     number("--leave-region", estimate.leaveUtilisation_[1]) };
       estimate.directShare_ = number("--direct", estimate.directShare_);
       std::printf("| %s | %s | %zu | %.2f | %.2f | ",
                   sceneName.c_str(),
