--- a/peridotquay/process/Metrics.cpp
+++ b/peridotquay/process/Metrics.cpp
@@ -32,7 +32,8 @@
   "runs_refused",      "target_calls",       "target_refusals",     "target_truncated",
   "target_lost",       "dropped_answers",    "fates_asked",         "request_ids_issued",
   "repeats_answered",  "requests_abandoned", "requests_unanswered", "answers_cut",
-  "requests_not_begun"
+  "requests_not_begun",
+  "load_reports",      "attempts_by_load",   "attempts_by_load_far"
 };
 
 constexpr std::array<std::string_view, kStageCount> kStageNames = { "caller", "target", "queue" };
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -44,10 +44,13 @@
   kRequestsAbandoned,      ///< Requests whose caller ended the connection before the whole answer.
   kRequestsUnanswered, ///< Requests whose connection this process ended before the whole answer.
   kAnswersCut,         ///< Of these two, those of which a part of the answer was sent.
-  kRequestsNotBegun    ///< Connections closed by an answer while a request waited behind it.
+  kRequestsNotBegun,   ///< Connections closed by an answer while a request waited behind it.
+  kLoadReports,        ///< Loads of other hosts' targets received in rate reports.
+  kAttemptsByLoad,     ///< Attempts whose target was chosen by the reported loads.
+  kAttemptsByLoadFar   ///< Of these, attempts to another data centre.
 };
 
-inline constexpr std::size_t kCounterCount = 29;
+inline constexpr std::size_t kCounterCount = 32;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
