Read the store again when it went back to an older copy

Cause: ConfigWatch and HostWatch kept a row only if its version was higher than the known one. After a rollback they ignored the store until its versions had passed those of the lost writes, and a watch from a lost position was answered with 410. Change: StoreClient reads the header Store-Era, discards answers of an earlier era and abandons watches when the era rises. Rows, conditions, watches and the feed between hosts are ordered by era and version. A document with a higher operator's version stays in force, a host record is ordered by incarnation and a revision, a host without a row stays known for 6 s, and a host writes its own row again. A 410 leads to one read of all rows; today's reader reads them again after each 410. New fields of messages and records are trailing and left out while 0, so a store without the header gets the same calls and hosts the same bytes. Event 4010 and status field store_era show the era. The stand-in store states an era and goes back by up to 20 s.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -16,6 +16,25 @@
 // length in an array header.
 constexpr std::size_t kMaxArrayElements = 65536;
 
+// A field that older hosts don't send, and don't accept. Trailing fields come last. They are left
+// out of a message while they and all behind them have their default value.
+template<typename T>
+struct Trailing
+{
+  T& field_;
+};
+template<typename T>
+Trailing(T&) -> Trailing<T>;
+
+template<typename T>
+struct IsTrailing : std::false_type
+{
+};
+template<typename T>
+struct IsTrailing<Trailing<T>> : std::true_type
+{
+};
+
 // VisitFields passes all fields of a type to the visitor (Encoder or Decoder) in wire order.
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, Hello& aItem)
@@ -209,9 +228,13 @@
   aVisit(aItem.incarnation_, aItem.sequence_, aItem.levels_);
 }
 template<typename Visitor>
-void VisitFields(Visitor& aVisit, RowVersions& aItem)
+void VisitFields(Visitor& aVisit, RowPositions& aItem)
 {
-  aVisit(aItem.config_, aItem.hosts_);
+  aVisit(aItem.config_.version_,
+         aItem.hosts_.version_,
+         Trailing{ aItem.config_.era_ },
+         Trailing{ aItem.hosts_.era_ },
+         Trailing{ aItem.era_ });
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, FeedQuery& aItem)
@@ -231,7 +254,7 @@
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, FeedRows& aItem)
 {
-  aVisit(aItem.table_, aItem.afterVersion_, aItem.version_, aItem.rows_);
+  aVisit(aItem.table_, aItem.afterVersion_, aItem.version_, aItem.rows_, Trailing{ aItem.era_ });
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, DataCentreSummary& aItem)
@@ -322,10 +345,25 @@
   }
 
   template<typename... T>
-  void operator()(T&... aFields)
+  void operator()(T&&... aFields)
   {
-    packer_.pack_array(sizeof...(T));
-    (Write(aFields), ...);
+    std::uint32_t position = 0;
+    std::uint32_t count = 0;
+    const auto countField = [&](const auto& aField) {
+      ++position;
+      if (!IsDefault(aField)) {
+        count = position;
+      }
+    };
+    (countField(aFields), ...);
+    packer_.pack_array(count);
+    position = 0;
+    const auto writeField = [&](auto& aField) {
+      if (position++ < count) {
+        Write(aField);
+      }
+    };
+    (writeField(aFields), ...);
   }
 
   template<typename T>
@@ -334,6 +372,8 @@
     if constexpr (std::is_same_v<T, std::string>) {
       packer_.pack_str(static_cast<std::uint32_t>(aItem.size()));
       packer_.pack_str_body(aItem.data(), static_cast<std::uint32_t>(aItem.size()));
+    } else if constexpr (IsTrailing<T>::value) {
+      Write(aItem.field_);
     } else if constexpr (StringId<T>) {
       Write(aItem.value_);
     } else if constexpr (std::is_enum_v<T>) {
@@ -359,11 +399,23 @@
   }
 
 private:
+  // Whether a field is trailing and has its default value.
+  template<typename T>
+  static bool IsDefault(const T& aField)
+  {
+    if constexpr (IsTrailing<T>::value) {
+      return aField.field_ == std::remove_cvref_t<decltype(aField.field_)>{};
+    } else {
+      return false;
+    }
+  }
+
   msgpack::packer<StringOutput> packer_;
 };
 
-// Reads fields from a parsed msgpack array. valid_ turns false at the first value that has the
-// wrong type or is out of range; the rest is then skipped.
+// Reads fields from a parsed msgpack array. Trailing fields that it lacks are left unchanged.
+// valid_ turns false at the first value that has the wrong type or is out of range; the rest is
+// then skipped.
 class Decoder
 {
 public:
@@ -375,14 +427,22 @@
   bool valid_ = true;
 
   template<typename... T>
-  void operator()(T&... aFields)
+  void operator()(T&&... aFields)
   {
-    if (object_.type != msgpack::type::ARRAY || object_.via.array.size != sizeof...(T)) {
+    constexpr std::size_t kTrailing =
+      (std::size_t{ IsTrailing<std::remove_cvref_t<T>>::value } + ... + 0);
+    if (object_.type != msgpack::type::ARRAY || object_.via.array.size > sizeof...(T) ||
+        object_.via.array.size < sizeof...(T) - kTrailing) {
       valid_ = false;
       return;
     }
-    const msgpack::object* element = object_.via.array.ptr;
-    (Read(*element++, aFields), ...);
+    std::size_t index = 0;
+    const auto readField = [&](auto& aField) {
+      if (index < object_.via.array.size) {
+        Read(object_.via.array.ptr[index++], aField);
+      }
+    };
+    (readField(aFields), ...);
   }
 
   template<typename T>
@@ -395,6 +455,8 @@
       if (Check(aObject.type == msgpack::type::STR)) {
         aItem.assign(aObject.via.str.ptr, aObject.via.str.size);
       }
+    } else if constexpr (IsTrailing<T>::value) {
+      Read(aObject, aItem.field_);
     } else if constexpr (StringId<T>) {
       Read(aObject, aItem.value_);
     } else if constexpr (std::is_same_v<T, bool>) {
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -4,6 +4,7 @@
 
 #include "peridotquay/request/Outcome.h"
 #include "peridotquay/version/Ids.h"
+#include "peridotquay/version/StorePosition.h"
 #include "peridotquay/version/TargetView.h"
 
 #include <algorithm>
@@ -345,12 +346,13 @@
   bool operator==(const RateLevels&) const = default;
 };
 
-/// Versions of the newest rows of the platform's store that a host holds.
-struct RowVersions
+/// Positions of the newest rows of the platform's store that a host holds.
+struct RowPositions
 {
-  std::uint64_t config_ = 0; ///< Version of the configuration row; 0 for none.
-  std::uint64_t hosts_ = 0;  ///< Version up to which all host rows are known.
-  bool operator==(const RowVersions&) const = default;
+  StorePosition config_;  ///< Position of the configuration row; version 0 for none.
+  StorePosition hosts_;   ///< Position up to which all host rows are known.
+  std::uint64_t era_ = 0; ///< Highest era of the store that the host knows of.
+  bool operator==(const RowPositions&) const = default;
 };
 
 /// Maximum of FeedAnswer::freshnessAgeMs_. A larger age counts as unknown.
@@ -361,7 +363,7 @@
 struct FeedQuery
 {
   std::uint64_t nonce_ = 0;
-  RowVersions held_;
+  RowPositions held_;
   bool operator==(const FeedQuery&) const = default;
 };
 
@@ -374,7 +376,7 @@
   /// Time since the sender's last call that the store answered. Later changes reach the sender
   /// through its watch of the store.
   std::uint64_t answerAgeMs_ = 0;
-  RowVersions newest_; ///< Versions that the sender holds.
+  RowPositions newest_; ///< Positions that the sender holds.
   bool operator==(const FeedAnswer&) const = default;
 };
 
@@ -394,13 +396,15 @@
   bool operator==(const FeedRow&) const = default;
 };
 
-/// Changed rows of the platform's store for the other hosts of the data centre.
+/// Changed rows of the platform's store for the other hosts of the data centre. With afterVersion_
+/// 0, a row of hosts that isn't contained doesn't exist in this era.
 struct FeedRows
 {
   FeedTable table_ = FeedTable::kConfig;
   std::uint64_t afterVersion_ = 0; ///< rows_ contains all rows changed after this store version.
   std::uint64_t version_ = 0;      ///< Store version up to which rows_ is complete.
   std::vector<FeedRow> rows_;
+  std::uint64_t era_ = 0; ///< Era of the store for all versions here.
   bool operator==(const FeedRows&) const = default;
 };
 
--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -50,6 +50,8 @@
   bool delegate_ = false;    ///< This node is a delegate of its data centre.
   bool shareLeader_ = false; ///< This node holds the lease to grant tokens.
   bool platformReachable_ = false;
+  /// How often the platform's store went back to an older copy; 0 where it doesn't state that.
+  std::uint64_t storeEra_ = 0;
   /// Lowest version in force at the hosts of the data centre; set on delegates only.
   Version minDataCentreVersion_ = 0;
 };
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -59,6 +59,7 @@
   X(4007, StoreReadAlone, kInfo) \
   X(4008, StoreFeedFollowed, kInfo) \
   X(4009, StoreSourceChanged, kInfo) \
+  X(4010, StoreWentBack, kWarning) \
   X(5001, ShareLeaseTaken, kInfo) \
   X(5002, ShareLeaseLost, kWarning) \
   X(6001, PeerConnected, kInfo) \
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -635,6 +635,7 @@
           { "delegate", control.delegate_ },
           { "share_leader", control.shareLeader_ },
           { "platform_reachable", control.platformReachable_ },
+          { "store_era", control.storeEra_ },
           { "data_centre_least", control.minDataCentreVersion_ } } }
     };
     return json.dump();
@@ -646,6 +647,7 @@
     const ControlStatus status = control_->Status();
     return { { "freshness_ms", static_cast<double>(status.freshnessAgeMs_) },
              { "platform_reachable", status.platformReachable_ ? 1.0 : 0.0 },
+             { "store_era", static_cast<double>(status.storeEra_) },
              { "hosts", static_cast<double>(status.membersAlive_) },
              { "targets", static_cast<double>(dispatcher_->TargetCount()) },
              { "version", static_cast<double>(dispatcher_->ConfigVersion()) },
--- a/peridotquay/version/StoreFeed.cpp
+++ b/peridotquay/version/StoreFeed.cpp
@@ -127,7 +127,7 @@
 
 std::optional<FeedQuery> CollectDueQuery(StoreFeedState& aState,
                                          const FeedCandidates& aCandidates,
-                                         const RowVersions& aHeld,
+                                         const RowPositions& aHeld,
                                          TimePoint aNow,
                                          Duration aSuspended)
 {
@@ -165,7 +165,7 @@
 
 FeedAnswerResult ApplyFeedAnswer(StoreFeedState& aState,
                                  const FeedAnswer& aAnswer,
-                                 const RowVersions& aHeld,
+                                 const RowPositions& aHeld,
                                  TimePoint aNow,
                                  Duration aSuspended)
 {
@@ -213,7 +213,9 @@
       aState.followingSource_ = false;
     }
   }
-  if (!lacksConfig && aAnswer.freshnessAgeMs_ <= kMaxFreshnessAgeMs) {
+  // A source that hasn't seen the store go back proves nothing about the store's content since.
+  const bool knowsEra = aAnswer.newest_.era_ >= aHeld.era_;
+  if (!lacksConfig && knowsEra && aAnswer.freshnessAgeMs_ <= kMaxFreshnessAgeMs) {
     result.freshAt_ = aNow - age(aAnswer.freshnessAgeMs_);
   }
   return result;
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -122,7 +122,7 @@
 /// it started.
 std::optional<FeedQuery> CollectDueQuery(StoreFeedState& aState,
                                          const FeedCandidates& aCandidates,
-                                         const RowVersions& aHeld,
+                                         const RowPositions& aHeld,
                                          TimePoint aNow,
                                          Duration aSuspended);
 
@@ -138,7 +138,7 @@
 /// Applies an answer to the last query. An answer to an earlier query has no effect.
 FeedAnswerResult ApplyFeedAnswer(StoreFeedState& aState,
                                  const FeedAnswer& aAnswer,
-                                 const RowVersions& aHeld,
+                                 const RowPositions& aHeld,
                                  TimePoint aNow,
                                  Duration aSuspended);
 
--- a/standins/lib/UserStore.cpp
+++ b/standins/lib/UserStore.cpp
@@ -13,6 +13,11 @@
 
 constexpr Duration kWatchCheckInterval = milliseconds(5);
 
+// Time that GoBack can go back.
+constexpr Duration kChangeHistory = seconds(20);
+
+constexpr const char* kEraHeader = "Store-Era";
+
 std::string QueryValue(const std::string& aPath, const std::string& aName)
 {
   const std::string prefix = aName + "=";
@@ -60,7 +65,55 @@
 void UserStore::Put(const std::string& aTable, const std::string& aKey, const std::string& aValue)
 {
   const std::lock_guard lock(mutex_);
-  rows_[{ aTable, aKey }] = { platform::EncodeBase64(aValue), ++version_, false };
+  const std::uint64_t previousVersion = version_++;
+  SetRow({ aTable, aKey }, { platform::EncodeBase64(aValue), version_, false }, previousVersion);
+}
+
+void UserStore::SetRow(const RowKey& aKey, Row aRow, std::uint64_t aPreviousVersion)
+{
+  const TimePoint now = loop_.Now();
+  if (era_ >= 0) {
+    const auto known = rows_.find(aKey);
+    changes_.push_back({ now,
+                         aKey,
+                         known == rows_.end() ? std::nullopt : std::optional(known->second),
+                         aPreviousVersion });
+    while (now - changes_.front().at_ > kChangeHistory) {
+      changes_.pop_front();
+    }
+  }
+  rows_[aKey] = std::move(aRow);
+}
+
+void UserStore::StateEra(std::uint64_t aEra)
+{
+  era_ = static_cast<std::int64_t>(aEra);
+}
+
+void UserStore::GoBack(Duration aAge)
+{
+  const std::lock_guard lock(mutex_);
+  const TimePoint copiedAt = loop_.Now() - aAge;
+  while (!changes_.empty() && changes_.back().at_ > copiedAt) {
+    const Change& change = changes_.back();
+    if (change.previous_) {
+      rows_[change.key_] = *change.previous_;
+    } else {
+      rows_.erase(change.key_);
+    }
+    version_ = change.previousVersion_;
+    changes_.pop_back();
+  }
+  ++era_;
+}
+
+std::string UserStore::Value(const std::string& aTable, const std::string& aKey)
+{
+  const std::lock_guard lock(mutex_);
+  const auto row = rows_.find({ aTable, aKey });
+  return row == rows_.end() || row->second.removed_
+           ? std::string()
+           : platform::DecodeBase64(row->second.value_).value_or("");
 }
 
 void UserStore::Compact()
@@ -79,12 +132,20 @@
   return count;
 }
 
+void UserStore::Respond(const std::shared_ptr<HttpExchange>& aExchange, HttpResponse aResponse)
+{
+  if (era_ >= 0) {
+    aResponse.headers_.emplace_back(kEraHeader, std::to_string(era_));
+  }
+  aExchange->Respond(aResponse);
+}
+
 void UserStore::OnCall(const std::shared_ptr<HttpExchange>& aExchange)
 {
   ++calls_;
   const std::string& path = aExchange->request_.path_;
   if (fault_ == UserStoreFault::kUnavailable) {
-    aExchange->Respond({ 503, {}, "", std::nullopt });
+    Respond(aExchange, { 503, {}, "", std::nullopt });
   } else if (fault_ == UserStoreFault::kSilent) {
     unanswered_.push_back(aExchange);
   } else if (path.starts_with("/-/rows-get?")) {
@@ -94,7 +155,7 @@
   } else if (path == "/-/rows-tx") {
     Transact(aExchange);
   } else {
-    aExchange->Respond({ 404, {}, "", std::nullopt });
+    Respond(aExchange, { 404, {}, "", std::nullopt });
   }
 }
 
@@ -113,7 +174,7 @@
     }
   }
   const nlohmann::json body = { { "rows", rows }, { "has_more", false }, { "ver", version_ } };
-  aExchange->Respond(JsonResponse(200, body.dump()));
+  Respond(aExchange, JsonResponse(200, body.dump()));
 }
 
 void UserStore::BeginWatch(const std::shared_ptr<HttpExchange>& aExchange)
@@ -129,7 +190,7 @@
 {
   const auto json = nlohmann::json::parse(aExchange->request_.body_, nullptr, false);
   if (!json.is_object()) {
-    aExchange->Respond({ 400, {}, "", std::nullopt });
+    Respond(aExchange, { 400, {}, "", std::nullopt });
     return;
   }
   const std::lock_guard lock(mutex_);
@@ -146,24 +207,27 @@
     }
   }
   if (!conditionsHold) {
-    aExchange->Respond(
-      JsonResponse(412, nlohmann::json{ { "rows", present }, { "ver", version_ } }.dump()));
+    Respond(aExchange,
+            JsonResponse(412, nlohmann::json{ { "rows", present }, { "ver", version_ } }.dump()));
     return;
   }
   const bool changesRows = !json.value("writes", nlohmann::json::array()).empty() ||
                            !json.value("remove", nlohmann::json::array()).empty();
+  const std::uint64_t previousVersion = version_;
   version_ += changesRows ? 1 : 0;
   for (const auto& entry : json.value("writes", nlohmann::json::array())) {
-    rows_[{ entry.at("table"), entry.at("key") }] = { entry.at("value"), version_, false };
+    SetRow({ entry.at("table"), entry.at("key") },
+           { entry.at("value"), version_, false },
+           previousVersion);
   }
   for (const auto& entry : json.value("remove", nlohmann::json::array())) {
-    rows_[{ entry.at("table"), entry.at("key") }] = { "", version_, true };
+    SetRow({ entry.at("table"), entry.at("key") }, { "", version_, true }, previousVersion);
   }
   if (fault_ == UserStoreFault::kLoseWriteAnswers) {
     unanswered_.push_back(aExchange);
     return;
   }
-  aExchange->Respond(JsonResponse(200, nlohmann::json{ { "ver", version_ } }.dump()));
+  Respond(aExchange, JsonResponse(200, nlohmann::json{ { "ver", version_ } }.dump()));
 }
 
 void UserStore::AnswerWatches()
@@ -171,8 +235,9 @@
   {
     const std::lock_guard lock(mutex_);
     std::erase_if(watches_, [this](const Watch& aWatch) {
-      if (aWatch.afterVersion_ < compactedVersion_) {
-        aWatch.exchange_->Respond({ 410, {}, "", std::nullopt });
+      const bool isUnknown = era_ >= 0 && aWatch.afterVersion_ > version_;
+      if (aWatch.afterVersion_ < compactedVersion_ || isUnknown) {
+        Respond(aWatch.exchange_, { 410, {}, "", std::nullopt });
         return true;
       }
       nlohmann::json rows = nlohmann::json::array();
@@ -194,7 +259,7 @@
         return false;
       }
       const nlohmann::json body = { { "rows", rows }, { "ver", version_ } };
-      aWatch.exchange_->Respond(JsonResponse(200, body.dump()));
+      Respond(aWatch.exchange_, JsonResponse(200, body.dump()));
       return true;
     });
   }
--- a/standins/lib/UserStore.h
+++ b/standins/lib/UserStore.h
@@ -7,10 +7,12 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -43,6 +45,12 @@
   void SetFault(UserStoreFault aFault) { fault_ = aFault; }
   /// Makes watches from any earlier version fail with 410, as if the history before were dropped.
   void Compact();
+  /// Makes all answers state an era, as a store does that may go back.
+  void StateEra(std::uint64_t aEra);
+  /// Goes back to the content of some time ago, up to 20 s, and raises the era by one.
+  void GoBack(Duration aAge);
+  /// Value of a row; empty if there is none.
+  std::string Value(const std::string& aTable, const std::string& aKey);
   /// Number of calls received.
   std::uint64_t CallCount() const { return calls_; }
   /// Number of reads of the operator's document, the rows of table "op" without an upper bound.
@@ -57,6 +65,15 @@
     std::uint64_t version_ = 0; ///< Of its last change.
     bool removed_ = false;      ///< Tombstone, which watches report.
   };
+  using RowKey = std::pair<std::string, std::string>; ///< Table and key.
+  /// A change that GoBack can undo.
+  struct Change
+  {
+    TimePoint at_{};
+    RowKey key_;
+    std::optional<Row> previous_;
+    std::uint64_t previousVersion_ = 0; ///< Of the store.
+  };
   /// A call that waits for changes of a table.
   struct Watch
   {
@@ -66,6 +83,10 @@
     TimePoint answerAt_{};           ///< Time of an answer without rows if there is no change.
   };
 
+  /// Writes a row with the store's present version. aPreviousVersion: the store's before the write.
+  void SetRow(const RowKey& aKey, Row aRow, std::uint64_t aPreviousVersion);
+  /// Sends an answer, with the era if one is stated.
+  void Respond(const std::shared_ptr<HttpExchange>& aExchange, HttpResponse aResponse);
   void OnCall(const std::shared_ptr<HttpExchange>& aExchange);
   /// Returns the rows of a table in a key range.
   void Read(const std::shared_ptr<HttpExchange>& aExchange);
@@ -77,10 +98,13 @@
 
   EventLoop loop_;
   std::unique_ptr<HttpServer> server_;
-  std::mutex mutex_; ///< Guards rows_, version_ and compactedVersion_.
-  std::map<std::pair<std::string, std::string>, Row> rows_; ///< By table and key.
-  std::uint64_t version_ = 0;                               ///< Of the last change.
-  std::uint64_t compactedVersion_ = 0;                      ///< Watches from earlier versions fail.
+  std::mutex mutex_; ///< Guards rows_, changes_, version_ and compactedVersion_.
+  std::map<RowKey, Row> rows_;
+  std::deque<Change> changes_;         ///< Of the last 20 s if an era is stated, oldest first.
+  std::uint64_t version_ = 0;          ///< Of the last change.
+  std::uint64_t compactedVersion_ = 0; ///< Watches from earlier versions fail.
+  /// Stated in all answers; none if negative.
+  std::atomic<std::int64_t> era_{ -1 };
   std::list<Watch> watches_;
   std::list<std::shared_ptr<HttpExchange>> unanswered_; ///< Kept open without an answer.
   std::atomic<UserStoreFault> fault_{ UserStoreFault::kNone };
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -4,6 +4,7 @@
 #include "peridotquay/connection/FrameReader.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -88,9 +89,9 @@
            DataCentreSummary{ { "dc1" }, 2, 100, true, { SampleMember() } },
            RateReports{ { "h2" }, { { { "h1" }, 7, 3, { { { "parish" }, 12 } } } } },
            RateLevels{ 7, 3, { { { "parish" }, 12 } } },
-           FeedQuery{ 4, { 5, 6 } },
-           FeedAnswer{ 4, 700, 300, { 8, 9 } },
-           FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } } },
+           FeedQuery{ 4, { { 0, 5 }, { 0, 6 } } },
+           FeedAnswer{ 4, 700, 300, { { 1, 8 }, { 0, 9 }, 2 } },
+           FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } }, 3 },
            RequestHandover{
              { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true } };
 }
@@ -108,6 +109,25 @@
   }
 }
 
+// Guards against hosts of two releases that reject each other's messages: a new field must be
+// accepted if it is missing, and must not be sent while it has its default value.
+TEST_CASE("a trailing field may be missing and isn't sent while it has its default value",
+          "[codec]")
+{
+  const auto pack = [](const nlohmann::json& aJson) {
+    const auto bytes = nlohmann::json::to_msgpack(aJson);
+    return std::string(bytes.begin(), bytes.end());
+  };
+  const PeerMessage query = FeedQuery{ 4, { { 0, 5 }, { 0, 6 } } };
+  const std::string earlier = pack({ query.index(), { 4, { 5, 6 } } });
+  CHECK(EncodePeerMessage(query) == earlier);
+  CHECK(DecodePeerMessage(earlier).assume_value() == query);
+  const PeerMessage raised = FeedQuery{ 4, { { 0, 5 }, { 2, 6 } } };
+  CHECK(EncodePeerMessage(raised) == pack({ query.index(), { 4, { 5, 6, 0, 2 } } }));
+  CHECK(DecodePeerMessage(pack({ query.index(), { 4, { 5 } } })).has_error());
+  CHECK(DecodePeerMessage(pack({ query.index(), { 4, { 5, 6, 0, 2, 2, 2 } } })).has_error());
+}
+
 // Guards against a malformed body that crashes the process or makes it read outside the frame.
 TEST_CASE("decoding a mutated body returns an error or a valid message and never throws", "[codec]")
 {
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -217,6 +217,15 @@
   HostRecord unknown = SampleRecord();
   unknown.targetId_.clear();
   CHECK(Value(DecodeRecord(EncodeRecord(unknown))) == unknown);
+  // Records of hosts that write no revision come before those of the same process with one.
+  HostRecord revised = SampleRecord();
+  revised.revision_ = 3;
+  CHECK(Value(DecodeRecord(EncodeRecord(revised))) == revised);
+  CHECK(IsEarlier(SampleRecord(), revised));
+  CHECK_FALSE(IsEarlier(revised, revised));
+  HostRecord restarted = SampleRecord();
+  ++restarted.incarnation_;
+  CHECK(IsEarlier(revised, restarted));
 }
 
 // Guards against an odd record of another writer that ends the process or names a host to connect
@@ -279,7 +288,7 @@
     CHECK(ParseLeaveStart("{\"born\":" + value + "}") == 0);
     CHECK(DecodeConfig(R"({"version":"r1","routes":{"a":)" + value + "}}", Policy{}).has_error());
     const auto rows = ParseRows(R"({"rows":[{"key":"a","ver":)" + value + "}]}");
-    CHECK((rows.has_error() || rows.assume_value().rows_.front().version_ == 0));
+    CHECK((rows.has_error() || rows.assume_value().rows_.front().position_.version_ == 0));
   }
 }
 
@@ -287,11 +296,11 @@
 TEST_CASE("the target view has only targets that are known and haven't left", "[platform]")
 {
   std::map<std::string, HostEntry> records;
-  records["side-1"] = { SampleRecord(), 1, {} };
-  records["side-2"] = { SampleRecord(), 1, {} };
+  records["side-1"] = { SampleRecord(), { 0, 1 }, {} };
+  records["side-2"] = { SampleRecord(), { 0, 1 }, {} };
   records["side-2"].record_.host_ = { "side-2" };
   records["side-2"].record_.targetState_ = TargetState::kLeft;
-  records["side-3"] = { SampleRecord(), 1, {} };
+  records["side-3"] = { SampleRecord(), { 0, 1 }, {} };
   records["side-3"].record_.host_ = { "side-3" };
   records["side-3"].record_.targetId_.clear();
   const TargetView view = BuildTargetView(records);
@@ -304,11 +313,11 @@
 TEST_CASE("store rows are decoded with their versions", "[platform]")
 {
   const StoreRows rows = Value(ParseRows(kRows));
-  CHECK(rows.version_ == 530);
+  CHECK(rows.position_ == StorePosition{ 0, 530 });
   CHECK(rows.hasMore_);
   REQUIRE(rows.rows_.size() == 2);
-  CHECK(rows.rows_[0] == StoreRow{ "a", "node-1", 412, false });
-  CHECK(rows.rows_[1] == StoreRow{ "b", "", 413, true });
+  CHECK(rows.rows_[0] == StoreRow{ "a", "node-1", { 0, 412 }, false });
+  CHECK(rows.rows_[1] == StoreRow{ "b", "", { 0, 413 }, true });
 }
 
 // Guards against wrong padding, which would add or drop bytes of a row's value.
--- /dev/null
+++ b/tests/platform/StoreRollbackTest.cpp
@@ -0,0 +1,244 @@
+// Tests of the readers of the store against a store that goes back to an older copy of itself.
+#include "peridotquay/connection/HttpServer.h"
+
+#include "platform/ConfigWatch.h"
+#include "platform/HostWatch.h"
+#include "platform/StoreClient.h"
+#include "standins/lib/UserStore.h"
+#include "tests/version/ResultValue.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <thread>
+
+using namespace peridotquay;
+using namespace peridotquay::platform;
+
+namespace {
+
+/// Runs the loop until a condition holds or the time is up, and returns whether it holds.
+bool RunUntil(EventLoop& aLoop, Duration aTimeout, const std::function<bool()>& aCondition)
+{
+  const TimePoint end = aLoop.Now() + aTimeout;
+  const std::function<void()> check = [&] {
+    if (aCondition() || aLoop.Now() >= end) {
+      aLoop.Stop();
+    } else {
+      aLoop.After(milliseconds(5), check);
+    }
+  };
+  aLoop.After(Duration::zero(), check);
+  aLoop.Run();
+  return aCondition();
+}
+
+void RunFor(EventLoop& aLoop, Duration aTime)
+{
+  RunUntil(aLoop, aTime, [] { return false; });
+}
+
+/// A time between the writes before and after the call, for a copy without the latter.
+TimePoint TimeOfCopy()
+{
+  std::this_thread::sleep_for(milliseconds(20));
+  const TimePoint time = Clock::now();
+  std::this_thread::sleep_for(milliseconds(20));
+  return time;
+}
+
+std::string Document(int aVersion, const std::string& aKey)
+{
+  return nlohmann::json{
+    { "version", "r" + std::to_string(aVersion) },
+    { "routes", nlohmann::json::object() },
+    { "services", nlohmann::json::object() },
+    { "tenants", { { "t", { { "api_keys", { aKey } } } } } }
+  }.dump();
+}
+
+std::string Record(const std::string& aHost, std::uint64_t aRevision, TargetState aState)
+{
+  HostRecord record;
+  record.host_ = { aHost };
+  record.incarnation_ = 17;
+  record.peer_ = { "127.0.0.1", 7000 };
+  record.targetId_ = "i-" + aHost;
+  record.targetState_ = aState;
+  record.revision_ = aRevision;
+  return EncodeRecord(record);
+}
+
+/// The readers of one host.
+struct Reader
+{
+  explicit Reader(std::uint16_t aStorePort)
+    : store_(loop_, { "127.0.0.1", aStorePort })
+  {
+    store_.SetEraHandler([this](const StoreEra&) {
+      config_.OnEraRaised();
+      hosts_.OnEraRaised();
+    });
+  }
+
+  EventLoop loop_;
+  StoreClient store_;
+  std::vector<StoreRow> ownRows_;
+  ConfigWatch config_{ loop_,
+                       store_,
+                       1,
+                       Policy{},
+                       { [](const auto&) {}, [](TimePoint) {}, [](bool) {}, [] {} } };
+  HostWatch hosts_{ loop_,
+                    store_,
+                    2,
+                    "own",
+                    { [] {},
+                      [this](const StoreRow& aRow) { ownRows_.push_back(aRow); },
+                      [](const StorePosition&) {} } };
+};
+
+} // namespace
+
+// Guards against a late answer of the earlier era that brings back what the store has lost.
+TEST_CASE("an answer of an earlier era counts as an error", "[rollback]")
+{
+  EventLoop loop;
+  std::vector<std::string> eras{ "2", "1", "", "1" };
+  std::size_t calls = 0;
+  auto server =
+    Value(HttpServer::Listen(loop, {}, [&](const std::shared_ptr<HttpExchange>& aExchange) {
+      HttpResponse response = JsonResponse(200, R"({"rows":[],"ver":5})");
+      if (!eras[calls].empty()) {
+        response.headers_.emplace_back("Store-Era", eras[calls]);
+      }
+      ++calls;
+      aExchange->Respond(response);
+    }));
+  StoreClient store(loop, { "127.0.0.1", server->Port() });
+  std::vector<Result<StoreRows>> reads;
+  for (std::size_t i = 1; i <= 3; ++i) {
+    store.Read("t", "", [&](Result<StoreRows> aRows) { reads.push_back(std::move(aRows)); });
+    REQUIRE(RunUntil(loop, seconds(2), [&] { return reads.size() == i; }));
+  }
+  CHECK(Value(reads[0]).position_ == StorePosition{ 2, 5 });
+  CHECK(Failure(reads[1]).code_ == ErrorCode::kNotFound);
+  CHECK(Value(reads[2]).position_ == StorePosition{ 2, 5 });
+  // The write was applied in the earlier era and is lost, so it has to be repeated.
+  std::optional<Result<WriteResult>> written;
+  store.Write({ "t", "k", "v", {} }, [&](Result<WriteResult> aResult) { written = aResult; });
+  REQUIRE(RunUntil(loop, seconds(2), [&] { return written.has_value(); }));
+  CHECK(Failure(*written).code_ == ErrorCode::kPlatformUnknown);
+}
+
+// Guards against a withdrawn key that is accepted again after the store lost its withdrawal, and
+// against an equal version with another text that isn't put in force.
+TEST_CASE("the older document of a copy isn't put in force, an equal version is", "[rollback]")
+{
+  standins::UserStore store;
+  store.StateEra(4);
+  store.Put("op", "config", Document(11, "withdrawn"));
+  const TimePoint copied = TimeOfCopy();
+  Reader reader(store.Port());
+  reader.config_.SetReading(true);
+  store.Put("op", "config", Document(12, "k"));
+  const auto accepts = [&](const std::string& aKey) {
+    const auto& config = reader.config_.Current();
+    return config && FindAccountByKeyDigest(*config, KeyDigest(aKey)) != nullptr;
+  };
+  REQUIRE(RunUntil(reader.loop_, seconds(3), [&] { return accepts("k"); }));
+  store.GoBack(Clock::now() - copied);
+  REQUIRE(
+    RunUntil(reader.loop_, seconds(5), [&] { return reader.config_.RowPosition().era_ == 5; }));
+  CHECK_FALSE(accepts("withdrawn"));
+  CHECK(accepts("k"));
+  CHECK(reader.config_.Document() == Document(12, "k"));
+  CHECK(reader.config_.FreshnessAge() < seconds(1));
+  store.Put("op", "config", Document(12, "other"));
+  CHECK(RunUntil(reader.loop_, seconds(3), [&] { return accepts("other"); }));
+  // Back twice before the reader notices.
+  store.GoBack(milliseconds(0));
+  store.GoBack(seconds(10));
+  CHECK(RunUntil(reader.loop_, seconds(5), [&] {
+    return reader.store_.Era() == StoreEra{ 7, true };
+  }));
+  CHECK(accepts("other"));
+}
+
+// Guards against a departed target that an older record brings back, a host that is lost with its
+// row, and an own row that nobody writes again.
+TEST_CASE("host records keep their own order when the store goes back", "[rollback]")
+{
+  standins::UserStore store;
+  store.StateEra(0);
+  store.Put(std::string(kHostTable), "a", Record("a", 1, TargetState::kReady));
+  const TimePoint copied = TimeOfCopy();
+  store.Put(std::string(kHostTable), "a", Record("a", 2, TargetState::kLeft));
+  store.Put(std::string(kHostTable), "b", Record("b", 1, TargetState::kReady));
+  store.Put(std::string(kHostTable), "own", Record("own", 1, TargetState::kReady));
+  Reader reader(store.Port());
+  reader.hosts_.SetReading(true);
+  const auto& records = reader.hosts_.Records();
+  REQUIRE(RunUntil(reader.loop_, seconds(3), [&] { return records.size() == 2; }));
+  // Until the watch is open, so that it is the watch that shows the era.
+  RunFor(reader.loop_, milliseconds(1500));
+  store.GoBack(Clock::now() - copied);
+  REQUIRE(
+    RunUntil(reader.loop_, seconds(3), [&] { return reader.hosts_.KnownPosition().era_ == 1; }));
+  CHECK(records.at("a").record_.targetState_ == TargetState::kLeft);
+  CHECK(records.contains("b"));
+  REQUIRE_FALSE(reader.ownRows_.empty());
+  CHECK(reader.ownRows_.back().removed_);
+  CHECK(reader.ownRows_.back().position_ == StorePosition{ 1, 0 });
+  // Only rows of the new era are passed on, and as a complete set.
+  const FeedRows fed = reader.hosts_.RowsAfter({ 0, 100 });
+  CHECK(fed.era_ == 1);
+  CHECK(fed.afterVersion_ == 0);
+  REQUIRE(fed.rows_.size() == 1);
+  // Another host that follows this one comes to the same result.
+  Reader follower(store.Port());
+  follower.hosts_.ApplyFeedRows({ FeedTable::kHosts,
+                                  0,
+                                  40,
+                                  { { "a", Record("a", 2, TargetState::kLeft), 40 },
+                                    { "b", Record("b", 1, TargetState::kReady), 39 } } });
+  follower.hosts_.ApplyFeedRows(fed);
+  CHECK(follower.hosts_.Records().at("a").record_.targetState_ == TargetState::kLeft);
+  CHECK(follower.hosts_.Records().contains("b"));
+  CHECK(follower.hosts_.KnownPosition() == reader.hosts_.KnownPosition());
+  CHECK_FALSE(follower.ownRows_.empty());
+  // A row of an earlier era changes nothing.
+  follower.hosts_.ApplyFeedRows(
+    { FeedTable::kHosts, 40, 41, { { "a", Record("a", 3, TargetState::kReady), 41 } } });
+  CHECK(follower.hosts_.Records().at("a").record_.targetState_ == TargetState::kLeft);
+  store.Put(std::string(kHostTable), "a", Record("a", 3, TargetState::kReady));
+  REQUIRE(RunUntil(reader.loop_, seconds(4), [&] {
+    return records.at("a").record_.targetState_ == TargetState::kReady;
+  }));
+  CHECK(RunUntil(reader.loop_, kAbsentRowGrace, [&] { return !records.contains("b"); }));
+  CHECK(records.contains("a"));
+}
+
+// Guards against a loop of reads of all rows while the store answers every watch with 410.
+TEST_CASE("a 410 leads to one read of all rows", "[rollback]")
+{
+  EventLoop loop;
+  std::size_t reads = 0;
+  std::size_t watches = 0;
+  auto server =
+    Value(HttpServer::Listen(loop, {}, [&](const std::shared_ptr<HttpExchange>& aExchange) {
+      const bool isWatch = aExchange->request_.path_.starts_with("/-/rows-feed?");
+      ++(isWatch ? watches : reads);
+      aExchange->Respond(isWatch ? HttpResponse{ 410, {}, "", std::nullopt }
+                                 : JsonResponse(200, R"({"rows":[],"ver":5})"));
+    }));
+  StoreClient store(loop, { "127.0.0.1", server->Port() });
+  HostWatch hosts(
+    loop, store, 2, "own", { [] {}, [](const StoreRow&) {}, [](const StorePosition&) {} });
+  hosts.SetReading(true);
+  RunFor(loop, seconds(7));
+  CHECK(reads == 2);
+  CHECK(watches >= 3);
+  CHECK(watches <= 12);
+}
--- a/tests/version/StoreFeedTest.cpp
+++ b/tests/version/StoreFeedTest.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 const HostId kSource{ "h1" };
-const RowVersions kHeld{ 40, 70 };
+const RowPositions kHeld{ { 0, 40 }, { 0, 70 } };
 
 /// Host h5, which asks other hosts how fresh its rows are, with a simulated clock that advances by
 /// 100 ms.
@@ -17,7 +17,7 @@
   StoreFeedState state_;
   TimePoint now_{ seconds(1000) };
   Duration suspended_{};
-  RowVersions held_ = kHeld;
+  RowPositions held_ = kHeld;
 
   std::vector<HostId> others_{ kSource };
   std::vector<HostId> elsewhere_{};
@@ -43,7 +43,7 @@
 
   FeedAnswerResult ReceiveAnswer(const FeedQuery& aQuery,
                                  std::uint64_t aFreshnessAgeMs,
-                                 const RowVersions& aNewest = kHeld,
+                                 const RowPositions& aNewest = kHeld,
                                  std::uint64_t aAnswerAgeMs = 10)
   {
     return ApplyFeedAnswer(
@@ -135,18 +135,20 @@
 TEST_CASE("a follower reads rows that its source names but that don't arrive", "[feed]")
 {
   Follower follower;
-  const FeedAnswerResult first = follower.ReceiveAnswer(follower.NextQuery(), 10, { 41, 70 });
+  const FeedAnswerResult first =
+    follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 41 }, { 0, 70 } });
   CHECK_FALSE(first.freshAt_);
   CHECK_FALSE(first.readConfig_);
-  const FeedAnswerResult second = follower.ReceiveAnswer(follower.NextQuery(), 10, { 41, 71 });
+  const FeedAnswerResult second =
+    follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 41 }, { 0, 71 } });
   CHECK_FALSE(second.freshAt_);
   CHECK(second.readConfig_);
   CHECK(second.readHosts_);
-  follower.held_ = { 41, 71 };
-  CHECK(follower.ReceiveAnswer(follower.NextQuery(), 10, { 41, 71 }).freshAt_);
+  follower.held_ = { { 0, 41 }, { 0, 71 } };
+  CHECK(follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 41 }, { 0, 71 } }).freshAt_);
   // A host with a newer configuration than its source accepts the source's freshness too.
   follower.held_ = { 45, 75 };
-  CHECK(follower.ReceiveAnswer(follower.NextQuery(), 10, { 41, 71 }).freshAt_);
+  CHECK(follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 41 }, { 0, 71 } }).freshAt_);
 }
 
 // Guards against a late or duplicate answer that is applied to a different query.
@@ -333,3 +335,19 @@
   CHECK(IsFeedSource(state, now + milliseconds(1900)));
   CHECK_FALSE(IsFeedSource(state, now + milliseconds(2100)));
 }
+
+// Guards against rows of the copy that count as older than lost rows of higher versions, and
+// against freshness proved by a source that doesn't know that the store went back.
+TEST_CASE("a follower of a source in another era lacks rows or isn't fresh", "[feed]")
+{
+  Follower follower;
+  follower.ReceiveAnswer(follower.NextQuery(), 10, { { 1, 30 }, { 1, 50 }, 1 });
+  const FeedAnswerResult second =
+    follower.ReceiveAnswer(follower.NextQuery(), 10, { { 1, 30 }, { 1, 50 }, 1 });
+  CHECK(second == FeedAnswerResult{ std::nullopt, true, true });
+  follower.held_ = { { 1, 30 }, { 1, 50 }, 1 };
+  CHECK(follower.ReceiveAnswer(follower.NextQuery(), 10, follower.held_).freshAt_);
+  const FeedAnswerResult earlier =
+    follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 40 }, { 0, 70 }, 0 });
+  CHECK(earlier == FeedAnswerResult{});
+}
