--- a/peridotquay/version/StorePosition.h
+++ b/peridotquay/version/StorePosition.h
@@ -15,7 +15,7 @@
 {
   std::uint64_t era_ = 0; ///< 0 in stores that state no era.
   std::uint64_t version_ = 0;
-  auto operator<=>(const StorePosition&) const = default;
+  auto operator<=>(const StorePosition&) const = default; // NOLINT(modernize-use-nullptr): C++20
 };
 
 /// Text of a position for logs: the version, preceded by the era if that isn't 0.
