Give the positions of a feed test their eras

Cause: with RowPositions, { 45, 75 } set era and version of the document only, so the test compared another position than it names. Change: both positions are written out.

--- a/tests/version/StoreFeedTest.cpp
+++ b/tests/version/StoreFeedTest.cpp
@@ -147,7 +147,7 @@
   follower.held_ = { { 0, 41 }, { 0, 71 } };
   CHECK(follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 41 }, { 0, 71 } }).freshAt_);
   // A host with a newer configuration than its source accepts the source's freshness too.
-  follower.held_ = { 45, 75 };
+  follower.held_ = { { 0, 45 }, { 0, 75 } };
   CHECK(follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 41 }, { 0, 71 } }).freshAt_);
 }
 
