Count the lower classes' share in slot time where capacity is known

Cause: the quarter for lower classes counted starts. A start of 880 ms weighs as much as sixteen of 55 ms, so long calls of a lower class took over 0.8 of the slot time while critical calls waited.

Change: with AdmissionSettings::capacityScheduling_, each waiting class leaves lowerClassShare_ of the slot time to the classes below it, measured by the average service time of the route, and no class below a waiting one is starved. The guard sets it by the setting room_scheduling and by whether its target states the duration of work (SetTargetStatesWorkDuration, not called yet). With the flag off the decisions are as before.

Result: 0.25 +- 0.01 of the slot time in place of more than 0.8.

--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -113,6 +113,7 @@
   admission_.settings_.maxLimit_ =
     std::min(admission_.settings_.maxLimit_, aSettings.maxTargetConnections_);
   admission_.startRate_.isProven_ = dialect_.notice_ == nullptr;
+  SetTargetStatesWorkDuration(false);
 }
 
 Guard::~Guard() = default;
@@ -629,6 +630,28 @@
   admission_.settings_.queueDeadlineFraction_ = config_->policy_.queueDeadlineFraction_;
 }
 
+void Guard::SetTargetStatesWorkDuration(bool aStates)
+{
+  targetStatesWorkDuration_ = aStates;
+  const FeatureMode mode = settings_.roomScheduling_;
+  SetCapacityScheduling(mode == FeatureMode::kAlways ||
+                        (mode == FeatureMode::kStated && targetStatesWorkDuration_));
+}
+
+void Guard::SetCapacityScheduling(bool aIsOn)
+{
+  if (aIsOn == admission_.settings_.capacityScheduling_) {
+    return;
+  }
+  admission_.settings_.capacityScheduling_ = aIsOn;
+  // Credit is counted in starts or in seconds, depending on the mode.
+  admission_.lowerClassCredit_ = 0;
+  admission_.lowerClassSeconds_ = {};
+  LogEvent(Event::kCapacityScheduling,
+           { { "on", aIsOn ? "true" : "false" },
+             { "stated", targetStatesWorkDuration_ ? "true" : "false" } });
+}
+
 void Guard::SetDraining()
 {
   draining_ = true;
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -73,6 +73,9 @@
   void Abort();
 
   void SetConfig(std::shared_ptr<const Config> aConfig);
+  /// Tells whether the target states the duration of its work. The setting room_scheduling decides
+  /// whether insufficient capacity is then scheduled.
+  void SetTargetStatesWorkDuration(bool aStates);
   /// Starts the drain: new calls are refused with kDraining.
   void SetDraining();
   /// Applies the announced state of the target. While the target drains or is gone, all calls are
@@ -142,6 +145,8 @@
   void SetSlots(std::uint32_t aSlots);
   void RefuseWaiting(ErrorCode aCode);
   bool IsTargetLeaving() const;
+  /// Switches the scheduling of insufficient capacity on or off in all states that it concerns.
+  void SetCapacityScheduling(bool aIsOn);
 
   EventLoop& loop_;
   const NodeSettings& settings_;
@@ -164,6 +169,7 @@
   LogThrottle runLimitThrottle_;
   RequestLogState requestLog_;
   bool draining_ = false;
+  bool targetStatesWorkDuration_ = false;
   bool queueCheckScheduled_ = false;
   bool silenceCheckScheduled_ = false;
   bool probing_ = false;
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -20,7 +20,7 @@
 // callers and for files.
 constexpr std::uint32_t kOtherDescriptors = 256;
 
-constexpr std::array<std::string_view, 26> kKnownKeys = { "host",
+constexpr std::array<std::string_view, 27> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
                                                           "service",
@@ -42,6 +42,7 @@
                                                           "drain_timeout_ms",
                                                           "seed",
                                                           "naive",
+                                                          "room_scheduling",
                                                           "accept_while_draining_ms",
                                                           "stop_grace_s",
                                                           "target_idle_timeout_ms",
@@ -183,6 +184,29 @@
   return Success();
 }
 
+Result<void> ReadFeatureMode(const Document& aDocument, std::string_view aKey, FeatureMode& aOut)
+{
+  const auto* node = aDocument.table_->get(aKey);
+  if (node == nullptr) {
+    return Success();
+  }
+  const auto text = node->value_exact<std::string>();
+  if (text == "stated") {
+    aOut = FeatureMode::kStated;
+  } else if (text == "always") {
+    aOut = FeatureMode::kAlways;
+  } else if (text == "off") {
+    aOut = FeatureMode::kOff;
+  } else {
+    return FailAt(aDocument,
+                  *node,
+                  text ? ErrorCode::kOutOfRange : ErrorCode::kWrongType,
+                  aKey,
+                  R"("stated", "always" or "off")");
+  }
+  return Success();
+}
+
 Result<Address> ReadAddressNode(const Document& aDocument,
                                 const toml::node& aNode,
                                 std::string_view aKey)
@@ -297,6 +321,7 @@
   BOOST_OUTCOME_TRYV(ReadInteger(
     aDocument, "seed", 0, std::numeric_limits<std::int64_t>::max(), settings.randomSeed_));
   BOOST_OUTCOME_TRYV(ReadBool(aDocument, "naive", settings.naive_));
+  BOOST_OUTCOME_TRYV(ReadFeatureMode(aDocument, "room_scheduling", settings.roomScheduling_));
   BOOST_OUTCOME_TRYV(ReadMilliseconds(
     aDocument, "accept_while_draining_ms", 0, 600000, settings.drainAcceptPeriod_));
   std::uint32_t graceSeconds = 0;
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -11,6 +11,14 @@
 
 namespace peridotquay {
 
+/// When the part of the system that a setting controls is in effect at a guard.
+enum class FeatureMode : std::uint8_t
+{
+  kStated, ///< While the target states the data that it needs.
+  kAlways,
+  kOff
+};
+
 /// Settings of one quayd process. All come from the file; nothing is read from the environment.
 struct NodeSettings
 {
@@ -45,6 +53,8 @@
   /// Runs the baseline that the product is compared with: round robin, three retries at every hop,
   /// a token bucket for each process, no load shedding.
   bool naive_ = false;
+  /// Scheduling of insufficient capacity. It needs a target that states the duration of its work.
+  FeatureMode roomScheduling_ = FeatureMode::kStated;
   bool operator==(const NodeSettings&) const = default;
 };
 
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -98,6 +98,9 @@
 /// Minimum fraction of a closed class that is sent as probes.
 constexpr double kMinProbeFraction = 0.01;
 
+/// Slot time of a call before the first one has ended. All calls then count the same.
+constexpr double kUnknownSlotSeconds = 0.01;
+
 /// Bounds of the retry hint.
 constexpr double kMinRetryAfterMs = 10;
 constexpr double kMaxRetryAfterMs = 5000;
@@ -264,10 +267,66 @@
   return next;
 }
 
+/// Slot time that the next call of a queue that isn't empty is expected to take. Unlike the times
+/// that decide whether a call is late, it doesn't decay: only its ratio to that of other calls
+/// counts, and a class that rarely starts would otherwise seem to cost nothing.
+double NextSlotSeconds(const AdmissionState& aState, ClassQueue& aQueue)
+{
+  const WaitingCall& call = NextAccount(aQueue)->second.calls_.front();
+  const auto route = aState.routes_.find(call.route_);
+  const double seconds =
+    route == aState.routes_.end() ? aState.serviceSeconds_ : route->second.seconds_;
+  return seconds > 0 ? seconds : kUnknownSlotSeconds;
+}
+
+/// As NextQueue, with shares of the slot time. Each class that waits leaves lowerClassShare_ of the
+/// time to the classes below it, which divide it in the same way, so that none is starved. The slot
+/// time that a start takes is charged at every boundary between classes above which calls wait.
+ClassQueue* NextQueueBySlotTime(AdmissionState& aState)
+{
+  const double share = aState.settings_.lowerClassShare_;
+  auto& queues = aState.queues_;
+  const auto nextWaiting = [&](std::size_t aFrom) {
+    while (aFrom < queues.size() && queues[aFrom].size_ == 0) {
+      ++aFrom;
+    }
+    return aFrom;
+  };
+  std::size_t current = nextWaiting(0);
+  if (current == queues.size()) {
+    return nullptr;
+  }
+  std::vector<std::size_t> passed; // Classes that leave this start to a lower one.
+  std::optional<std::size_t> kept; // The class that doesn't, while lower ones wait.
+  std::size_t lower = nextWaiting(current + 1);
+  while (share > 0 && lower < queues.size()) {
+    // The start of a lower call earns the share of its own time too: the share is one of all time.
+    const double missing = (1 - share) * NextSlotSeconds(aState, queues[lower]);
+    if (aState.lowerClassSeconds_[current] < missing) {
+      kept = current;
+      break;
+    }
+    passed.push_back(current);
+    current = lower;
+    lower = nextWaiting(current + 1);
+  }
+  const double started = NextSlotSeconds(aState, queues[current]);
+  for (const std::size_t index : passed) {
+    aState.lowerClassSeconds_[index] -= (1 - share) * started;
+  }
+  if (kept) {
+    aState.lowerClassSeconds_[*kept] += share * started;
+  }
+  return &queues[current];
+}
+
 /// The queue whose next call starts: the most important one that isn't empty, but for the share of
 /// the lower classes. Null if all are empty.
 ClassQueue* NextQueue(AdmissionState& aState)
 {
+  if (aState.settings_.capacityScheduling_) {
+    return NextQueueBySlotTime(aState);
+  }
   const auto isWaiting = [](const ClassQueue& aQueue) { return aQueue.size_ > 0; };
   auto& queues = aState.queues_;
   const auto first = std::find_if(queues.begin(), queues.end(), isWaiting);
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -28,8 +28,12 @@
   std::uint32_t maxLimit_ = 1000;
   std::uint32_t queueCapacity_ = 1024; ///< Waiting calls of all classes.
   double queueDeadlineFraction_ = 0.5; ///< Fraction of its remaining time that a call may wait.
-  /// Part of the starts that waiting calls below `critical` get while critical ones wait too.
+  /// Part of the starts that waiting calls below `critical` get while critical ones wait too. With
+  /// capacityScheduling_, it is a part of the slot time, and every class leaves this part of its
+  /// own to the less important ones that wait.
   double lowerClassShare_ = 0;
+  /// Whether the target states how long its work takes at present, so that its capacity is known.
+  bool capacityScheduling_ = false;
   /// Part of its remaining time that a call may wait at a target that states a rate. Other targets
   /// of its service may have room.
   double maxRateWaitFraction_ = 0.15;
@@ -121,8 +125,11 @@
   std::array<ClassQueue, kImportanceClassCount> queues_;
   std::size_t queued_ = 0;      ///< Invariant: sum of queues_ sizes.
   double lowerClassCredit_ = 0; ///< Starts that the lower classes have earned, below 1 + the share.
-  double serviceSeconds_ = 0;   ///< Moving average of the service times of all routes.
-  TimePoint lastSampleAt_{};    ///< Time of the latest sample in serviceSeconds_.
+  /// Seconds of slot time that the classes below each one have earned by its starts. Used with
+  /// capacityScheduling_ only.
+  std::array<double, kImportanceClassCount - 1> lowerClassSeconds_{};
+  double serviceSeconds_ = 0; ///< Moving average of the service times of all routes.
+  TimePoint lastSampleAt_{};  ///< Time of the latest sample in serviceSeconds_.
   std::map<RouteId, RouteServiceTime> routes_; ///< At most kMaxServiceRoutes.
   double floorSeconds_ = 0;      ///< Lowest mean service time of a window; rises after trials.
   TimePoint floorConfirmedAt_{}; ///< When the floor was last confirmed or raised by a trial.
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -100,6 +100,11 @@
     FailureWith("\"127.0.0.1:8004\"", "\"localhost:80\""), ErrorCode::kOutOfRange, "target", 9);
   CheckError(FailureWith(":9002", ":0"), ErrorCode::kOutOfRange, "seeds", 10);
   CheckError(FailureWith(":8003", ":8000"), ErrorCode::kContradiction, "admin", 8);
+  const std::string mode = "room_scheduling = ";
+  CheckError(
+    FailureWith("naive = true", mode + "\"on\""), ErrorCode::kOutOfRange, "room_scheduling", 21);
+  CheckError(
+    FailureWith("naive = true", mode + "true"), ErrorCode::kWrongType, "room_scheduling", 21);
   CheckError(FailureWith("naive = true", "naive = "), ErrorCode::kSyntax, "TOML", 21);
   CHECK(FailureWith("region = \"r1\"\n", "").code_ == ErrorCode::kMissingSetting);
   CHECK(FailureWith("= 1500", "= 9").allowed_ == "10 to 600000");
--- a/tests/request/AdmissionTest.cpp
+++ b/tests/request/AdmissionTest.cpp
@@ -677,3 +677,58 @@
     CHECK(started[Importance::kCritical] == Approx((1 - share) * 400).margin(2));
   }
 }
+
+// Guards against long calls of a lower class that take most of the slots because their share counts
+// starts: a history list takes 16 times as long as the receipt reads that wait behind it.
+TEST_CASE("lower classes keep their share of the slot time", "[admission]")
+{
+  const auto slotSeconds = [](bool aBySlotTime, const std::vector<Importance>& aClasses) {
+    AdmissionState state;
+    state.settings_.adaptive_ = false;
+    state.settings_.lowerClassShare_ = 0.25;
+    state.settings_.capacityScheduling_ = aBySlotTime;
+    state.limit_ = 1;
+    std::map<std::uint64_t, Importance> classes;
+    std::map<Importance, double> seconds;
+    std::uint64_t id = 0;
+    std::uint64_t running = 0;
+    TimePoint now = kStart;
+    for (int i = 0; i < 4000; ++i) {
+      AdmissionActions actions;
+      const auto offer = [&](Importance aImportance) {
+        WaitingCall call = MakeCall(++id, "a", now, aImportance, 1, std::chrono::hours(10));
+        call.route_ = { aImportance == Importance::kCritical ? "receipts" : "history" };
+        classes[id] = aImportance;
+        const AdmissionActions offered = OfferCall(state, call, now);
+        actions.start_.insert(actions.start_.end(), offered.start_.begin(), offered.start_.end());
+      };
+      for (const Importance importance : aClasses) {
+        while (state.queues_[static_cast<std::size_t>(importance)].size_ < 2) {
+          offer(importance);
+        }
+      }
+      if (running != 0) {
+        const Importance ended = classes.at(running);
+        const bool isCritical = ended == Importance::kCritical;
+        const Duration time = milliseconds(isCritical ? 55 : 880);
+        now += time;
+        seconds[ended] += ToSeconds(time);
+        const RouteId route{ isCritical ? "receipts" : "history" };
+        actions = FinishCall(state, ExecutionResult::kAnswered, time, now, route);
+      }
+      running = actions.start_.empty() ? 0 : actions.start_.front();
+    }
+    const double all = ToSeconds(now - kStart);
+    for (auto& entry : seconds) {
+      entry.second /= all;
+    }
+    return seconds;
+  };
+  const std::vector<Importance> two{ Importance::kCritical, Importance::kLow };
+  CHECK(slotSeconds(true, two)[Importance::kLow] == Approx(0.25).margin(0.01));
+  CHECK(slotSeconds(false, two)[Importance::kLow] > 0.8);
+  // No class below a waiting one is starved.
+  auto three = slotSeconds(true, { Importance::kCritical, Importance::kNormal, Importance::kLow });
+  CHECK(three[Importance::kNormal] == Approx(0.1875).margin(0.01));
+  CHECK(three[Importance::kLow] == Approx(0.0625).margin(0.01));
+}
