Serve callers that return after a refusal before newcomers

Cause: a caller that came back was treated as new: behind all calls that had come in between, and refused again while newcomers were admitted.

Change: request/ReturnSchedule derives from the deadline that a request states for how long its caller has waited; Call::waitedMs_ tells it to the guard. With capacityScheduling_ the calls of an account wait in the order of arrival minus waited time, a full queue refuses the newest in that order, and a run limit keeps places for returning requests that it refused. The field is written only if it isn't 0, because older nodes reject longer arrays, and only where this host's guard schedules capacity. Counter returning_requests, waited_ms in event 2006.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -22,9 +22,26 @@
 {
   aVisit(aItem.protocol_, aItem.host_, aItem.incarnation_, aItem.dataCentre_);
 }
+// A field at the end of a message that was added later. It may be missing, and is written only if
+// it differs from its default, because older nodes reject arrays of another length.
+template<typename T>
+struct Trailing
+{
+  T& item_;
+};
+template<typename T>
+struct IsTrailing : std::false_type
+{
+};
+template<typename T>
+struct IsTrailing<Trailing<T>> : std::true_type
+{
+};
+
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, Call& aItem)
 {
+  Trailing<std::uint32_t> waitedMs{ aItem.waitedMs_ };
   aVisit(aItem.callId_,
          aItem.service_,
          aItem.route_,
@@ -37,7 +54,8 @@
          aItem.deadlineMs_,
          aItem.retries_,
          aItem.repeatable_,
-         aItem.depth_);
+         aItem.depth_,
+         waitedMs);
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, AdmissionLevel& aItem)
@@ -324,14 +342,20 @@
   template<typename... T>
   void operator()(T&... aFields)
   {
-    packer_.pack_array(sizeof...(T));
-    (Write(aFields), ...);
+    std::size_t index = 0;
+    std::size_t count = 0;
+    ((++index, count = IsNeeded(aFields) ? index : count), ...);
+    packer_.pack_array(static_cast<std::uint32_t>(count));
+    index = 0;
+    ((index++ < count ? Write(aFields) : void()), ...);
   }
 
   template<typename T>
   void Write(T& aItem)
   {
-    if constexpr (std::is_same_v<T, std::string>) {
+    if constexpr (IsTrailing<T>::value) {
+      Write(aItem.item_);
+    } else if constexpr (std::is_same_v<T, std::string>) {
       packer_.pack_str(static_cast<std::uint32_t>(aItem.size()));
       packer_.pack_str_body(aItem.data(), static_cast<std::uint32_t>(aItem.size()));
     } else if constexpr (StringId<T>) {
@@ -359,6 +383,16 @@
   }
 
 private:
+  template<typename T>
+  static bool IsNeeded(const T& aField)
+  {
+    if constexpr (IsTrailing<T>::value) {
+      return aField.item_ != std::remove_cvref_t<decltype(aField.item_)>{};
+    } else {
+      return true;
+    }
+  }
+
   msgpack::packer<StringOutput> packer_;
 };
 
@@ -377,12 +411,20 @@
   template<typename... T>
   void operator()(T&... aFields)
   {
-    if (object_.type != msgpack::type::ARRAY || object_.via.array.size != sizeof...(T)) {
+    constexpr std::size_t kRequired = (std::size_t{ !IsTrailing<T>::value } + ...);
+    const bool isArray = object_.type == msgpack::type::ARRAY;
+    const std::size_t size = isArray ? object_.via.array.size : 0;
+    if (!isArray || size < kRequired || size > sizeof...(T)) {
       valid_ = false;
       return;
     }
-    const msgpack::object* element = object_.via.array.ptr;
-    (Read(*element++, aFields), ...);
+    std::size_t index = 0;
+    const auto next = [&](auto& aField) {
+      if (index < size) {
+        Read(object_.via.array.ptr[index++], aField);
+      }
+    };
+    (next(aFields), ...);
   }
 
   template<typename T>
@@ -391,7 +433,9 @@
     if (!valid_) {
       return;
     }
-    if constexpr (std::is_same_v<T, std::string>) {
+    if constexpr (IsTrailing<T>::value) {
+      Read(aObject, aItem.item_);
+    } else if constexpr (std::is_same_v<T, std::string>) {
       if (Check(aObject.type == msgpack::type::STR)) {
         aItem.assign(aObject.via.str.ptr, aObject.via.str.size);
       }
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -58,6 +58,10 @@
   bool repeatable_ = true;       ///< False: must run at most once.
   /// Number of calls that led to this one; 0 for a caller's own request.
   std::uint8_t depth_ = 0;
+  /// Time for which the caller had waited when its request came, over earlier attempts that were
+  /// refused; 0 for a first attempt. Older nodes neither send nor accept it (see Trailing in
+  /// PeerCodec.cpp).
+  std::uint32_t waitedMs_ = 0;
   bool operator==(const Call&) const = default;
 };
 
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -238,6 +238,7 @@
   if (!call->route_->split_.empty()) {
     call->call_.service_ = ChooseService(*call->route_);
   }
+  SetWaitedTime(*call);
   if (!dialect_.hasContexts_ && call->call_.clientAccount_.value_.empty()) {
     // Without contexts, a request on an open route is a deeper call. Its failure would waste the
     // work of the request that it serves.
@@ -364,6 +365,19 @@
     });
 }
 
+// Older hosts reject a call with a waited time, so it is set only where this host's guard schedules
+// capacity. A deeper call has the deadline of its request, which says nothing about its own.
+void Dispatcher::SetWaitedTime(ActiveCall& aCall)
+{
+  if (!guard_.SchedulesCapacity() || aCall.call_.clientAccount_.value_.empty()) {
+    return;
+  }
+  const Duration waited = WaitedTime(
+    statedDeadlines_, aCall.call_.route_, aCall.deadline_ - aCall.arrivedAt_, aCall.arrivedAt_);
+  aCall.call_.waitedMs_ = static_cast<std::uint32_t>(waited / milliseconds(1));
+  metrics_.Add(Counter::kReturningRequests, aCall.call_.waitedMs_ > 0 ? 1 : 0);
+}
+
 void Dispatcher::IssueIds(const std::shared_ptr<HttpExchange>& aExchange)
 {
   const HttpRequest& request = aExchange->request_;
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -16,6 +16,7 @@
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/NaivePolicy.h"
 #include "peridotquay/request/RetryBudget.h"
+#include "peridotquay/request/ReturnSchedule.h"
 #include "peridotquay/request/RouteChoice.h"
 #include "peridotquay/request/TokenCache.h"
 #include "peridotquay/version/Config.h"
@@ -158,6 +159,8 @@
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool MayServeRunningCall(const HttpRequest& aRequest) const;
   void RegisterCall(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
+  /// Sets the time for which the caller of a request has waited, over earlier attempts.
+  void SetWaitedTime(ActiveCall& aCall);
   void IssueIds(const std::shared_ptr<HttpExchange>& aExchange);
   void ApplyRateLimit(const CallPointer& aCall);
   void WaitForTokens(const CallPointer& aCall, Duration aWait, bool aExtendAfterStall);
@@ -221,6 +224,7 @@
   TimePoint freshAsOf_{};
   Duration suspendedTimeAtFreshness_{}; ///< SuspendedTime() when freshAsOf_ was set.
   RoutingState routing_;
+  StatedDeadlines statedDeadlines_;
   TokenCache tokens_;
   NaiveState naive_;
   /// By host of the guard; only hosts in targets_.
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -171,6 +171,7 @@
   }
   waiting.arrivedAt_ = now;
   waiting.deadline_ = guardedCall.deadline_;
+  waiting.waited_ = milliseconds(aCall.waitedMs_);
   Apply(OfferCall(admission_, waiting, now));
   ScheduleQueueCheck();
 }
@@ -184,7 +185,7 @@
 {
   const RouteId& route = aGuardedCall.call_.route_;
   const TimePoint now = loop_.Now();
-  if (TryBeginRun(runLimits_, route, now)) {
+  if (TryBeginRun(runLimits_, route, now, aGuardedCall.call_.waitedMs_ > 0)) {
     aGuardedCall.isLimitedRun_ = true;
     return true;
   }
@@ -462,6 +463,7 @@
     Event::kCallEnded,
     { { "id", std::string(id) },
       { "target", target_ ? target_->id_ : "" },
+      { "waited_ms", std::to_string(aGuardedCall.call_.waitedMs_) },
       { "queue_ms", ms((started ? aGuardedCall.startedAt_ : now) - aGuardedCall.arrivedAt_) },
       { "target_ms", started ? ms(now - aGuardedCall.startedAt_) : "-" },
       { "running", std::to_string(aAnswer.inFlight_) },
@@ -644,6 +646,7 @@
     return;
   }
   admission_.settings_.capacityScheduling_ = aIsOn;
+  runLimits_.settings_.capacityScheduling_ = aIsOn;
   // Credit is counted in starts or in seconds, depending on the mode.
   admission_.lowerClassCredit_ = 0;
   admission_.lowerClassSeconds_ = {};
@@ -652,6 +655,11 @@
              { "stated", targetStatesWorkDuration_ ? "true" : "false" } });
 }
 
+bool Guard::SchedulesCapacity() const
+{
+  return admission_.settings_.capacityScheduling_;
+}
+
 void Guard::SetDraining()
 {
   draining_ = true;
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -76,6 +76,8 @@
   /// Tells whether the target states the duration of its work. The setting room_scheduling decides
   /// whether insufficient capacity is then scheduled.
   void SetTargetStatesWorkDuration(bool aStates);
+  /// Whether insufficient capacity is scheduled.
+  bool SchedulesCapacity() const;
   /// Starts the drain: new calls are refused with kDraining.
   void SetDraining();
   /// Applies the announced state of the target. While the target drains or is gone, all calls are
--- a/peridotquay/process/Metrics.cpp
+++ b/peridotquay/process/Metrics.cpp
@@ -31,7 +31,8 @@
   "retries",           "retries_denied",     "guard_calls",         "guard_refused",
   "runs_refused",      "target_calls",       "target_refusals",     "target_truncated",
   "target_lost",       "dropped_answers",    "fates_asked",         "request_ids_issued",
-  "repeats_answered",  "requests_abandoned", "requests_unanswered", "answers_cut"
+  "repeats_answered",  "requests_abandoned", "requests_unanswered", "answers_cut",
+  "returning_requests"
 };
 
 constexpr std::array<std::string_view, kStageCount> kStageNames = { "caller", "target", "queue" };
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -43,10 +43,11 @@
   kDuplicatesAnswered,     ///< Repeated requests that got the answer of the first one.
   kRequestsAbandoned,      ///< Requests whose caller ended the connection before the whole answer.
   kRequestsUnanswered, ///< Requests whose connection this process ended before the whole answer.
-  kAnswersCut          ///< Of these two, those of which a part of the answer was sent.
+  kAnswersCut,         ///< Of these two, those of which a part of the answer was sent.
+  kReturningRequests   ///< Requests whose callers came back after a refusal.
 };
 
-inline constexpr std::size_t kCounterCount = 28;
+inline constexpr std::size_t kCounterCount = 29;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -228,6 +228,13 @@
   aActions.start_.push_back(aCall.id_);
 }
 
+/// Position in the order of an account's calls. A caller that states a wrong waited time changes
+/// its position among the calls of its own account only.
+TimePoint Position(const WaitingCall& aCall)
+{
+  return aCall.arrivedAt_ - aCall.waited_;
+}
+
 void Enqueue(AdmissionState& aState, const WaitingCall& aCall)
 {
   ClassQueue& queue = aState.queues_[Index(aCall.importance_)];
@@ -236,7 +243,15 @@
     // An account that was idle starts at the current virtual time: idle time earns no credit.
     account.finishTag_ = std::max(account.finishTag_, queue.virtualTime_);
   }
-  account.calls_.push_back(aCall);
+  auto& calls = account.calls_;
+  auto at = calls.end();
+  if (aState.settings_.capacityScheduling_) {
+    at = std::upper_bound(
+      calls.begin(), calls.end(), aCall, [](const WaitingCall& aOne, const WaitingCall& aOther) {
+        return Position(aOne) < Position(aOther);
+      });
+  }
+  calls.insert(at, aCall);
   ++queue.size_;
   ++aState.queued_;
 }
@@ -379,6 +394,7 @@
 
 /// Selects the call to refuse from a full queue and the new call aCall, and removes it if it waits:
 /// in the least important class, the latest call of the account with the most calls for its weight.
+/// With capacityScheduling_ that is the last one in the account's order.
 WaitingCall RemoveCallToShed(AdmissionState& aState, const WaitingCall& aCall)
 {
   std::size_t leastImportant = aState.queues_.size() - 1;
@@ -392,8 +408,8 @@
   const bool isNewCallCandidate = leastImportant == Index(aCall.importance_);
   auto victim = queue.accounts_.end();
   double maxExcess = 0;
+  const auto own = queue.accounts_.find(aCall.clientAccount_);
   if (isNewCallCandidate) {
-    const auto own = queue.accounts_.find(aCall.clientAccount_);
     const std::size_t calls = own == queue.accounts_.end() ? 0 : own->second.calls_.size();
     maxExcess = (static_cast<double>(calls) + 1) / Weight(aCall);
   }
@@ -409,7 +425,13 @@
     }
   }
   if (victim == queue.accounts_.end()) {
-    return aCall;
+    const bool isBeforeOwn = aState.settings_.capacityScheduling_ && isNewCallCandidate &&
+                             own != queue.accounts_.end() && !own->second.calls_.empty() &&
+                             Position(aCall) < Position(own->second.calls_.back());
+    if (!isBeforeOwn) {
+      return aCall;
+    }
+    victim = own;
   }
   WaitingCall call = victim->second.calls_.back();
   victim->second.calls_.pop_back();
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -52,10 +52,15 @@
   TimePoint arrivedAt_{};
   TimePoint deadline_{};
   RouteId route_{}; ///< Service times are averaged by route.
+  /// Time for which the caller had waited before; orders the calls of an account with
+  /// AdmissionSettings::capacityScheduling_.
+  Duration waited_{};
   bool operator==(const WaitingCall&) const = default;
 };
 
-/// Queue of one importance class: a FIFO per client account, served by weighted fair queueing.
+/// Queue of one importance class: a FIFO per client account, served by weighted fair queueing. With
+/// AdmissionSettings::capacityScheduling_ the calls of an account are in the order of their arrival
+/// minus the time that their callers had waited before.
 struct ClassQueue
 {
   struct AccountQueue
--- a/peridotquay/request/RunLimit.cpp
+++ b/peridotquay/request/RunLimit.cpp
@@ -31,6 +31,11 @@
 constexpr double kMaxRetryAfterSeconds = 3.0;
 constexpr double kRetryAfterJitter = 0.3;
 
+/// Places kept for returning requests halve in this time, so that callers which don't come back
+/// cost little. At most this part of a limit is kept: new requests aren't starved.
+constexpr double kReturningHalfLifeSeconds = 0.3;
+constexpr double kMaxReturningFraction = 0.8;
+
 double Decay(const OverloadMeter& aMeter, TimePoint aNow)
 {
   return std::exp2(-std::max(0.0, ToSeconds(aNow - aMeter.updatedAt_)) / kOverloadHalfLifeSeconds);
@@ -139,7 +144,7 @@
   return meter.total_ * Decay(meter, aNow) < kMinDeeperCalls ? 0 : meter.overloaded_ / meter.total_;
 }
 
-bool TryBeginRun(RunLimitState& aState, const RouteId& aRoute, TimePoint aNow)
+bool TryBeginRun(RunLimitState& aState, const RouteId& aRoute, TimePoint aNow, bool aIsReturning)
 {
   RouteRuns* route = FindRoute(aState, aRoute);
   if (route == nullptr) {
@@ -149,7 +154,19 @@
     EndWindow(aState, *route, aNow);
   }
   if (route->limit_ && aState.settings_.enabled_) {
-    const double wanted = route->running_ + 1.0;
+    double wanted = route->running_ + 1.0;
+    if (aState.settings_.capacityScheduling_) {
+      double& refused = route->returningRefused_;
+      const double age = std::max(0.0, ToSeconds(aNow - route->returningUpdatedAt_));
+      route->returningUpdatedAt_ = aNow;
+      refused *= std::exp2(-age / kReturningHalfLifeSeconds);
+      if (aIsReturning) {
+        refused = wanted > *route->limit_ ? std::min(refused + 1, *route->limit_)
+                                          : std::max(0.0, refused - 1);
+      } else {
+        wanted += std::floor(std::min(refused, kMaxReturningFraction * *route->limit_));
+      }
+    }
     if (wanted + 1 > *route->limit_) {
       route->limitReachedAt_ = aNow;
     }
--- a/peridotquay/request/RunLimit.h
+++ b/peridotquay/request/RunLimit.h
@@ -18,6 +18,9 @@
 struct RunLimitSettings
 {
   bool enabled_ = true; ///< If false, no run is refused.
+  /// Whether the target states how long its work takes at present. Returning requests then begin
+  /// before new ones.
+  bool capacityScheduling_ = false;
   /// A limit is adapted at most this often, and at most once in half the usual time of a run.
   Duration minWindow_ = milliseconds(200);
   std::uint32_t minRunsPerWindow_ = 4; ///< With fewer ended runs, their failures don't count.
@@ -65,6 +68,10 @@
   std::uint32_t windowFailed_ = 0; ///< At most windowEnded_.
   std::uint32_t windowRefused_ = 0;
   std::uint32_t windowPeak_ = 0; ///< Most runs at once in the window.
+  /// Refused returning requests for which none has begun since; decays. So many places of the limit
+  /// are kept for returning requests.
+  double returningRefused_ = 0;
+  TimePoint returningUpdatedAt_{};
   bool operator==(const RouteRuns&) const = default;
 };
 
@@ -93,8 +100,11 @@
 double DeeperOverload(const RunLimitState& aState, TimePoint aNow);
 
 /// Begins a run of the route; false if deeper services have no room for it. Every run that began
-/// must be ended by EndRun.
-bool TryBeginRun(RunLimitState& aState, const RouteId& aRoute, TimePoint aNow);
+/// must be ended by EndRun. aIsReturning: its caller comes back after a refusal.
+bool TryBeginRun(RunLimitState& aState,
+                 const RouteId& aRoute,
+                 TimePoint aNow,
+                 bool aIsReturning = false);
 
 /// After how many milliseconds the caller of a refused run should try again: after about a run,
 /// when another one has made room, but early enough to be served within the route's latency
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -108,6 +108,21 @@
   }
 }
 
+// Guards against calls that older hosts reject, and against new hosts that reject theirs: the array
+// of a call without waited time has the 13 fields that older hosts know.
+TEST_CASE("the waited time of a call is sent only if there is one", "[codec]")
+{
+  Call call = SampleCall();
+  const std::string without = EncodePeerMessage(call);
+  CHECK(without[2] == static_cast<char>(0x9D));
+  CHECK(std::get<Call>(DecodePeerMessage(without).assume_value()).waitedMs_ == 0);
+  call.waitedMs_ = 700;
+  const std::string with = EncodePeerMessage(call);
+  CHECK(with[2] == static_cast<char>(0x9E));
+  CHECK(std::get<Call>(DecodePeerMessage(with).assume_value()).waitedMs_ == 700);
+  CHECK(DecodePeerMessage(without + with.substr(with.size() - 3)).has_error());
+}
+
 // Guards against a malformed body that crashes the process or makes it read outside the frame.
 TEST_CASE("decoding a mutated body returns an error or a valid message and never throws", "[codec]")
 {
