Schedule the returns of refused requests

Cause: all refusals stated about the same Retry-After, and whoever came when a place was free was admitted.

Change: where the guard schedules capacity, a refusal for lack of capacity books a return (request/ReturnSchedule). The hint is when the ends of runs per second reach it in the order of classes and fair shares, at most a third of the time left, and within the latency objective where that can be. Newcomers of lower classes and of the same account and class are refused while bookings are due and no place is free beyond them; unused bookings expire and lower what later ones keep.

--- a/bench/graph_trials.cpp
+++ b/bench/graph_trials.cpp
@@ -30,9 +30,10 @@
   }
 }
 
-void PrintScene(GraphScene aScene, bool aLimitsRuns, bool aBySecond)
+void PrintScene(GraphScene aScene, bool aLimitsRuns, bool aBySecond, bool aSchedules = false)
 {
   aScene.limitsRuns_ = aLimitsRuns;
+  aScene.schedulesCapacity_ = aSchedules;
   const GraphResult result = PlayScene(aScene);
   if (aBySecond) {
     PrintSeconds(aScene, result);
@@ -46,7 +47,9 @@
       static_cast<std::size_t>(last ? aScene.durationSeconds_ : aScene.phases_[i + 1].atSecond_);
     std::printf("%-14s %-6s %3zu-%-3zu allowed %.3f",
                 aScene.name_.c_str(),
-                aLimitsRuns ? "limits" : "none",
+                aSchedules    ? "room"
+                : aLimitsRuns ? "limits"
+                              : "none",
                 from,
                 to,
                 AllowedFraction(aScene, phase));
@@ -80,5 +83,12 @@
       PrintScene(scene, true, bySecond);
     }
   }
+  for (GraphScene scene : TopUpScenes()) {
+    if (only.empty() || only == scene.name_) {
+      scene.seed_ = seed;
+      PrintScene(scene, true, bySecond);
+      PrintScene(scene, true, bySecond, true);
+    }
+  }
   return 0;
 }
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -38,6 +38,7 @@
   X(2008, RunsLimited, kInfo) \
   X(2009, TargetRateStated, kInfo) \
   X(2010, CapacityScheduling, kInfo) \
+  X(2011, ReturnScheduled, kInfo) \
   X(3001, MemberJoined, kInfo) \
   X(3002, MemberSuspected, kWarning) \
   X(3003, MemberDead, kWarning) \
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -32,6 +32,9 @@
 // is served.
 constexpr double kRequestShare = 0.25;
 
+// Part of the usual time of a run that is left for it when a caller is told to return.
+constexpr double kRunTimeMargin = 1.5;
+
 // Timeout of these two probes.
 constexpr Duration kProbeTimeout = milliseconds(250);
 
@@ -156,23 +159,11 @@
     Start(number);
     return;
   }
-  if (IsRequest(aCall) && !BeginLimitedRun(number, guardedCall)) {
+  if (IsRequest(aCall) &&
+      (!MakeWayForReturns(number, guardedCall) || !BeginLimitedRun(number, guardedCall))) {
     return;
   }
-  WaitingCall waiting;
-  waiting.id_ = number;
-  waiting.importance_ = aCall.importance_;
-  waiting.clientAccount_ = aCall.clientAccount_;
-  waiting.route_ = aCall.route_;
-  if (config_) {
-    const auto account = config_->clientAccounts_.find(aCall.clientAccount_);
-    waiting.weight_ =
-      account == config_->clientAccounts_.end() ? 1 : account->second.ratePerSecond_;
-  }
-  waiting.arrivedAt_ = now;
-  waiting.deadline_ = guardedCall.deadline_;
-  waiting.waited_ = milliseconds(aCall.waitedMs_);
-  Apply(OfferCall(admission_, waiting, now));
+  Apply(OfferCall(admission_, Waiting(number, guardedCall), now));
   ScheduleQueueCheck();
 }
 
@@ -181,6 +172,97 @@
   return dialect_.hasContexts_ ? aCall.depth_ == 0 : !aCall.clientAccount_.value_.empty();
 }
 
+WaitingCall Guard::Waiting(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall) const
+{
+  const Call& call = aGuardedCall.call_;
+  WaitingCall waiting;
+  waiting.id_ = aCallNumber;
+  waiting.importance_ = call.importance_;
+  waiting.clientAccount_ = call.clientAccount_;
+  waiting.weight_ = AccountWeight(call.clientAccount_);
+  waiting.arrivedAt_ = aGuardedCall.arrivedAt_;
+  waiting.deadline_ = aGuardedCall.deadline_;
+  waiting.route_ = call.route_;
+  waiting.waited_ = milliseconds(call.waitedMs_);
+  return waiting;
+}
+
+const Route* Guard::ConfiguredRoute(const RouteId& aRoute) const
+{
+  if (!config_) {
+    return nullptr;
+  }
+  const auto found = std::find_if(config_->routes_.begin(),
+                                  config_->routes_.end(),
+                                  [&](const Route& aOther) { return aOther.id_ == aRoute; });
+  return found == config_->routes_.end() ? nullptr : &*found;
+}
+
+double Guard::AccountWeight(const ClientAccountId& aAccount) const
+{
+  if (!config_) {
+    return 1;
+  }
+  const auto account = config_->clientAccounts_.find(aAccount);
+  return account == config_->clientAccounts_.end() ? 1 : account->second.ratePerSecond_;
+}
+
+bool Guard::MakeWayForReturns(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall)
+{
+  const Call& call = aGuardedCall.call_;
+  const TimePoint now = loop_.Now();
+  if (!SchedulesCapacity()) {
+    return true;
+  }
+  if (call.waitedMs_ > 0) {
+    UseBooking(returns_, call.clientAccount_, now);
+    return true;
+  }
+  const auto used =
+    static_cast<double>(admission_.running_) + static_cast<double>(admission_.queued_);
+  const double free = admission_.limit_ - used;
+  if (!IsCapacityKept(returns_, call.importance_, call.clientAccount_, free, now)) {
+    return true;
+  }
+  metrics_.Add(Counter::kRefusedForReturns);
+  Refuse(aCallNumber, ErrorCode::kShed, 0);
+  return false;
+}
+
+std::uint32_t Guard::ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode)
+{
+  const Call& call = aGuardedCall.call_;
+  const TimePoint now = loop_.Now();
+  RefusedRequest request = DescribeRefused(admission_, Waiting(0, aGuardedCall));
+  request.left_ = aGuardedCall.deadline_ - now;
+  const Route* route = ConfiguredRoute(call.route_);
+  if (route != nullptr && route->latencyObjective_ > Duration::zero()) {
+    const auto times = admission_.routes_.find(call.route_);
+    const double run =
+      times == admission_.routes_.end() ? admission_.serviceSeconds_ : times->second.seconds_;
+    const auto margin =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(kRunTimeMargin * run));
+    request.spare_ = route->latencyObjective_ - milliseconds(call.waitedMs_) -
+                     (now - aGuardedCall.arrivedAt_) - margin;
+  }
+  const std::size_t booked = returns_.booked_.size();
+  const std::uint32_t retryAfterMs = BookReturn(returns_, request, now);
+  std::uint64_t skipped = 0;
+  if (returnThrottle_.Allow(now, skipped)) {
+    LogEvent(Event::kReturnScheduled,
+             { { "account", call.clientAccount_.value_ },
+               { "route", call.route_.value_ },
+               { "reason", std::string(ErrorName(aCode)) },
+               { "waited_ms", std::to_string(call.waitedMs_) },
+               { "ahead", std::to_string(static_cast<std::uint64_t>(request.ahead_)) },
+               { "booked", std::to_string(booked) },
+               { "used", std::to_string(returns_.usedFraction_) },
+               { "retry_after_ms", std::to_string(retryAfterMs) },
+               { "skipped", std::to_string(skipped) } });
+  }
+  return retryAfterMs;
+}
+
 bool Guard::BeginLimitedRun(std::uint64_t aCallNumber, GuardedCall& aGuardedCall)
 {
   const RouteId& route = aGuardedCall.call_.route_;
@@ -189,13 +271,9 @@
     aGuardedCall.isLimitedRun_ = true;
     return true;
   }
-  Duration objective{};
-  if (config_) {
-    const auto found = std::find_if(config_->routes_.begin(),
-                                    config_->routes_.end(),
-                                    [&](const Route& aRoute) { return aRoute.id_ == route; });
-    objective = found == config_->routes_.end() ? Duration::zero() : found->latencyObjective_;
-  }
+  const Route* configured = ConfiguredRoute(route);
+  const Duration objective =
+    configured == nullptr ? Duration::zero() : configured->latencyObjective_;
   const std::uint32_t retryAfterMs = RunRetryAfterMs(runLimits_, route, objective);
   metrics_.Add(Counter::kRunsRefused);
   std::uint64_t skipped = 0;
@@ -387,6 +465,11 @@
   metrics_.Add(Counter::kGuardRefused);
   loop_.CancelTimer(entry->second.deadlineTimer_);
   EndLimitedRun(entry->second, RunResult::kNoResult);
+  const bool isForCapacity = aCode == ErrorCode::kShed || aCode == ErrorCode::kDeadlineExceeded;
+  if (SchedulesCapacity() && isForCapacity && IsRequest(entry->second.call_) &&
+      entry->second.deadline_ > loop_.Now()) {
+    aRetryAfterMs = ScheduleReturn(entry->second, aCode);
+  }
   Answer answer = RefusedAnswer(entry->second.call_, aCode, aRetryAfterMs);
   FillLoad(answer);
   LogEnd(entry->second, answer);
@@ -418,6 +501,9 @@
     actions = FinishCall(
       admission_, aExecutionResult, { total, total - deeperTime }, now, guardedCall.call_.route_);
     RecordTargetOutcome(aExecutionResult, aAnswer);
+    if (SchedulesCapacity() && IsRequest(guardedCall.call_)) {
+      RecordRunEnd(returns_, now);
+    }
     EndLimitedRun(guardedCall, RunResultOf(aExecutionResult, aAnswer));
   }
   FillLoad(aAnswer);
@@ -650,6 +736,7 @@
   // Credit is counted in starts or in seconds, depending on the mode.
   admission_.lowerClassCredit_ = 0;
   admission_.lowerClassSeconds_ = {};
+  returns_.booked_.clear();
   LogEvent(Event::kCapacityScheduling,
            { { "on", aIsOn ? "true" : "false" },
              { "stated", targetStatesWorkDuration_ ? "true" : "false" } });
@@ -660,6 +747,11 @@
   return admission_.settings_.capacityScheduling_;
 }
 
+std::size_t Guard::BookedReturns() const
+{
+  return returns_.booked_.size();
+}
+
 void Guard::SetDraining()
 {
   draining_ = true;
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -13,6 +13,7 @@
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/CallContext.h"
 #include "peridotquay/request/FailureMeter.h"
+#include "peridotquay/request/ReturnSchedule.h"
 #include "peridotquay/request/RunLimit.h"
 #include "peridotquay/version/Config.h"
 #include "peridotquay/version/TargetView.h"
@@ -78,6 +79,8 @@
   void SetTargetStatesWorkDuration(bool aStates);
   /// Whether insufficient capacity is scheduled.
   bool SchedulesCapacity() const;
+  /// Number of refused requests whose callers are expected back.
+  std::size_t BookedReturns() const;
   /// Starts the drain: new calls are refused with kDraining.
   void SetDraining();
   /// Applies the announced state of the target. While the target drains or is gone, all calls are
@@ -125,6 +128,16 @@
   /// Applies what the target states about itself in the answer to a call.
   void ApplyNotice(const GuardedCall& aGuardedCall, const HeaderList& aHeaders);
   void OnDeadline(std::uint64_t aCallNumber);
+  /// Uses the booking of a returning request, or refuses a new one while the free capacity is kept
+  /// for returns that are due.
+  bool MakeWayForReturns(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall);
+  /// Books the return of a refused request and returns the hint for its caller.
+  std::uint32_t ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode);
+  WaitingCall Waiting(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall) const;
+  /// The route as configured; null if it isn't.
+  const Route* ConfiguredRoute(const RouteId& aRoute) const;
+  /// Weight of an account in fair sharing: its rate.
+  double AccountWeight(const ClientAccountId& aAccount) const;
   void Refuse(std::uint64_t aCallNumber, ErrorCode aCode, std::uint32_t aRetryAfterMs);
   /// Ends a started call: frees its slot, closes its context and passes the answer on.
   void Finish(std::uint64_t aCallNumber, ExecutionResult aExecutionResult, Answer aAnswer);
@@ -162,6 +175,8 @@
   AdmissionState admission_;
   std::shared_ptr<ByteBudget> budget_; ///< For the bodies of calls; null for no limit.
   RunLimitState runLimits_;
+  ReturnSchedule returns_;
+  LogThrottle returnThrottle_;
   ContextTable contexts_;
   FailureMeter failures_; ///< Failures of the current target.
   std::map<std::uint64_t, GuardedCall> calls_;
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -44,10 +44,11 @@
   kRequestsAbandoned,      ///< Requests whose caller ended the connection before the whole answer.
   kRequestsUnanswered, ///< Requests whose connection this process ended before the whole answer.
   kAnswersCut,         ///< Of these two, those of which a part of the answer was sent.
-  kReturningRequests   ///< Requests whose callers came back after a refusal.
+  kReturningRequests,  ///< Requests whose callers came back after a refusal.
+  kRefusedForReturns   ///< New requests that the guard refused while returns were due.
 };
 
-inline constexpr std::size_t kCounterCount = 29;
+inline constexpr std::size_t kCounterCount = 30;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
--- a/peridotquay/request/ReturnSchedule.h
+++ b/peridotquay/request/ReturnSchedule.h
@@ -1,10 +1,15 @@
-// Recognises callers that return after a refusal by the deadlines that they state.
+// Recognises callers that return after a refusal by the deadlines that they state, and schedules
+// their returns over the time at which capacity becomes free.
 #pragma once
 
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/Admission.h"
+#include "peridotquay/request/Outcome.h"
 #include "peridotquay/version/Ids.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 
 namespace peridotquay {
@@ -40,4 +45,76 @@
                     Duration aDeadline,
                     TimePoint aNow);
 
+/// How returns are scheduled.
+struct ReturnSettings
+{
+  Duration minWait_ = milliseconds(100);
+  double maxLeftFraction_ = 1.0 / 3; ///< Of its remaining time; a caller honours no more.
+  double jitter_ = 0.15;             ///< To either side.
+  /// A booking is in effect from this long before it is due until this long after.
+  Duration lead_ = milliseconds(50);
+  Duration grace_ = milliseconds(150);
+};
+
+/// A return that a refusal booked.
+struct BookedReturn
+{
+  TimePoint dueAt_{};
+  Importance importance_ = Importance::kNormal;
+  ClientAccountId account_;
+};
+
+/// Returns that a guard expects. Changed only by the functions below.
+struct ReturnSchedule
+{
+  ReturnSettings settings_;
+  std::deque<BookedReturn> booked_; ///< By dueAt_; at most kMaxBookedReturns.
+  /// Moving average of the part of the bookings that callers used. Callers may not come back, or
+  /// may come back to another guard, and one request may be refused by several guards.
+  double usedFraction_ = 0.5;
+  double ends_ = 0; ///< Ended runs, decaying.
+  TimePoint endsUpdatedAt_{};
+  std::uint64_t random_ = 0x9E3779B97F4A7C15ULL; ///< State of the random generator.
+};
+
+/// Maximum number of booked returns. Further refusals get a hint without a booking.
+inline constexpr std::size_t kMaxBookedReturns = 4096;
+
+/// A refused request, as its return is scheduled.
+struct RefusedRequest
+{
+  Importance importance_ = Importance::kNormal;
+  ClientAccountId account_;
+  /// Starts of the class for one of the account: weights of the waiting accounts, relative to its
+  /// own; at least 1.
+  double startsPerOwn_ = 1;
+  Duration left_{};  ///< Until the deadline.
+  double ahead_ = 0; ///< Calls that start before one more call of the account would.
+  /// For how long the caller can wait and still be served within its latency objective, if it then
+  /// starts at once; 0 if that can't be.
+  Duration spare_{};
+};
+
+/// Describes a call that is refused, or was taken from the queue to be refused.
+RefusedRequest DescribeRefused(const AdmissionState& aState, const WaitingCall& aCall);
+
+/// Records that a run ended, which frees its capacity.
+void RecordRunEnd(ReturnSchedule& aState, TimePoint aNow);
+
+/// Books the return of a refused request and returns after how many milliseconds its caller should
+/// come back: when the capacity that becomes free at the present rate reaches this return, but
+/// early enough to be served within the latency objective where that can be.
+std::uint32_t BookReturn(ReturnSchedule& aState, const RefusedRequest& aRequest, TimePoint aNow);
+
+/// Uses the earliest booking of the account, for a request whose caller came back.
+void UseBooking(ReturnSchedule& aState, const ClientAccountId& aAccount, TimePoint aNow);
+
+/// Whether a new request must be refused because free capacity is kept for returns that are due:
+/// aFree is the number of places that no call runs in or waits for.
+bool IsCapacityKept(ReturnSchedule& aState,
+                    Importance aImportance,
+                    const ClientAccountId& aAccount,
+                    double aFree,
+                    TimePoint aNow);
+
 } // namespace peridotquay
--- a/standins/lib/ServiceGraph.cpp
+++ b/standins/lib/ServiceGraph.cpp
@@ -49,6 +49,7 @@
   TimePoint arrivedAt_{};
   TimePoint startedAt_{};
   TimePoint deadline_{};
+  Duration waited_{};                       ///< Time since the client's first attempt.
   std::vector<std::size_t> remainingCalls_; ///< Routes of deeper calls, the next one last.
   double sliceSeconds_ = 0;
   bool started_ = false;
@@ -85,6 +86,8 @@
         target.admission_.limit_ = scene_.services_[service].slots_;
         target.admission_.announcedSlots_ = scene_.services_[service].slots_;
         target.limits_.settings_.enabled_ = scene_.limitsRuns_;
+        target.admission_.settings_.capacityScheduling_ = scene_.schedulesCapacity_;
+        target.limits_.settings_.capacityScheduling_ = scene_.schedulesCapacity_;
         target.limits_.random_ += targets_.size();
         targets_.push_back(std::move(target));
       }
@@ -140,6 +143,8 @@
   void BeginPhase(const GraphPhase& aPhase)
   {
     loadFactor_ = aPhase.loadFactor_;
+    surgingRoute_ = aPhase.surgingRoute_;
+    surgeFactor_ = aPhase.surgeFactor_;
     slowFactors_.clear();
     slowFactors_[aPhase.service_] = aPhase.slowFactor_;
     std::map<std::size_t, std::uint32_t> indexes;
@@ -162,7 +167,9 @@
 
   void ScheduleArrival(std::size_t aRoute)
   {
-    const double rate = scene_.routes_[aRoute].requestsPerSecond_ * std::max(0.01, loadFactor_);
+    const double surge = static_cast<int>(aRoute) == surgingRoute_ ? surgeFactor_ : 1;
+    const double rate =
+      scene_.routes_[aRoute].requestsPerSecond_ * std::max(0.01, loadFactor_) * surge;
     At(now_ + FromSeconds(Exponential(1 / rate)), [this, aRoute] {
       if (IsOver()) {
         return;
@@ -183,6 +190,7 @@
     auto call = std::make_shared<Call>();
     call->route_ = aRoute;
     call->fromClient_ = true;
+    call->waited_ = now_ - aFirstSentAt;
     const TimePoint patienceEnds = aFirstSentAt + scene_.clientDeadline_;
     call->deadline_ = std::min(patienceEnds, now_ + scene_.routes_[aRoute].timeout_);
     call->onEnd_ =
@@ -246,7 +254,7 @@
     const GraphRoute& route = scene_.routes_[aCall->route_];
     if (aCall->fromClient_) {
       const RouteId id{ route.name_ };
-      if (!TryBeginRun(target->limits_, id, now_)) {
+      if (!TryBeginRun(target->limits_, id, now_, aCall->waited_ > Duration::zero())) {
         Refused(aCall, RunRetryAfterMs(target->limits_, id, route.objective_), 0);
         return;
       }
@@ -259,6 +267,7 @@
     waiting.arrivedAt_ = now_;
     waiting.deadline_ = aCall->deadline_;
     waiting.route_ = { route.name_ };
+    waiting.waited_ = aCall->waited_;
     const std::uint64_t id = aCall->id_;
     At(aCall->deadline_, [this, target, aCall, id] {
       if (aCall->id_ == id && target->calls_.contains(id)) {
@@ -402,6 +411,8 @@
   std::uint64_t nextEvent_ = 0;
   std::uint64_t nextCall_ = 1;
   double loadFactor_ = 1;
+  int surgingRoute_ = -1;
+  double surgeFactor_ = 1;
   std::map<std::size_t, double> slowFactors_; ///< By service.
   std::vector<ModelTarget> targets_;          ///< Not resized after the constructor.
   GraphResult result_;
@@ -463,7 +474,8 @@
 {
   double needed = 0;
   for (std::size_t route = 0; route < aScene.routes_.size(); ++route) {
-    const double rate = aScene.routes_[route].requestsPerSecond_ * aPhase.loadFactor_;
+    const double surge = static_cast<int>(route) == aPhase.surgingRoute_ ? aPhase.surgeFactor_ : 1;
+    const double rate = aScene.routes_[route].requestsPerSecond_ * aPhase.loadFactor_ * surge;
     needed += BusySlots(aScene, route, rate, aPhase);
   }
   const GraphService& service = aScene.services_[aPhase.service_];
@@ -509,4 +521,48 @@
   return scenes;
 }
 
+std::vector<GraphScene> TopUpScenes()
+{
+  GraphScene base;
+  base.services_ = {
+    { "accounts", 6, 72 }, { "payments", 4, 103 }, { "tariffs", 5, 78 }, { "receipts", 4, 49 }
+  };
+  base.routes_ = {
+    { "balance",
+      0,
+      0.22,
+      { { 4, 1 } },
+      seconds(5),
+      milliseconds(1500),
+      156,
+      Importance::kCritical },
+    { "topup", 1, 0.29, { { 5, 2 } }, seconds(5), seconds(2), 50, Importance::kHigh },
+    { "price", 1, 0.55, {}, seconds(6), milliseconds(1500), 53, Importance::kHigh },
+    { "history", 3, 0.88, {}, seconds(10), seconds(5), 27, Importance::kNormal },
+    { "ledger", 2, 0.015, { { 5, 1 } }, milliseconds(2500), seconds(1) },
+    { "tariff", 2, 0.015, { { 6, 4 } }, seconds(2), milliseconds(800) },
+    { "receipt", 3, 0.055, {}, milliseconds(700), milliseconds(300) },
+  };
+  base.clientDeadline_ = seconds(5);
+  constexpr std::size_t kReceipts = 3;
+  constexpr int kHistory = 3;
+  const auto scene = [&base](const std::string& aName, std::vector<GraphPhase> aPhases) {
+    GraphScene made = base;
+    made.name_ = aName;
+    made.phases_ = std::move(aPhases);
+    return made;
+  };
+  // Without a surge the receipts service is used by 0.4.
+  std::vector<GraphScene> scenes{
+    scene("history-triple",
+          { { 0, 1, kReceipts }, { 8, 1, kReceipts, 1, 2, kHistory, 3 }, { 18, 1, kReceipts } }),
+    scene("capacity-0.7",
+          { { 0, 1.6, kReceipts }, { 8, 1.6, kReceipts, 1, 2 }, { 18, 1.6, kReceipts } }),
+    scene("retries-4",
+          { { 0, 1, kReceipts }, { 8, 2.6, kReceipts, 1, 1.5 }, { 18, 1, kReceipts } }),
+  };
+  scenes.back().clientRetries_ = 4;
+  return scenes;
+}
+
 } // namespace peridotquay::standins
--- a/standins/lib/ServiceGraph.h
+++ b/standins/lib/ServiceGraph.h
@@ -48,6 +48,9 @@
   std::size_t service_ = 0;   ///< The service to which the next two members apply.
   double targetFraction_ = 1; ///< Part of its targets that is up.
   double slowFactor_ = 1;     ///< Factor of its work times.
+  /// Index of a route with a further factor of its requests; -1 for none.
+  int surgingRoute_ = -1;
+  double surgeFactor_ = 1;
 };
 
 /// A graph and the load that it gets.
@@ -61,6 +64,8 @@
   Duration clientDeadline_ = seconds(6); ///< For how long a client tries.
   std::uint32_t clientRetries_ = 1;
   bool limitsRuns_ = true; ///< Whether guards use run limits.
+  /// Whether the targets state the duration of their work, so that guards schedule capacity.
+  bool schedulesCapacity_ = false;
   std::uint64_t seed_ = 1;
 };
 
@@ -89,6 +94,10 @@
 /// The scenes that the tests and the table of graph_trials play.
 std::vector<GraphScene> GraphScenes();
 
+/// The scenes of a top-up service, a quarter of its size, with a shortage at the service that runs
+/// the deepest calls of all kinds and the least urgent kind itself.
+std::vector<GraphScene> TopUpScenes();
+
 /// Requests of the routes that need the bottleneck which the remaining capacity allows, as a
 /// fraction of those offered, in the phase; at most 1.
 double AllowedFraction(const GraphScene& aScene, const GraphPhase& aPhase);
--- a/tests/request/ReturnScheduleTest.cpp
+++ b/tests/request/ReturnScheduleTest.cpp
@@ -1,4 +1,5 @@
-// Tests of returning callers: how they are recognised, and that they are served before newcomers.
+// Tests of returning callers: how they are recognised, when they are told to come back, and that
+// they are served before newcomers.
 #include "peridotquay/request/ReturnSchedule.h"
 
 #include "peridotquay/request/Admission.h"
@@ -7,8 +8,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 
 using namespace peridotquay;
 
@@ -83,6 +86,118 @@
   return served;
 }
 
+/// One guard with 20 slots, runs of 100 ms and a short queue. Callers come back once after a
+/// refusal, when they are told to.
+struct ReturnScene
+{
+  bool schedules_ = false;
+  std::map<std::string, double> perSecond_; ///< By account; all have the same weight.
+  double slotsInTrouble_ = 20;              ///< From 5 s to 15 s.
+
+  struct Result
+  {
+    std::map<std::string, Served> accounts_;
+    int served_ = 0;
+    int servedInTrouble_ = 0;
+    int inTime_ = 0; ///< Served within 1.5 s of the first attempt.
+  };
+
+  Result Play() const
+  {
+    struct Caller
+    {
+      std::string account_;
+      TimePoint firstAt_{};
+      bool returned_ = false;
+    };
+    AdmissionState state;
+    state.settings_.adaptive_ = false;
+    state.settings_.capacityScheduling_ = schedules_;
+    state.settings_.queueCapacity_ = 40;
+    ReturnSchedule returns;
+    Result result;
+    std::map<std::uint64_t, Caller> callers;
+    std::multimap<TimePoint, std::uint64_t> ends;
+    std::multimap<TimePoint, Caller> due;
+    std::map<std::string, double> arrivals;
+    std::uint64_t id = 0;
+    TimePoint now = kStart;
+    const auto refuse = [&](const Caller& aCaller, std::uint32_t aHintMs) {
+      if (aCaller.returned_) {
+        return;
+      }
+      const Duration left = aCaller.firstAt_ + seconds(5) - now;
+      if (schedules_) {
+        RefusedRequest request = DescribeRefused(
+          state, { 0, Importance::kNormal, { aCaller.account_ }, 1, now, now + left, kRoute });
+        request.left_ = left;
+        request.spare_ = aCaller.firstAt_ + milliseconds(1350) - now;
+        aHintMs = BookReturn(returns, request, now);
+      }
+      const Duration wait = std::min<Duration>(milliseconds(aHintMs), left / 3);
+      due.emplace(now + wait, Caller{ aCaller.account_, aCaller.firstAt_, true });
+    };
+    const auto apply = [&](const AdmissionActions& aActions) {
+      for (const std::uint64_t started : aActions.start_) {
+        ends.emplace(now + milliseconds(100), started);
+      }
+      for (const RefusedCall& refused : aActions.refuse_) {
+        refuse(callers.at(refused.id_), refused.retryAfterMs_);
+        callers.erase(refused.id_);
+      }
+    };
+    const auto offer = [&](const Caller& aCaller) {
+      Served& served = result.accounts_[aCaller.account_];
+      ++(aCaller.returned_ ? served.returningOffered_ : served.newOffered_);
+      const double free = state.limit_ - state.running_ - static_cast<double>(state.queued_);
+      const ClientAccountId account{ aCaller.account_ };
+      if (schedules_ && aCaller.returned_) {
+        UseBooking(returns, account, now);
+      } else if (schedules_ && IsCapacityKept(returns, Importance::kNormal, account, free, now)) {
+        refuse(aCaller, 0);
+        return;
+      }
+      callers[++id] = aCaller;
+      const TimePoint deadline = aCaller.firstAt_ + seconds(5);
+      apply(OfferCall(
+        state,
+        { id, Importance::kNormal, account, 1, now, deadline, kRoute, now - aCaller.firstAt_ },
+        now));
+    };
+    for (int step = 0; step < 20000; ++step, now += milliseconds(1)) {
+      const bool inTrouble = step >= 5000 && step < 15000;
+      state.limit_ = inTrouble ? slotsInTrouble_ : 20;
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const std::uint64_t ended = ends.begin()->second;
+        ends.erase(ends.begin());
+        const Caller& caller = callers.at(ended);
+        Served& served = result.accounts_[caller.account_];
+        ++(caller.returned_ ? served.returningServed_ : served.newServed_);
+        ++result.served_;
+        result.servedInTrouble_ += inTrouble ? 1 : 0;
+        result.inTime_ += now - caller.firstAt_ <= milliseconds(1500) ? 1 : 0;
+        callers.erase(ended);
+        RecordRunEnd(returns, now);
+        apply(FinishCall(state, ExecutionResult::kAnswered, milliseconds(100), now, kRoute));
+      }
+      for (const auto& [account, perSecond] : perSecond_) {
+        for (arrivals[account] += perSecond / 1000; arrivals[account] >= 1; --arrivals[account]) {
+          offer({ account, now, false });
+        }
+      }
+      while (!due.empty() && due.begin()->first <= now) {
+        const Caller caller = due.begin()->second;
+        due.erase(due.begin());
+        offer(caller);
+      }
+      if (step % 10 == 0) {
+        apply(DropLateCalls(state, now));
+      }
+    }
+    return result;
+  }
+};
+
 } // namespace
 
 // Guards against a caller that waits for each attempt as long as a new one, and against deadlines
@@ -152,3 +267,82 @@
   // The places are all used.
   CHECK(on.newServed_ + on.returningServed_ >= 0.95 * (off.newServed_ + off.returningServed_));
 }
+
+// Guards against hints that call everybody back at once, too early or too late, and against callers
+// of little weight or importance that come back as early as others.
+TEST_CASE("returns are booked for when the capacity reaches them", "[returns]")
+{
+  ReturnSchedule state;
+  state.usedFraction_ = 1;
+  state.settings_.jitter_ = 0;
+  for (int i = 0; i < 800; ++i) {
+    RecordRunEnd(state, kStart + milliseconds(10 * i)); // 100 runs a second.
+  }
+  const TimePoint now = kStart + seconds(8);
+  const auto book = [&](Importance aImportance, double aStartsPerOwn, double aAhead) {
+    ReturnSchedule copy = state;
+    return BookReturn(copy, { aImportance, { "a" }, aStartsPerOwn, seconds(6), aAhead }, now);
+  };
+  const std::uint32_t usual = book(Importance::kNormal, 1, 50);
+  CHECK(usual == Approx(510).margin(30));
+  CHECK(book(Importance::kNormal, 1, 0) == 100);
+  // Without capacity in time the returns are spread, and none is kept.
+  CHECK(book(Importance::kNormal, 1, 5000) >= 1000);
+  CHECK(book(Importance::kNormal, 1, 5000) <= 2000);
+  std::uint32_t last = 0;
+  for (int i = 0; i < 40; ++i) {
+    last = BookReturn(state, { Importance::kNormal, { "a" }, 1, seconds(6), 10 }, now);
+  }
+  CHECK(last == Approx(500).margin(30));
+  // Booked returns of lower classes don't delay higher ones.
+  CHECK(book(Importance::kHigh, 1, 10) < 130);
+  CHECK(book(Importance::kLow, 1, 10) > last);
+  // An account that gets half of the starts waits longer for its booked returns.
+  CHECK(book(Importance::kNormal, 2, 10) == Approx(910).margin(50));
+  // When they are due, capacity is kept for them, but not from other accounts of their class.
+  const TimePoint due = now + milliseconds(500);
+  CHECK(IsCapacityKept(state, Importance::kNormal, { "a" }, 2, due));
+  CHECK(IsCapacityKept(state, Importance::kLow, { "b" }, 2, due));
+  CHECK_FALSE(IsCapacityKept(state, Importance::kNormal, { "b" }, 2, due));
+  CHECK_FALSE(IsCapacityKept(state, Importance::kHigh, { "a" }, 2, due));
+  CHECK_FALSE(IsCapacityKept(state, Importance::kNormal, { "a" }, 100, due));
+  // Bookings that nobody uses expire, and the next ones keep less.
+  CHECK_FALSE(IsCapacityKept(state, Importance::kNormal, { "a" }, 2, due + seconds(1)));
+  CHECK(state.booked_.empty());
+  CHECK(state.usedFraction_ < 0.5);
+}
+
+// One account sends 7.5 times its load; 0.7 of the capacity for 10 s; five times the capacity.
+// Guards against returns that are refused while newcomers are served, that come together, and that
+// cost the other accounts their share or the target its work.
+TEST_CASE("callers that come back are served before newcomers", "[returns]")
+{
+  const std::map<std::string, double> surge{ { "a", 300 }, { "b", 40 }, { "c", 40 }, { "d", 40 } };
+  const std::map<std::string, double> even{ { "a", 45 }, { "b", 45 }, { "c", 45 }, { "d", 45 } };
+  const std::map<std::string, double> five{
+    { "a", 250 }, { "b", 250 }, { "c", 250 }, { "d", 250 }
+  };
+  for (const auto& [name, perSecond, slots] :
+       { std::tuple{ "surge", surge, 20.0 }, { "shortage", even, 14.0 }, { "five", five, 20.0 } }) {
+    ReturnScene scene{ false, perSecond, slots };
+    const auto off = scene.Play();
+    scene.schedules_ = true;
+    const auto on = scene.Play();
+    INFO(name);
+    INFO("served in time: " << off.inTime_ << ", " << on.inTime_);
+    CHECK(on.served_ >= off.served_);
+    CHECK(on.inTime_ >= 0.97 * off.inTime_);
+    CHECK(on.servedInTrouble_ >= 0.9 * 10 * slots * 10);
+    for (const auto& [account, served] : on.accounts_) {
+      const double wanted = std::min(perSecond.at(account), 50.0) * 20;
+      const Served& before = off.accounts_.at(account);
+      if (served.returningOffered_ > 100) {
+        CHECK(served.ReturningFraction() > served.NewFraction());
+        CHECK(served.ReturningFraction() > before.ReturningFraction());
+      }
+      if (std::string(name) != "shortage") {
+        CHECK(served.newServed_ + served.returningServed_ >= 0.9 * wanted);
+      }
+    }
+  }
+}
--- a/tests/request/RunLimitTest.cpp
+++ b/tests/request/RunLimitTest.cpp
@@ -245,3 +245,22 @@
   scene.limitsRuns_ = false;
   CHECK(ServedAfterRecovery(scene, PlayScene(scene)) < 0.9);
 }
+
+// The least urgent kind triples at the service that runs the deepest calls of the others, while its
+// targets take twice as long. Guards against history lists that take the slots of receipt reads, so
+// that the most urgent kind is refused or late.
+TEST_CASE("the most urgent kind is served while the least urgent one is refused", "[runs]")
+{
+  GraphScene scene = TopUpScenes().front();
+  const auto balance = [&](bool aSchedules) {
+    scene.schedulesCapacity_ = aSchedules;
+    const GraphSecond sum = PlayScene(scene).Sum(0, 8, 18);
+    return sum.good_ / sum.offered_;
+  };
+  for (const std::uint64_t seed : { 1, 2, 3 }) {
+    scene.seed_ = seed;
+    INFO("seed " << seed);
+    CHECK(balance(true) >= 0.98);
+    CHECK(balance(false) < 0.6);
+  }
+}
