--- a/bench/even_load_trials.cpp
+++ b/bench/even_load_trials.cpp
@@ -158,7 +158,7 @@
       state.region_ = { i % kCentres < 2 ? "r0" : "r1" };
       state.random_ = RandomBits(random_);
       state.settings_.evenLoad_ =
-        options_.variant_ < Variant::kAnswersOnly ? EvenLoad::kOff : EvenLoad::kStated;
+        options_.variant_ < Variant::kAnswersOnly ? FeatureMode::kOff : FeatureMode::kStated;
       state.settings_.estimate_ = options_.estimate_;
       if (options_.variant_ == Variant::kOneDraw) {
         state.settings_.estimate_.comparedTargets_ = 1;
@@ -493,7 +493,7 @@
 };
 
 /// Measures the processor time of one choice with its records, where calls are aGap apart.
-double NanosecondsPerChoice(EvenLoad aMode, std::size_t aTargets, Duration aGap)
+double NanosecondsPerChoice(FeatureMode aMode, std::size_t aTargets, Duration aGap)
 {
   TargetView view;
   RoutingState state;
@@ -544,8 +544,8 @@
         std::printf("| %zu | %d | %.0f | %.0f |\n",
                     targets,
                     gap,
-                    NanosecondsPerChoice(EvenLoad::kOff, targets, milliseconds(gap)),
-                    NanosecondsPerChoice(EvenLoad::kStated, targets, milliseconds(gap)));
+                    NanosecondsPerChoice(FeatureMode::kOff, targets, milliseconds(gap)),
+                    NanosecondsPerChoice(FeatureMode::kStated, targets, milliseconds(gap)));
       }
     }
     return 0;
--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -56,7 +56,8 @@
          aItem.deadlineMs_,
          aItem.retries_,
          aItem.repeatable_,
-         aItem.depth_);
+         aItem.depth_,
+         Trailing{ aItem.waitedMs_ });
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, AdmissionLevel& aItem)
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -17,6 +17,7 @@
 #include "peridotquay/request/NaivePolicy.h"
 #include "peridotquay/request/RateShare.h"
 #include "peridotquay/request/RetryBudget.h"
+#include "peridotquay/request/ReturnSchedule.h"
 #include "peridotquay/request/RouteChoice.h"
 #include "peridotquay/request/TokenCache.h"
 #include "peridotquay/version/Config.h"
@@ -167,6 +168,8 @@
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool MayServeRunningCall(const HttpRequest& aRequest) const;
   void RegisterCall(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
+  /// Sets the time for which the caller of a request has waited, over earlier attempts.
+  void SetWaitedTime(ActiveCall& aCall);
   void IssueIds(const std::shared_ptr<HttpExchange>& aExchange);
   void ApplyRateLimit(const CallPointer& aCall);
   void WaitForTokens(const CallPointer& aCall, Duration aWait, bool aExtendAfterStall);
@@ -233,6 +236,7 @@
   Duration suspendedTimeAtFreshness_{}; ///< SuspendedTime() when freshAsOf_ was set.
   RoutingState routing_;
   std::set<ServiceId> evenServices_; ///< Services whose last call was distributed by load.
+  StatedDeadlines statedDeadlines_;
   TokenCache tokens_;
   NaiveState naive_;
   /// By host of the guard; only hosts in targets_.
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -47,10 +47,12 @@
   kRequestsNotBegun,   ///< Connections closed by an answer while a request waited behind it.
   kLoadReports,        ///< Loads of other hosts' targets received in rate reports.
   kAttemptsByLoad,     ///< Attempts whose target was chosen by the reported loads.
-  kAttemptsByLoadFar   ///< Of these, attempts to another data centre.
+  kAttemptsByLoadFar,  ///< Of these, attempts to another data centre.
+  kReturningRequests,  ///< Requests whose callers came back after a refusal.
+  kRefusedForReturns   ///< New requests that the guard refused while returns were due.
 };
 
-inline constexpr std::size_t kCounterCount = 32;
+inline constexpr std::size_t kCounterCount = 34;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -20,7 +20,7 @@
 // callers and for files.
 constexpr std::uint32_t kOtherDescriptors = 256;
 
-constexpr std::array<std::string_view, 27> kKnownKeys = { "host",
+constexpr std::array<std::string_view, 29> kKnownKeys = { "host",
                                                           "data_centre",
                                                           "region",
                                                           "service",
@@ -44,6 +44,7 @@
                                                           "seed",
                                                           "naive",
                                                           "even_load",
+                                                          "room_scheduling",
                                                           "accept_while_draining_ms",
                                                           "stop_grace_s",
                                                           "target_idle_timeout_ms",
@@ -185,25 +186,27 @@
   return Success();
 }
 
-Result<void> ReadEvenLoad(const Document& aDocument, EvenLoad& aOut)
+Result<void> ReadFeatureMode(const Document& aDocument, std::string_view aKey, FeatureMode& aOut)
 {
-  static constexpr std::array<std::pair<std::string_view, EvenLoad>, 3> kValues = {
-    { { "stated", EvenLoad::kStated }, { "always", EvenLoad::kAlways }, { "off", EvenLoad::kOff } }
-  };
-  std::string text;
-  BOOST_OUTCOME_TRYV(ReadString(aDocument, "even_load", text));
-  const auto* node = aDocument.table_->get("even_load");
+  const auto* node = aDocument.table_->get(aKey);
   if (node == nullptr) {
     return Success();
   }
-  for (const auto& [name, value] : kValues) {
-    if (name == text) {
-      aOut = value;
-      return Success();
-    }
+  const auto text = node->value_exact<std::string>();
+  if (text == "stated") {
+    aOut = FeatureMode::kStated;
+  } else if (text == "always") {
+    aOut = FeatureMode::kAlways;
+  } else if (text == "off") {
+    aOut = FeatureMode::kOff;
+  } else {
+    return FailAt(aDocument,
+                  *node,
+                  text ? ErrorCode::kOutOfRange : ErrorCode::kWrongType,
+                  aKey,
+                  R"("stated", "always" or "off")");
   }
-  return FailAt(
-    aDocument, *node, ErrorCode::kOutOfRange, "even_load", "\"stated\", \"always\" or \"off\"");
+  return Success();
 }
 
 Result<Address> ReadAddressNode(const Document& aDocument,
@@ -322,7 +325,8 @@
   BOOST_OUTCOME_TRYV(ReadInteger(
     aDocument, "seed", 0, std::numeric_limits<std::int64_t>::max(), settings.randomSeed_));
   BOOST_OUTCOME_TRYV(ReadBool(aDocument, "naive", settings.naive_));
-  BOOST_OUTCOME_TRYV(ReadEvenLoad(aDocument, settings.evenLoad_));
+  BOOST_OUTCOME_TRYV(ReadFeatureMode(aDocument, "even_load", settings.evenLoad_));
+  BOOST_OUTCOME_TRYV(ReadFeatureMode(aDocument, "room_scheduling", settings.roomScheduling_));
   BOOST_OUTCOME_TRYV(ReadMilliseconds(
     aDocument, "accept_while_draining_ms", 0, 600000, settings.drainAcceptPeriod_));
   std::uint32_t graceSeconds = 0;
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -3,7 +3,7 @@
 
 #include "peridotquay/process/Error.h"
 #include "peridotquay/process/Time.h"
-#include "peridotquay/request/LoadReport.h"
+#include "peridotquay/request/FeatureMode.h"
 #include "peridotquay/version/Ids.h"
 
 #include <cstdint>
@@ -47,7 +47,9 @@
   /// Runs the baseline that the product is compared with: round robin, three retries at every hop,
   /// a token bucket for each process, no load shedding.
   bool naive_ = false;
-  EvenLoad evenLoad_ = EvenLoad::kStated; ///< Services whose calls are distributed by load.
+  FeatureMode evenLoad_ = FeatureMode::kStated; ///< Services whose calls are distributed by load.
+  /// Scheduling of insufficient capacity. It needs a target that states the duration of its work.
+  FeatureMode roomScheduling_ = FeatureMode::kStated;
   bool operator==(const NodeSettings&) const = default;
 };
 
--- a/peridotquay/request/LoadReport.h
+++ b/peridotquay/request/LoadReport.h
@@ -5,14 +5,6 @@
 
 namespace peridotquay {
 
-/// For which services calls are distributed by the reported loads of all targets.
-enum class EvenLoad : std::uint8_t
-{
-  kStated, ///< Services whose targets state their duration of work.
-  kAlways, ///< All services; a target that doesn't state its duration of work has the usual one.
-  kOff
-};
-
 /// Load of a target when its guard reported it. The counts are the guard's own: every call of the
 /// target passes through it.
 struct LoadReport
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -351,11 +351,11 @@
 bool IsReportUsed(const RoutingState& aState, const LoadReport& aReport)
 {
   switch (aState.settings_.evenLoad_) {
-    case EvenLoad::kStated:
+    case FeatureMode::kStated:
       return aReport.workPercent_ > 0;
-    case EvenLoad::kAlways:
+    case FeatureMode::kAlways:
       return aReport.limit_ > 0;
-    case EvenLoad::kOff:
+    case FeatureMode::kOff:
       break;
   }
   return false;
@@ -431,7 +431,7 @@
                              TimePoint aNow)
 {
   const auto found = aState.loads_.find(aService);
-  if (found == aState.loads_.end() || aState.settings_.evenLoad_ == EvenLoad::kOff) {
+  if (found == aState.loads_.end() || aState.settings_.evenLoad_ == FeatureMode::kOff) {
     return nullptr;
   }
   ServiceTable& table = found->second;
@@ -445,7 +445,7 @@
     SetAllowed(aState, table, aTargets, aNow);
     RefreshShares(settings, table.load_, aView.hosts_.size(), aNow);
   }
-  if (!table.load_.stated_ && aState.settings_.evenLoad_ == EvenLoad::kStated) {
+  if (!table.load_.stated_ && aState.settings_.evenLoad_ == FeatureMode::kStated) {
     return nullptr;
   }
   const std::size_t tier = DrawTier(table.load_, aState.random_);
@@ -662,8 +662,8 @@
 bool IsLoadEven(const RoutingState& aState, const ServiceId& aService)
 {
   const auto table = aState.loads_.find(aService);
-  return table != aState.loads_.end() && aState.settings_.evenLoad_ != EvenLoad::kOff &&
-         (table->second.load_.stated_ || aState.settings_.evenLoad_ == EvenLoad::kAlways);
+  return table != aState.loads_.end() && aState.settings_.evenLoad_ != FeatureMode::kOff &&
+         (table->second.load_.stated_ || aState.settings_.evenLoad_ == FeatureMode::kAlways);
 }
 
 void RemoveAbsentHosts(RoutingState& aState, const TargetView& aView)
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/FeatureMode.h"
 #include "peridotquay/request/LoadEstimate.h"
 #include "peridotquay/version/Ids.h"
 #include "peridotquay/version/TargetView.h"
@@ -33,7 +34,7 @@
   double slackFractionWithinRegion_ = 0;
   double slackFractionBetweenRegions_ = 0;
   double maxSpillLoad_ = 3.0; ///< Load from which calls go elsewhere regardless of their slack.
-  EvenLoad evenLoad_ = EvenLoad::kStated;
+  FeatureMode evenLoad_ = FeatureMode::kStated;
   LoadEstimateSettings estimate_;
   bool operator==(const RoutingSettings&) const = default;
 };
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -86,7 +86,7 @@
   expected.drainTimeout_ = milliseconds(2500);
   expected.randomSeed_ = 7;
   expected.naive_ = true;
-  expected.evenLoad_ = EvenLoad::kAlways;
+  expected.evenLoad_ = FeatureMode::kAlways;
   CHECK(settings == expected);
   CHECK(Failure(ParseNodeSettings("/nonexistent/x.toml")).code_ == ErrorCode::kFileUnreadable);
 }
@@ -104,6 +104,11 @@
     FailureWith("\"127.0.0.1:8004\"", "\"localhost:80\""), ErrorCode::kOutOfRange, "target", 9);
   CheckError(FailureWith(":9002", ":0"), ErrorCode::kOutOfRange, "seeds", 10);
   CheckError(FailureWith(":8003", ":8000"), ErrorCode::kContradiction, "admin", 8);
+  const std::string mode = "room_scheduling = ";
+  CheckError(
+    FailureWith("naive = true", mode + "\"on\""), ErrorCode::kOutOfRange, "room_scheduling", 21);
+  CheckError(
+    FailureWith("naive = true", mode + "true"), ErrorCode::kWrongType, "room_scheduling", 21);
   CheckError(FailureWith("naive = true", "naive = "), ErrorCode::kSyntax, "TOML", 21);
   CheckError(FailureWith("\"always\"", "\"on\""), ErrorCode::kOutOfRange, "even_load", 22);
   CheckError(FailureWith("\"always\"", "true"), ErrorCode::kWrongType, "even_load", 22);
--- a/tests/request/LoadEstimateTest.cpp
+++ b/tests/request/LoadEstimateTest.cpp
@@ -50,7 +50,7 @@
   return target;
 }
 
-RoutingState MakeState(EvenLoad aMode)
+RoutingState MakeState(FeatureMode aMode)
 {
   RoutingState state;
   state.dataCentre_ = { "north" };
@@ -156,8 +156,8 @@
 TEST_CASE("services without a stated duration of work keep their choice", "[load]")
 {
   CHECK(rc::check("random calls and reports", [] {
-    RoutingState off = MakeState(EvenLoad::kOff);
-    RoutingState stated = MakeState(EvenLoad::kStated);
+    RoutingState off = MakeState(FeatureMode::kOff);
+    RoutingState stated = MakeState(FeatureMode::kStated);
     off.random_ = stated.random_ = *rc::gen::arbitrary<std::uint64_t>();
     TargetView view;
     for (int i = 0; i < 6; ++i) {
@@ -190,7 +190,7 @@
 TEST_CASE("the choice by load picks a usable target if there is one", "[load]")
 {
   CHECK(rc::check("random views, reports and results", [] {
-    RoutingState state = MakeState(EvenLoad::kStated);
+    RoutingState state = MakeState(FeatureMode::kStated);
     state.random_ = *rc::gen::arbitrary<std::uint64_t>();
     TargetView view;
     TimePoint now = kNow;
