Serve requests only in allowed regions

The operator's document may restrict a route or a client account to a list of regions, and hosts ignored the list.

Both lists are decoded and filter the targets before they are compared, for first attempts, retries and deeper calls (by their own route). If no target is left, the caller gets 503 with a retry hint, no attempt is made and refused_region counts it. explain shows the lists and which targets a call may reach. The view has a set of evacuated data centres, which the same filter excludes. Cold start limits of services are decoded; nothing uses them yet.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -645,6 +645,17 @@
     json["tokens"] = now < tokens->second.expiresAt_ ? tokens->second.tokens_ : 0;
     json["over_rate"] = now < tokens->second.refusedUntil_;
   }
+  const TargetFilter filter = FilterFor(*config_, *route, account);
+  json["allowed_regions"] = nlohmann::json::object();
+  for (const auto& [name, regions] :
+       { std::pair("route", filter.routeRegions_), std::pair("account", filter.accountRegions_) }) {
+    if (regions != nullptr && !regions->empty()) {
+      for (const RegionId& region : *regions) {
+        json["allowed_regions"][name].push_back(region.value_);
+      }
+    }
+  }
+  bool mayReachAny = false;
   json["targets"] = nlohmann::json::array();
   if (targets_ && targets_->targets_.contains(route->service_)) {
     for (const Target& target : targets_->targets_.at(route->service_)) {
@@ -653,7 +664,11 @@
       };
       nlohmann::json entry = { { "host", target.host_.value_ },
                                { "data_centre", target.dataCentre_.value_ },
+                               { "region", target.region_.value_ },
+                               { "evacuated", targets_->evacuated_.contains(target.dataCentre_) },
+                               { "may_reach", MayReach(filter, *targets_, target) },
                                { "state", kStates.at(static_cast<std::size_t>(target.state_)) } };
+      mayReachAny = mayReachAny || MayReach(filter, *targets_, target);
       const auto stats = routing_.stats_.find(target.host_);
       if (stats != routing_.stats_.end()) {
         entry["in_flight"] = stats->second.inFlight_;
@@ -680,7 +695,7 @@
     decision = ErrorName(ErrorCode::kConfigurationNotFresh);
   } else if (!route->open_ && !allowed) {
     decision = ErrorName(ErrorCode::kRouteNotAllowed);
-  } else if (json["targets"].empty()) {
+  } else if (!mayReachAny) {
     decision = ErrorName(ErrorCode::kNoTarget);
   }
   json["decision"] = decision;
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -176,6 +176,12 @@
   /// its admission level.
   std::optional<Target> SelectTarget(const CallPointer& aCall, bool& aShedUpstream);
   void StartAttempt(const CallPointer& aCall);
+  /// The targets that the lists of allowed regions of the route and of the account leave.
+  static TargetFilter FilterFor(const Config& aConfig,
+                                const Route& aRoute,
+                                const ClientAccountId& aAccount);
+  /// Whether allowed regions and evacuated data centres exclude all targets of the call's service.
+  bool ExcludesAllTargets(const ActiveCall& aCall) const;
   /// Whether the target stated that it leaves.
   bool IsLeaving(const Target& aTarget) const;
   Duration AnswerReserve(const Target& aTarget) const;
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -48,9 +48,11 @@
   }
   const TimePoint now = loop_.Now();
   std::vector<HostId> excluded = aCall->excludedHosts_;
+  const TargetFilter filter =
+    FilterFor(*aCall->config_, *aCall->route_, aCall->call_.clientAccount_);
   while (true) {
-    auto target =
-      ChooseTarget(routing_, *targets_, service, excluded, now, aCall->route_->latencyObjective_);
+    auto target = ChooseTarget(
+      routing_, *targets_, service, excluded, now, aCall->route_->latencyObjective_, filter);
     if (!target || std::find(excluded.begin(), excluded.end(), target->host_) != excluded.end()) {
       return std::nullopt;
     }
@@ -68,6 +70,30 @@
   }
 }
 
+TargetFilter Dispatcher::FilterFor(const Config& aConfig,
+                                   const Route& aRoute,
+                                   const ClientAccountId& aAccount)
+{
+  const auto account = aConfig.clientAccounts_.find(aAccount);
+  return { &aRoute.allowedRegions_,
+           account == aConfig.clientAccounts_.end() ? nullptr : &account->second.allowedRegions_ };
+}
+
+bool Dispatcher::ExcludesAllTargets(const ActiveCall& aCall) const
+{
+  if (!targets_ || settings_.naive_) {
+    return false;
+  }
+  const auto found = targets_->targets_.find(aCall.call_.service_);
+  if (found == targets_->targets_.end() || found->second.empty()) {
+    return false;
+  }
+  const TargetFilter filter = FilterFor(*aCall.config_, *aCall.route_, aCall.call_.clientAccount_);
+  return std::none_of(found->second.begin(), found->second.end(), [&](const Target& aTarget) {
+    return MayReach(filter, *targets_, aTarget);
+  });
+}
+
 bool Dispatcher::IsLeaving(const Target& aTarget) const
 {
   const auto entry = leavingTargets_.find(aTarget.host_);
@@ -84,6 +110,8 @@
   }
   if (shedUpstream) {
     metrics_.Add(Counter::kRefusedUpstream);
+  } else if (ExcludesAllTargets(*aCall)) {
+    metrics_.Add(Counter::kRefusedRegion);
   }
   Refuse(aCall, shedUpstream ? ErrorCode::kShed : ErrorCode::kNoTarget, kShedRetryAfterMs);
 }
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -26,6 +26,7 @@
   kRefusedRate,        ///< Requests refused because the client account is over its rate.
   kRefusedStaleConfig, ///< Requests refused because the configuration isn't known to be fresh.
   kRefusedUpstream,    ///< Calls refused without an attempt, because of guards' admission levels.
+  kRefusedRegion,      ///< Requests refused because allowed regions or evacuations leave no target.
   kRefusedDraining,    ///< Requests refused because this node drains.
   kAttempts,           ///< Attempts sent to guards, retries included.
   kRetries,            ///< Attempts after the first of a call.
@@ -46,7 +47,7 @@
   kAnswersCut          ///< Of these two, those of which a part of the answer was sent.
 };
 
-inline constexpr std::size_t kCounterCount = 28;
+inline constexpr std::size_t kCounterCount = 29;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -343,14 +343,28 @@
   aStats.consecutiveFailures_ = aSettings.failuresToEject_ > 0 ? aSettings.failuresToEject_ - 1 : 0;
 }
 
+bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion)
+{
+  return aRegions == nullptr || aRegions->empty() ||
+         std::find(aRegions->begin(), aRegions->end(), aRegion) != aRegions->end();
+}
+
 } // namespace
 
+bool MayReach(const TargetFilter& aFilter, const TargetView& aView, const Target& aTarget)
+{
+  return !aView.evacuated_.contains(aTarget.dataCentre_) &&
+         AllowsRegion(aFilter.routeRegions_, aTarget.region_) &&
+         AllowsRegion(aFilter.accountRegions_, aTarget.region_);
+}
+
 std::optional<Target> ChooseTarget(RoutingState& aState,
                                    const TargetView& aView,
                                    const ServiceId& aService,
                                    const std::vector<HostId>& aExclude,
                                    TimePoint aNow,
-                                   Duration aObjective)
+                                   Duration aObjective,
+                                   const TargetFilter& aFilter)
 {
   const auto found = aView.targets_.find(aService);
   if (found == aView.targets_.end()) {
@@ -360,7 +374,7 @@
 
   double minFailureFraction = 1;
   for (const Target& target : found->second) {
-    if (Accepts(target)) {
+    if (Accepts(target) && MayReach(aFilter, aView, target)) {
       minFailureFraction =
         std::min(minFailureFraction, RecentFailureFraction(FindStats(aState, target), aNow));
     }
@@ -373,7 +387,7 @@
   Candidates failing;
   Candidates ejectedTargets;
   for (const Target& target : found->second) {
-    if (!Accepts(target) || Contains(aExclude, target.host_)) {
+    if (!Accepts(target) || Contains(aExclude, target.host_) || !MayReach(aFilter, aView, target)) {
       continue;
     }
     const TargetStats* stats = FindStats(aState, target);
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -63,16 +63,29 @@
   std::uint64_t random_ = 1; ///< State of the random generator; seeded by the owner.
 };
 
+/// Excludes targets that a call may not reach, whatever their load. The strings and lists that it
+/// refers to must outlive it.
+struct TargetFilter
+{
+  const std::vector<RegionId>* routeRegions_ = nullptr;   ///< Null or empty allows all regions.
+  const std::vector<RegionId>* accountRegions_ = nullptr; ///< Null or empty allows all regions.
+};
+
+/// Whether a call may be sent to the target: the filter allows its region, and its data centre
+/// isn't evacuated.
+bool MayReach(const TargetFilter& aFilter, const TargetView& aView, const Target& aTarget);
+
 /// Chooses a target of the service, or none if no target is usable. aExclude holds the hosts that
 /// this call already tried. aObjective is the call's latency objective, 0 for none: it
 /// decides how long a call may queue at a near target, and lets a much faster target replace a near
-/// one that is too slow.
+/// one that is too slow. Targets that aFilter excludes are never chosen.
 std::optional<Target> ChooseTarget(RoutingState& aState,
                                    const TargetView& aView,
                                    const ServiceId& aService,
                                    const std::vector<HostId>& aExclude,
                                    TimePoint aNow,
-                                   Duration aObjective = {});
+                                   Duration aObjective = {},
+                                   const TargetFilter& aFilter = {});
 
 /// How an attempt to call a target ended, as seen by the caller's node.
 enum class AttemptResult : std::uint8_t
--- a/peridotquay/version/Config.h
+++ b/peridotquay/version/Config.h
@@ -23,6 +23,8 @@
   /// most 1. Only the overlay of a site sets it below 1.
   double siteRateFraction_ = 1.0;
   std::uint32_t priority_ = 0; ///< 0 is the most important; takes precedence over Route::priority_.
+  /// Regions in which its requests may be served; empty allows all.
+  std::vector<RegionId> allowedRegions_{};
   bool operator==(const ClientAccount&) const = default;
 };
 
@@ -51,9 +53,18 @@
   Duration deadline_ = milliseconds(2000); ///< Default and upper bound of the caller's deadline.
   Duration latencyObjective_{}; ///< An answer within this time has its full value; 0 for none.
   std::vector<ClientAccountId> clientAccounts_; ///< Client accounts allowed; empty allows all.
+  std::vector<RegionId> allowedRegions_;        ///< Regions that may serve it; empty allows all.
   bool operator==(const Route&) const = default;
 };
 
+/// What the operator states about the cold starts of a service's targets.
+struct ColdStart
+{
+  Duration period_{};    ///< Time for which a target is cold after its start.
+  double perSecond_ = 0; ///< Requests per second that a cold target tolerates; 0 for no limit.
+  bool operator==(const ColdStart&) const = default;
+};
+
 /// A data centre of the fleet and its region.
 struct Site
 {
@@ -102,6 +113,7 @@
   std::map<std::string, ClientAccountId> keys_;
   std::vector<Route> routes_; ///< Sorted by descending prefix length, then by prefix.
   std::map<DataCentreId, Site> sites_;
+  std::map<ServiceId, ColdStart> coldStarts_; ///< Only services with a limit for cold targets.
   Policy policy_;
   /// True: routes are chosen by FindHostRoute, which compares the path byte for byte, and the
   /// importance by ImportanceFor. False: routes are chosen by FindRoute.
--- a/peridotquay/version/TargetView.h
+++ b/peridotquay/version/TargetView.h
@@ -5,6 +5,7 @@
 #include "peridotquay/version/Ids.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
 {
   std::map<ServiceId, std::vector<Target>> targets_; ///< Sorted by host.
   std::map<HostId, Address> hosts_; ///< Peer addresses of all hosts alive, for calls by request id.
+  /// Data centres whose targets receive no new requests, by order of the operator.
+  std::set<DataCentreId> evacuated_;
   bool operator==(const TargetView&) const = default;
 };
 
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -370,3 +370,38 @@
   }
   CHECK(rejectedCount > 1000);
 }
+
+// Guards against allowed regions that are lost or ignored because they are malformed, and against a
+// document without the new fields that no longer decodes as before.
+TEST_CASE("allowed regions and cold starts of a document are decoded", "[platform]")
+{
+  const auto plain = Value(DecodeConfig(kDocument, Policy{}));
+  CHECK(plain->coldStarts_.empty());
+  CHECK(plain->routes_.front().allowedRegions_.empty());
+  CHECK(plain->clientAccounts_.at({ "t1" }).allowedRegions_.empty());
+
+  auto json = nlohmann::json::parse(kDocument);
+  json["routes"]["a"]["allowed_regions"] = { "r1", "r2" };
+  json["tenants"]["t1"]["allowed_regions"] = { "r2" };
+  json["tenants"]["t2"]["allowed_regions"] = nlohmann::json::array();
+  json["services"]["s1"]["cold_start_s"] = 7.5;
+  json["services"]["s1"]["cold_per_s"] = 12;
+  json["services"]["s2"]["cold_per_s"] = 0;
+  const auto config = Value(DecodeConfig(json.dump(), Policy{}));
+  const Route* route = FindHostRoute(*config, "h.example", "/x/1");
+  REQUIRE(route != nullptr);
+  CHECK(route->allowedRegions_ == std::vector<RegionId>{ { "r1" }, { "r2" } });
+  CHECK(config->clientAccounts_.at({ "t1" }).allowedRegions_ == std::vector<RegionId>{ { "r2" } });
+  CHECK(config->clientAccounts_.at({ "t2" }).allowedRegions_.empty());
+  CHECK(config->coldStarts_ ==
+        std::map<ServiceId, ColdStart>{ { { "s1" }, { milliseconds(7500), 12 } } });
+
+  for (const nlohmann::json& malformed : { nlohmann::json("r1"), nlohmann::json({ "r1", 2 }) }) {
+    auto broken = json;
+    broken["routes"]["a"]["allowed_regions"] = malformed;
+    CHECK(DecodeConfig(broken.dump(), Policy{}).has_error());
+    broken = json;
+    broken["tenants"]["t1"]["allowed_regions"] = malformed;
+    CHECK(DecodeConfig(broken.dump(), Policy{}).has_error());
+  }
+}
--- a/tests/request/RouteChoiceTest.cpp
+++ b/tests/request/RouteChoiceTest.cpp
@@ -430,3 +430,56 @@
   const TargetView view = MakeView({ after, MakeTarget("b") });
   CHECK(CountChoices(state, view, kStart + milliseconds(10))["a"] == 0);
 }
+
+namespace {
+
+/// Hosts that 2,000 choices under a filter reach.
+std::set<std::string> ReachedHosts(const TargetView& aView, const TargetFilter& aFilter)
+{
+  RoutingState state = MakeState();
+  std::set<std::string> reached;
+  for (int i = 0; i < 2000; ++i) {
+    if (const auto target = ChooseTarget(state, aView, kService, {}, kStart, {}, aFilter)) {
+      reached.insert(target->host_.value_);
+    }
+  }
+  return reached;
+}
+
+} // namespace
+
+// Guards against requests that reach a region which the route or the account doesn't allow, also
+// when all targets of the allowed one are ejected.
+TEST_CASE("the lists of the route and of the account both restrict the regions", "[routing]")
+{
+  const std::vector<RegionId> none;
+  const std::vector<RegionId> near{ { "r1" } };
+  const std::vector<RegionId> far{ { "r2" } };
+  const std::vector<RegionId> both{ { "r1" }, { "r2" } };
+  const TargetView view =
+    MakeView({ MakeTarget("a"), MakeTarget("b", "south"), MakeTarget("c", "far") });
+  CHECK(ReachedHosts(view, { &far, &none }) == std::set<std::string>{ "c" });
+  CHECK(ReachedHosts(view, { &none, &far }) == std::set<std::string>{ "c" });
+  CHECK(ReachedHosts(view, { &both, &far }) == std::set<std::string>{ "c" });
+  CHECK(ReachedHosts(view, { &near, &far }).empty());
+  CHECK(ReachedHosts(view, { &none, nullptr }) == ReachedHosts(view, {}));
+
+  RoutingState state = MakeState();
+  const Target onlyAllowed = MakeTarget("c", "far");
+  RecordFailedCalls(state, onlyAllowed, 5, kStart);
+  CHECK(ChooseTarget(state, view, kService, {}, kStart, {}, { &far, nullptr })->host_.value_ ==
+        "c");
+  CHECK_FALSE(ChooseTarget(state, view, kService, { { "c" } }, kStart, {}, { &far, nullptr }));
+}
+
+// Guards against new requests to targets of a data centre that the operator evacuates.
+TEST_CASE("an evacuated data centre is not chosen until it returns", "[routing]")
+{
+  TargetView view = MakeView({ MakeTarget("a"), MakeTarget("b", "south") });
+  view.evacuated_ = { { "north" } };
+  CHECK(ReachedHosts(view, {}) == std::set<std::string>{ "b" });
+  view.evacuated_ = { { "north" }, { "south" } };
+  CHECK(ReachedHosts(view, {}).empty());
+  view.evacuated_.clear();
+  CHECK(ReachedHosts(view, {}).contains("a"));
+}
