Evacuate data centres and limit the rate of cold targets

Rows evacuate/NAME of the operator's table order that the targets of a data centre get nothing more, and cold targets crash under a rate that they don't tolerate. Hosts knew neither.

Status and events 3014 and 3015 show it.

The start rate of a guard has a limit for cold targets beside the stated one; the lower applies, through the same token bucket. cold_remaining_ms of heartbeats and X-Cold-Ms of answers end or begin it. After a start of the guard or its target, and after a return from evacuation, the target counts as cold until one of them says otherwise. Event 2011 shows it. Documents without cold_start_s and cold_per_s set no limit.

--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace peridotquay {
 
@@ -50,6 +51,7 @@
   bool delegate_ = false;    ///< This node is a delegate of its data centre.
   bool shareLeader_ = false; ///< This node holds the lease to grant tokens.
   bool platformReachable_ = false;
+  std::vector<std::string> evacuated_; ///< Data centres whose targets get no new requests.
   /// Lowest version in force at the hosts of the data centre; set on delegates only.
   Version minDataCentreVersion_ = 0;
 };
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -37,6 +37,7 @@
   X(2007, CallRepeated, kInfo) \
   X(2008, RunsLimited, kInfo) \
   X(2009, TargetRateStated, kInfo) \
+  X(2011, TargetCold, kInfo) \
   X(3001, MemberJoined, kInfo) \
   X(3002, MemberSuspected, kWarning) \
   X(3003, MemberDead, kWarning) \
@@ -50,6 +51,8 @@
   X(3011, HeartbeatRejected, kWarning) \
   X(3012, HostRecordRejected, kWarning) \
   X(3013, HostLost, kWarning) \
+  X(3014, DataCentreEvacuated, kWarning) \
+  X(3015, DataCentreReturned, kInfo) \
   X(4001, VersionInForce, kInfo) \
   X(4002, VersionRejected, kError) \
   X(4003, FreshnessLost, kWarning) \
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -46,6 +46,11 @@
   return answer;
 }
 
+std::string WholeMs(Duration aDuration)
+{
+  return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
+}
+
 Answer UnknownAnswer(const Call& aCall, ErrorCode aCode)
 {
   Answer answer;
@@ -351,6 +356,10 @@
                { "per_s", current ? std::to_string(*current) : "none" },
                { "queued", std::to_string(admission_.queued_) } });
   }
+  if (notice.coldRemaining_) {
+    RecordCold(admission_.startRate_, *notice.coldRemaining_, loop_.Now());
+    LogColdLimit(notice.coldRemaining_);
+  }
   if (notice.leaving_ && target_ && onTargetLeaving_) {
     onTargetLeaving_(target_->id_);
   }
@@ -454,15 +463,12 @@
     return;
   }
   const bool started = aGuardedCall.startedAt_ != TimePoint{};
-  const auto ms = [](Duration aDuration) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
-  };
   LogEvent(
     Event::kCallEnded,
     { { "id", std::string(id) },
       { "target", target_ ? target_->id_ : "" },
-      { "queue_ms", ms((started ? aGuardedCall.startedAt_ : now) - aGuardedCall.arrivedAt_) },
-      { "target_ms", started ? ms(now - aGuardedCall.startedAt_) : "-" },
+      { "queue_ms", WholeMs((started ? aGuardedCall.startedAt_ : now) - aGuardedCall.arrivedAt_) },
+      { "target_ms", started ? WholeMs(now - aGuardedCall.startedAt_) : "-" },
       { "running", std::to_string(aAnswer.inFlight_) },
       { "queued", std::to_string(aAnswer.queued_) },
       { "limit", std::to_string(aAnswer.limit_) },
@@ -627,6 +633,11 @@
   config_ = std::move(aConfig);
   admission_.settings_.queueCapacity_ = config_->policy_.queueCapacity_;
   admission_.settings_.queueDeadlineFraction_ = config_->policy_.queueDeadlineFraction_;
+  const auto coldStart = config_->coldStarts_.find(settings_.service_);
+  SetColdRate(admission_.startRate_,
+              coldStart == config_->coldStarts_.end() ? 0 : coldStart->second.perSecond_,
+              loop_.Now());
+  LogColdLimit(std::nullopt);
 }
 
 void Guard::SetDraining()
@@ -636,21 +647,29 @@
 
 bool Guard::IsTargetLeaving() const
 {
-  return target_ && (target_->state_ == TargetState::kDraining ||
+  return target_ && (target_->isEvacuated_ || target_->state_ == TargetState::kDraining ||
                      target_->state_ == TargetState::kLeft || target_->id_.empty());
 }
 
 void Guard::SetTarget(const LocalTarget& aTarget)
 {
   const bool isNew = !target_ || target_->id_ != aTarget.id_;
+  const bool hasReturned = IsEvacuated() && !aTarget.isEvacuated_;
   target_ = aTarget;
   health_.state_ = aTarget.state_;
   if (isNew) {
     // Open connections lead to the previous target at this address.
     client_.CloseIdleConnections();
     failures_ = {};
-    ResetStartRate(admission_.startRate_);
+    ResetStartRate(admission_.startRate_, loop_.Now());
+  } else if (hasReturned) {
+    // It may have become cold without requests, after its last heartbeat too.
+    AssumeCold(admission_.startRate_, loop_.Now());
+  }
+  if (aTarget.coldRemaining_) {
+    RecordCold(admission_.startRate_, *aTarget.coldRemaining_, loop_.Now());
   }
+  LogColdLimit(aTarget.coldRemaining_);
   SetSlots(aTarget.slots_);
   if (IsTargetLeaving()) {
     RefuseWaiting(ErrorCode::kDraining);
@@ -751,6 +770,24 @@
   ApplyAnnouncedSlots(admission_, health_.slots_);
 }
 
+double Guard::ColdPerSecond() const
+{
+  return peridotquay::ColdPerSecond(admission_.startRate_).value_or(0);
+}
+
+void Guard::LogColdLimit(const std::optional<Duration>& aRemaining)
+{
+  const auto current = peridotquay::ColdPerSecond(admission_.startRate_);
+  if (current.has_value() == hasLoggedCold_) {
+    return;
+  }
+  hasLoggedCold_ = current.has_value();
+  LogEvent(Event::kTargetCold,
+           { { "target", target_ ? target_->id_ : "" },
+             { "per_s", current ? std::to_string(*current) : "none" },
+             { "remaining_ms", aRemaining ? WholeMs(*aRemaining) : "unknown" } });
+}
+
 CallContext* Guard::Context(std::string_view aToken)
 {
   return FindContext(contexts_, aToken);
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -42,6 +42,10 @@
   std::string id_; ///< Incarnation of the target; empty if none is known.
   TargetState state_ = TargetState::kCold;
   std::uint32_t slots_ = 0;
+  /// Its data centre is evacuated: it receives no calls, those that run finish.
+  bool isEvacuated_ = false;
+  /// Time for which it stays cold, if a report that has just arrived states it.
+  std::optional<Duration> coldRemaining_;
   bool operator==(const LocalTarget&) const = default;
 };
 
@@ -90,6 +94,10 @@
   std::size_t ActiveCalls() const;
   const AdmissionState& Admission() const;
   const TargetHealth& Health() const;
+  /// Whether the local target receives no calls because its data centre is evacuated.
+  bool IsEvacuated() const { return target_ && target_->isEvacuated_; }
+  /// Calls a second that are started because the target is cold or may be; 0 for no limit.
+  double ColdPerSecond() const;
   std::size_t TargetConnections() const;
 
   /// Called with the id of a target that states in an answer that it leaves.
@@ -140,6 +148,9 @@
   HttpRequest TargetRequest(const GuardedCall& aGuardedCall) const;
   void ReadLoad(const TargetResult& aResult);
   void SetSlots(std::uint32_t aSlots);
+  /// Logs the beginning and the end of the limit for a cold target. aRemaining: what was stated
+  /// just now about how long it stays cold, if anything.
+  void LogColdLimit(const std::optional<Duration>& aRemaining);
   void RefuseWaiting(ErrorCode aCode);
   bool IsTargetLeaving() const;
 
@@ -160,6 +171,7 @@
   std::map<std::uint64_t, GuardedCall> calls_;
   std::uint64_t nextCallNumber_ = 1;
   TargetHealth health_;
+  bool hasLoggedCold_ = false; ///< The last TargetCold event stated a limit.
   LogThrottle refusalThrottle_;
   LogThrottle runLimitThrottle_;
   RequestLogState requestLog_;
--- a/peridotquay/process/HttpDialect.h
+++ b/peridotquay/process/HttpDialect.h
@@ -38,6 +38,7 @@
 {
   std::optional<double> maxPerSecond_; ///< Requests a second that it takes from all hosts together.
   bool leaving_ = false;               ///< It takes no new requests and ends soon.
+  std::optional<Duration> coldRemaining_{}; ///< Time for which it stays cold; empty if not stated.
   bool operator==(const TargetNotice&) const = default;
 };
 
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -618,6 +618,8 @@
         { { "state", kTargetStateNames.at(static_cast<std::size_t>(health.state_)) },
           { "slots", health.slots_ },
           { "load", health.load_ },
+          { "evacuated", guard_->IsEvacuated() },
+          { "cold_per_s", guard_->ColdPerSecond() },
           { "connections", guard_->TargetConnections() } } },
       { "admission",
         { { "limit", admission.limit_ },
@@ -635,6 +637,7 @@
           { "delegate", control.delegate_ },
           { "share_leader", control.shareLeader_ },
           { "platform_reachable", control.platformReachable_ },
+          { "evacuated", control.evacuated_ },
           { "data_centre_least", control.minDataCentreVersion_ } } }
     };
     return json.dump();
--- a/peridotquay/request/StartRate.cpp
+++ b/peridotquay/request/StartRate.cpp
@@ -13,6 +13,7 @@
 
 void Refill(StartRateState& aState, TimePoint aNow)
 {
+  aState.isCold_ = aState.isCold_ && aNow < aState.coldUntil_;
   const auto rate = AllowedPerSecond(aState);
   if (!rate) {
     return;
@@ -23,6 +24,20 @@
   aState.refilledAt_ = std::max(aState.refilledAt_, aNow);
 }
 
+/// Runs a change of the limits. Calls that started before a limit count against it, so a new one
+/// begins without tokens.
+template<typename Change>
+void ChangeLimits(StartRateState& aState, TimePoint aNow, Change aChange)
+{
+  Refill(aState, aNow);
+  const bool wasLimited = AllowedPerSecond(aState).has_value();
+  aChange();
+  if (!wasLimited) {
+    aState.tokens_ = 0;
+    aState.refilledAt_ = aNow;
+  }
+}
+
 double MaxFirstCalls(const StartRateState& aState, TimePoint aNow)
 {
   const double first = aState.settings_.firstCalls_;
@@ -36,11 +51,16 @@
 
 } // namespace
 
-void ResetStartRate(StartRateState& aState)
+void ResetStartRate(StartRateState& aState, TimePoint aNow)
 {
   StartRateState fresh;
   fresh.settings_ = aState.settings_;
   fresh.isProven_ = false;
+  fresh.coldPerSecond_ = aState.coldPerSecond_;
+  fresh.isCold_ = true;
+  fresh.coldUntil_ = TimePoint::max();
+  // The host may have restarted and have started calls of this target just before.
+  fresh.refilledAt_ = aNow;
   aState = fresh;
 }
 
@@ -51,31 +71,54 @@
 {
   aState.isProven_ = true;
   if (aPerSecond) {
-    Refill(aState, aNow);
-    if (!aState.perSecond_) {
-      // Calls that started before the statement count against it.
-      aState.tokens_ = 0;
-      aState.refilledAt_ = aNow;
-    }
-    aState.perSecond_ = aPerSecond;
+    ChangeLimits(aState, aNow, [&] { aState.perSecond_ = aPerSecond; });
     aState.statedAt_ = aNow;
   } else if (aState.perSecond_ && aCallStartedAt > aState.statedAt_) {
     aState.perSecond_.reset();
   }
 }
 
+void SetColdRate(StartRateState& aState, double aPerSecond, TimePoint aNow)
+{
+  ChangeLimits(aState, aNow, [&] { aState.coldPerSecond_ = aPerSecond; });
+}
+
+void RecordCold(StartRateState& aState, Duration aRemaining, TimePoint aNow)
+{
+  ChangeLimits(aState, aNow, [&] {
+    aState.isCold_ = aRemaining > Duration::zero();
+    aState.coldUntil_ = aNow + aRemaining;
+  });
+}
+
+void AssumeCold(StartRateState& aState, TimePoint aNow)
+{
+  ChangeLimits(aState, aNow, [&] {
+    aState.isCold_ = true;
+    aState.coldUntil_ = TimePoint::max();
+  });
+}
+
+std::optional<double> ColdPerSecond(const StartRateState& aState)
+{
+  if (!aState.isCold_ || aState.coldPerSecond_ <= 0) {
+    return std::nullopt;
+  }
+  return aState.settings_.coldRateFraction_ * aState.coldPerSecond_;
+}
+
 bool MayStart(StartRateState& aState, std::uint32_t aRunning, TimePoint aNow)
 {
   if (!aState.isProven_ && aRunning >= MaxFirstCalls(aState, aNow)) {
     return false;
   }
   Refill(aState, aNow);
-  return !aState.perSecond_ || aState.tokens_ >= 1;
+  return !AllowedPerSecond(aState) || aState.tokens_ >= 1;
 }
 
 void RecordStart(StartRateState& aState, TimePoint aNow)
 {
-  if (aState.perSecond_) {
+  if (AllowedPerSecond(aState)) {
     aState.tokens_ -= 1;
   }
   if (!aState.isProven_ && aState.firstStartAt_ == TimePoint{}) {
@@ -85,10 +128,12 @@
 
 std::optional<double> AllowedPerSecond(const StartRateState& aState)
 {
+  const std::optional<double> cold = ColdPerSecond(aState);
   if (!aState.perSecond_) {
-    return std::nullopt;
+    return cold;
   }
-  return std::max(*aState.perSecond_, aState.settings_.minPerSecond_);
+  const double stated = std::max(*aState.perSecond_, aState.settings_.minPerSecond_);
+  return cold ? std::min(stated, *cold) : stated;
 }
 
 } // namespace peridotquay
--- a/peridotquay/request/StartRate.h
+++ b/peridotquay/request/StartRate.h
@@ -1,5 +1,6 @@
-// Rate at which a guard starts calls of its target: as many as the target says it takes, and few at
-// once before its first answer has shown whether it states a limit.
+// Rate at which a guard starts calls of its target: as many as the target says it takes, as many as
+// a cold target tolerates, and few at once before its first answer has shown whether it states a
+// limit.
 #pragma once
 
 #include "peridotquay/process/Time.h"
@@ -23,6 +24,11 @@
   std::uint32_t firstCalls_ = 3;
   /// That number doubles each time this passes without an answer, so that a slow target isn't idle.
   Duration firstCallsDoubling_ = milliseconds(250);
+  /// Fraction of the rate that a cold target tolerates which the guard uses. With burst_, the
+  /// starts of any second stay below 1.13 times the rate plus 1. The rest of what a target
+  /// tolerates (1.5 times the rate plus 8) is left for calls that reach it later than those sent
+  /// after them.
+  double coldRateFraction_ = 0.9;
   bool operator==(const StartRateSettings&) const = default;
 };
 
@@ -38,11 +44,15 @@
   /// An answer has shown whether the target states a limit. Initially true: set to false for
   /// targets that may state one.
   bool isProven_ = true;
+  double coldPerSecond_ = 0; ///< Calls a second that the target tolerates while cold; 0: any.
+  /// The target is cold, or it isn't known whether it is. Ends at coldUntil_.
+  bool isCold_ = false;
+  TimePoint coldUntil_{};
   TimePoint firstStartAt_{}; ///< First start of an unproven target; zero if there was none.
 };
 
-/// Forgets what the previous target stated. Its successor may state a limit.
-void ResetStartRate(StartRateState& aState);
+/// Forgets what the previous target stated. Its successor may state a limit and may be cold.
+void ResetStartRate(StartRateState& aState, TimePoint aNow);
 
 /// Applies an answer of the target. aPerSecond is the rate stated in it, if any. The limit ends
 /// with the first answer without one to a call that started after the last statement.
@@ -51,13 +61,25 @@
                       TimePoint aCallStartedAt,
                       TimePoint aNow);
 
+/// Sets the rate that a cold target tolerates; 0 for no limit.
+void SetColdRate(StartRateState& aState, double aPerSecond, TimePoint aNow);
+
+/// Applies what the target states about how long it stays cold; 0 if it isn't cold.
+void RecordCold(StartRateState& aState, Duration aRemaining, TimePoint aNow);
+
+/// Treats the target as cold until it states how long it stays cold.
+void AssumeCold(StartRateState& aState, TimePoint aNow);
+
+/// Calls a second that are started because the target is cold or may be; empty for no limit.
+std::optional<double> ColdPerSecond(const StartRateState& aState);
+
 /// Whether one more call may start while aRunning run.
 bool MayStart(StartRateState& aState, std::uint32_t aRunning, TimePoint aNow);
 
 /// Records a start.
 void RecordStart(StartRateState& aState, TimePoint aNow);
 
-/// Starts a second that the stated rate allows; empty for no limit.
+/// Starts a second that the stated rate and that of a cold target allow; empty for no limit.
 std::optional<double> AllowedPerSecond(const StartRateState& aState);
 
 } // namespace peridotquay
--- a/peridotquay/version/Config.h
+++ b/peridotquay/version/Config.h
@@ -53,7 +53,7 @@
   Duration deadline_ = milliseconds(2000); ///< Default and upper bound of the caller's deadline.
   Duration latencyObjective_{}; ///< An answer within this time has its full value; 0 for none.
   std::vector<ClientAccountId> clientAccounts_; ///< Client accounts allowed; empty allows all.
-  std::vector<RegionId> allowedRegions_;        ///< Regions that may serve it; empty allows all.
+  std::vector<RegionId> allowedRegions_{};      ///< Regions that may serve it; empty allows all.
   bool operator==(const Route&) const = default;
 };
 
--- a/standins/lib/UserStore.cpp
+++ b/standins/lib/UserStore.cpp
@@ -63,6 +63,12 @@
   rows_[{ aTable, aKey }] = { platform::EncodeBase64(aValue), ++version_, false };
 }
 
+void UserStore::Remove(const std::string& aTable, const std::string& aKey)
+{
+  const std::lock_guard lock(mutex_);
+  rows_[{ aTable, aKey }] = { "", ++version_, true };
+}
+
 void UserStore::Compact()
 {
   const std::lock_guard lock(mutex_);
--- a/standins/lib/UserStore.h
+++ b/standins/lib/UserStore.h
@@ -40,6 +40,8 @@
   std::uint16_t Port() const;
   /// Writes a row unconditionally, as an operator does.
   void Put(const std::string& aTable, const std::string& aKey, const std::string& aValue);
+  /// Removes a row unconditionally, as an operator does.
+  void Remove(const std::string& aTable, const std::string& aKey);
   void SetFault(UserStoreFault aFault) { fault_ = aFault; }
   /// Makes watches from any earlier version fail with 410, as if the history before were dropped.
   void Compact();
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -774,3 +774,84 @@
   }
   CHECK(fleet.TargetOf(1).StartedRequests().size() == 10);
 }
+
+namespace {
+
+/// Requests that the targets of these hosts started.
+std::size_t StartedAt(UserFleet& aFleet, const std::vector<std::size_t>& aHosts)
+{
+  std::size_t started = 0;
+  for (const std::size_t host : aHosts) {
+    started += aFleet.TargetOf(host).StartedRequests().size();
+  }
+  return started;
+}
+
+/// Sends requests of service s0 through each host in turn and returns how many were served.
+int ServeFromAll(UserFleet& aFleet, const std::string& aName, int aPerHost)
+{
+  int served = 0;
+  for (std::size_t host = 0; host < aFleet.Size(); ++host) {
+    for (int i = 0; i < aPerHost; ++i) {
+      const std::string id = aName + std::to_string(host) + "-" + std::to_string(i);
+      served += aFleet.SendRequest(host, "/read/1", id).status_ == 200 ? 1 : 0;
+    }
+  }
+  return served;
+}
+
+} // namespace
+
+// Guards against hosts that go on sending requests to an evacuated data centre although watches
+// miss the order, against a host that starts without knowing it, and against one that never
+// returns.
+TEST_CASE("an evacuated data centre gets no requests until it returns", "[users][evacuation]")
+{
+  for (const UserStoreFault fault : { UserStoreFault::kNone, UserStoreFault::kDeafWatches }) {
+    INFO("fault " << static_cast<int>(fault));
+    UserFleet fleet(8);
+    REQUIRE(fleet.WaitReady());
+    fleet.Store().SetFault(fault);
+    const std::vector<std::size_t> evacuated{ 2, 6 };
+    CHECK(ServeFromAll(fleet, "before", 10) == 80);
+    CHECK(StartedAt(fleet, evacuated) > 0);
+    fleet.Store().Put("op", "evacuate/d2", "x");
+    std::this_thread::sleep_for(milliseconds(5000));
+    const std::size_t started = StartedAt(fleet, evacuated);
+    CHECK(ServeFromAll(fleet, "during", 10) == 80);
+    fleet.Restart(0);
+    REQUIRE(fleet.WaitReady());
+    CHECK(ServeFromAll(fleet, "restarted", 10) == 80);
+    CHECK(StartedAt(fleet, evacuated) == started);
+    CHECK(fleet.Log(1).find("name=DataCentreEvacuated") != std::string::npos);
+    fleet.Store().Remove("op", "evacuate/d2");
+    std::this_thread::sleep_for(milliseconds(5000));
+    CHECK(ServeFromAll(fleet, "after", 10) == 80);
+    CHECK(StartedAt(fleet, evacuated) > started);
+  }
+}
+
+// Guards against requests that reach a region which the operator doesn't allow, and against a
+// refusal without a hint.
+TEST_CASE("a request without a target in its allowed regions is refused", "[users][evacuation]")
+{
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  nlohmann::json document = UserDocument(2, { "k1" });
+  // The targets of the route's service are in region r0.
+  document["routes"]["read"]["allowed_regions"] = { "r0", "r1" };
+  document["tenants"]["t1"]["allowed_regions"] = { "r1" };
+  fleet.Store().Put("op", "config", document.dump());
+  std::this_thread::sleep_for(milliseconds(3000));
+  const std::size_t started = StartedAt(fleet, { 0, 2 });
+  const auto reply = fleet.SendRequest(0, "/read/1", "refused");
+  CHECK(reply.status_ == 503);
+  CHECK(reply.headers_.contains("retry-after"));
+  CHECK(ServeFromAll(fleet, "refused", 2) == 0);
+  CHECK(StartedAt(fleet, { 0, 2 }) == started);
+  document["version"] = "r3";
+  document["tenants"]["t1"]["allowed_regions"] = { "r0" };
+  fleet.Store().Put("op", "config", document.dump());
+  std::this_thread::sleep_for(milliseconds(3000));
+  CHECK(ServeFromAll(fleet, "allowed", 2) == 8);
+}
--- a/tests/platform/HeartbeatTest.cpp
+++ b/tests/platform/HeartbeatTest.cpp
@@ -54,3 +54,20 @@
   CHECK(ParseLeaveStart("") == 0);
   CHECK(ParseLeaveStart("[1") == 0);
 }
+
+// Guards against a cold target that gets its full rate because what it states is lost.
+TEST_CASE("a heartbeat states how long its target stays cold", "[heartbeat]")
+{
+  const auto remaining = [](const std::string& aMs) {
+    const auto decoded = DecodeHeartbeat(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","capacity":5,)"
+      R"("state":"ready","sequence":1,"cold_remaining_ms":)" +
+        aMs + "}");
+    REQUIRE(decoded.has_value());
+    return decoded.assume_value().coldRemaining_;
+  };
+  CHECK(remaining("0") == Duration::zero());
+  CHECK(remaining("2500.5") == milliseconds(2501));
+  CHECK(remaining("1e300") == seconds(3600));
+}
--- a/tests/platform/PlatformDialectTest.cpp
+++ b/tests/platform/PlatformDialectTest.cpp
@@ -82,3 +82,16 @@
     CHECK_FALSE(notice({ { "Server-Limit", text } }).maxPerSecond_);
   }
 }
+
+// Guards against a target that states itself cold outside of its heartbeats and isn't believed.
+TEST_CASE("an answer may state how long its target stays cold", "[dialect]")
+{
+  const auto cold = [](const std::string& aText) {
+    return PlatformDialect().notice_({ { "X-Cold-Ms", aText } }).coldRemaining_;
+  };
+  CHECK(cold("1500") == Duration(milliseconds(1500)));
+  CHECK(cold("0") == Duration::zero());
+  CHECK_FALSE(cold("-1"));
+  CHECK_FALSE(cold("soon"));
+  CHECK_FALSE(PlatformDialect().notice_({}).coldRemaining_);
+}
--- a/tests/request/RouteChoiceTest.cpp
+++ b/tests/request/RouteChoiceTest.cpp
@@ -450,7 +450,7 @@
 
 // Guards against requests that reach a region which the route or the account doesn't allow, also
 // when all targets of the allowed one are ejected.
-TEST_CASE("the lists of the route and of the account both restrict the regions", "[routing]")
+TEST_CASE("the lists of the route and of the account both restrict the regions", "[route]")
 {
   const std::vector<RegionId> none;
   const std::vector<RegionId> near{ { "r1" } };
@@ -473,7 +473,7 @@
 }
 
 // Guards against new requests to targets of a data centre that the operator evacuates.
-TEST_CASE("an evacuated data centre is not chosen until it returns", "[routing]")
+TEST_CASE("an evacuated data centre is not chosen until it returns", "[route]")
 {
   TargetView view = MakeView({ MakeTarget("a"), MakeTarget("b", "south") });
   view.evacuated_ = { { "north" } };
--- a/tests/request/StartRateTest.cpp
+++ b/tests/request/StartRateTest.cpp
@@ -61,12 +61,14 @@
   }
 
   /// Most starts in any 4 s from aFrom on.
-  std::size_t MaxStartsIn4s(TimePoint aFrom) const
+  std::size_t MaxStartsIn4s(TimePoint aFrom) const { return MaxStartsIn(seconds(4), aFrom); }
+
+  std::size_t MaxStartsIn(Duration aTime, TimePoint aFrom) const
   {
     std::size_t most = 0;
     for (auto first = starts_.begin(); first != starts_.end(); ++first) {
       if (*first >= aFrom) {
-        const auto last = std::upper_bound(first, starts_.end(), *first + seconds(4));
+        const auto last = std::upper_bound(first, starts_.end(), *first + aTime);
         most = std::max(most, static_cast<std::size_t>(last - first));
       }
     }
@@ -114,14 +116,14 @@
 TEST_CASE("a guard that starts sends few calls before the first answer", "[start-rate]")
 {
   RatedGuard guard;
-  ResetStartRate(guard.state_.startRate_);
+  ResetStartRate(guard.state_.startRate_, guard.now_);
   guard.stated_ = 4.0;
   guard.Play(seconds(10), 300);
   CHECK(guard.MaxStartsIn4s({}) <= 1.5 * 4 * 4 + 5);
   // A target that doesn't answer at all isn't left idle.
   StartRateState silent;
-  ResetStartRate(silent);
   const TimePoint now{ seconds(50) };
+  ResetStartRate(silent, now);
   RecordStart(silent, now);
   CHECK_FALSE(MayStart(silent, 3, now + milliseconds(100)));
   CHECK(MayStart(silent, 40, now + seconds(1)));
@@ -154,3 +156,52 @@
   // Callers' hosts see a full target.
   CHECK(EffectiveLimit(guard.state_) <= 1);
 }
+
+// Guards against a cold target that gets more than it tolerates in a second and crashes: after its
+// start, after a restart of the guard, and after a return from evacuation or a relapse, when the
+// guard has just started many calls.
+TEST_CASE("a cold target gets fewer calls than it tolerates", "[start-rate]")
+{
+  for (const double tolerated : { 0.4, 3.0, 20.0, 150.0 }) {
+    INFO("tolerated " << tolerated);
+    const double bound = tolerated * 1.5 + 8;
+    RatedGuard guard;
+    StartRateState& rate = guard.state_.startRate_;
+    SetColdRate(rate, tolerated, guard.now_);
+    ResetStartRate(rate, guard.now_);
+    const TimePoint unknownAt = guard.now_;
+    guard.Play(seconds(3), 400);
+    CHECK(static_cast<double>(guard.MaxStartsIn(seconds(1), unknownAt)) < bound);
+    RecordCold(rate, seconds(2), guard.now_);
+    guard.Play(milliseconds(1990), 400);
+    CHECK(static_cast<double>(guard.MaxStartsIn(seconds(1), unknownAt)) < bound);
+    // What it tolerates is used, and the limit ends with the cold start.
+    CHECK(static_cast<double>(guard.starts_.size()) >= 0.85 * tolerated * 4.99 - 2);
+    guard.Play(seconds(3), 400);
+    CHECK_FALSE(AllowedPerSecond(rate));
+    const TimePoint relapseAt = guard.now_;
+    AssumeCold(rate, guard.now_);
+    guard.Play(seconds(3), 400);
+    CHECK(static_cast<double>(guard.MaxStartsIn(seconds(1), relapseAt)) < bound);
+    // A report that it isn't cold ends the assumption.
+    RecordCold(rate, {}, guard.now_);
+    CHECK_FALSE(AllowedPerSecond(rate));
+  }
+}
+
+// Guards against a limit for cold targets that raises a lower stated one, or the other way round.
+TEST_CASE("the lower of the stated rate and that of a cold target applies", "[start-rate]")
+{
+  const TimePoint now{ seconds(50) };
+  StartRateState state;
+  SetColdRate(state, 10, now);
+  RecordCold(state, seconds(5), now);
+  RecordStatedRate(state, 4.0, now, now);
+  CHECK(AllowedPerSecond(state) == 4.0);
+  RecordStatedRate(state, 40.0, now, now);
+  CHECK(AllowedPerSecond(state) == 9.0);
+  CHECK_FALSE(MayStart(state, 0, now));
+  // Without a tolerated rate in the document, a cold target has no limit.
+  SetColdRate(state, 0, now);
+  CHECK(AllowedPerSecond(state) == 40.0);
+}
