Test a cold target under the load of a whole fleet

The limit for cold targets was tested at one guard on a simulated clock only. A fleet of eight hosts now sends requests to a cold target while its own host restarts, and after the cold start ended.

--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -211,15 +211,18 @@
                                    std::uint64_t aSequence,
                                    std::uint64_t aStartedMs) const
 {
-  const nlohmann::json body = { { "service", service_ },
-                                { "address", "127.0.0.1:" + std::to_string(Port()) },
-                                { "zone", "z0" },
-                                { "version", "v1" },
-                                { "capacity", slots_.load() },
-                                { "state", aDraining ? "draining" : "ready" },
-                                { "cold_remaining_ms", 0 },
-                                { "sequence", aSequence },
-                                { "born", aStartedMs } };
+  const nlohmann::json body = {
+    { "service", service_ },
+    { "address", "127.0.0.1:" + std::to_string(Port()) },
+    { "zone", "z0" },
+    { "version", "v1" },
+    { "capacity", slots_.load() },
+    { "state", aDraining ? "draining" : "ready" },
+    { "cold_remaining_ms",
+      std::chrono::duration_cast<milliseconds>(coldRemaining_.load()).count() },
+    { "sequence", aSequence },
+    { "born", aStartedMs }
+  };
   return body.dump();
 }
 
--- a/standins/lib/UserTarget.h
+++ b/standins/lib/UserTarget.h
@@ -68,6 +68,8 @@
   void OmitSignature() { omitsSignature_ = true; }
   /// States in each answer that it leaves. Its heartbeats say nothing of that.
   void StateLeaving() { statesLeaving_ = true; }
+  /// States in each heartbeat that it stays cold for this long.
+  void SetColdRemaining(Duration aRemaining) { coldRemaining_ = aRemaining; }
   /// Sends no more heartbeats.
   void StopHeartbeats() { heartbeatsStopped_ = true; }
   /// Body of a heartbeat, or of a leave message, of a start of this target.
@@ -111,6 +113,7 @@
   std::atomic<unsigned> slots_{ 50 };
   std::atomic<unsigned> loseOneAnswerIn_{ 0 };
   std::atomic<double> statedLimit_{ -1 };
+  std::atomic<Duration> coldRemaining_{ Duration::zero() };
   std::atomic<bool> statesLeaving_{ false };
   std::atomic<bool> omitsSignature_{ false };
   std::atomic<bool> draining_{ false };
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -855,3 +855,46 @@
   std::this_thread::sleep_for(milliseconds(3000));
   CHECK(ServeFromAll(fleet, "allowed", 2) == 8);
 }
+
+// Guards against a cold target that many hosts together send more than it tolerates, also through
+// the restart of its own host, and against a limit that outlasts the cold start.
+TEST_CASE("many hosts send a cold target no more than it tolerates", "[users][cold]")
+{
+  UserFleet fleet(8);
+  REQUIRE(fleet.WaitReady());
+  constexpr double kTolerated = 6;
+  nlohmann::json document = UserDocument(2, { "k1" });
+  document["services"]["s0"] = { { "cold_start_s", 10 }, { "cold_per_s", kTolerated } };
+  fleet.TargetOf(0).SetColdRemaining(seconds(10));
+  fleet.Store().Put("op", "config", document.dump());
+  std::this_thread::sleep_for(milliseconds(3000));
+  const std::size_t before = fleet.TargetOf(0).StartTimes().size();
+  const auto startsInColdTime = [&] {
+    const std::vector<TimePoint> all = fleet.TargetOf(0).StartTimes();
+    return std::vector<TimePoint>(all.begin() + static_cast<std::ptrdiff_t>(before), all.end());
+  };
+  {
+    const SteadyClients clients(fleet, { 0, 1, 2, 3, 4, 5, 6, 7 }, milliseconds(10));
+    std::this_thread::sleep_for(milliseconds(4000));
+    fleet.Restart(0);
+    std::this_thread::sleep_for(milliseconds(4000));
+  }
+  const std::vector<TimePoint> starts = startsInColdTime();
+  CHECK(starts.size() > 10);
+  for (auto first = starts.begin(); first != starts.end(); ++first) {
+    const auto last = std::upper_bound(first, starts.end(), *first + seconds(1));
+    REQUIRE(static_cast<double>(last - first) <= kTolerated * 1.5 + 8);
+  }
+  fleet.TargetOf(0).SetColdRemaining({});
+  std::this_thread::sleep_for(milliseconds(1500));
+  const std::size_t cold = fleet.TargetOf(0).StartTimes().size();
+  {
+    const SteadyClients clients(fleet, { 0, 1, 2, 3, 4, 5, 6, 7 }, milliseconds(10));
+    std::this_thread::sleep_for(milliseconds(2000));
+  }
+  // The limit would start at most 1.125 times the tolerated rate and one more.
+  const auto started = static_cast<double>(fleet.TargetOf(0).StartTimes().size() - cold);
+  CHECK(started > 2 * 1.125 * kTolerated + 1);
+  CHECK(fleet.Log(0).find("name=TargetCold target=i-h0 per_s=") != std::string::npos);
+  CHECK(fleet.Log(0).find("per_s=none") != std::string::npos);
+}
