--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -60,6 +60,7 @@
   bool platformReachable_ = false;
   /// How often the platform's store went back to an older copy; 0 where it doesn't state that.
   std::uint64_t storeEra_ = 0;
+  std::vector<std::string> evacuated_; ///< Data centres whose targets get no new requests.
   /// Lowest version in force at the hosts of the data centre; set on delegates only.
   Version minDataCentreVersion_ = 0;
 };
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -39,6 +39,7 @@
   X(2009, TargetRateStated, kInfo) \
   X(2010, CapacityScheduling, kInfo) \
   X(2011, ReturnScheduled, kInfo) \
+  X(2012, TargetCold, kInfo) \
   X(2020, DistributionChanged, kInfo) \
   X(3001, MemberJoined, kInfo) \
   X(3002, MemberSuspected, kWarning) \
@@ -53,6 +54,8 @@
   X(3011, HeartbeatRejected, kWarning) \
   X(3012, HostRecordRejected, kWarning) \
   X(3013, HostLost, kWarning) \
+  X(3014, DataCentreEvacuated, kWarning) \
+  X(3015, DataCentreReturned, kInfo) \
   X(4001, VersionInForce, kInfo) \
   X(4002, VersionRejected, kError) \
   X(4003, FreshnessLost, kWarning) \
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -344,6 +344,12 @@
   aStats.consecutiveFailures_ = aSettings.failuresToEject_ > 0 ? aSettings.failuresToEject_ - 1 : 0;
 }
 
+bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion)
+{
+  return aRegions == nullptr || aRegions->empty() ||
+         std::find(aRegions->begin(), aRegions->end(), aRegion) != aRegions->end();
+}
+
 /// Draws of a target by its share before a call falls back to the choice among all targets.
 constexpr int kMaxDraws = 6;
 
@@ -483,12 +489,20 @@
 
 } // namespace
 
+bool MayReach(const TargetFilter& aFilter, const TargetView& aView, const Target& aTarget)
+{
+  return !aView.evacuated_.contains(aTarget.dataCentre_) &&
+         AllowsRegion(aFilter.routeRegions_, aTarget.region_) &&
+         AllowsRegion(aFilter.accountRegions_, aTarget.region_);
+}
+
 std::optional<Target> ChooseTarget(RoutingState& aState,
                                    const TargetView& aView,
                                    const ServiceId& aService,
                                    const std::vector<HostId>& aExclude,
                                    TimePoint aNow,
-                                   Duration aObjective)
+                                   Duration aObjective,
+                                   const TargetFilter& aFilter)
 {
   const auto found = aView.targets_.find(aService);
   if (found == aView.targets_.end()) {
@@ -504,7 +518,7 @@
 
   double minFailureFraction = 1;
   for (const Target& target : found->second) {
-    if (Accepts(target)) {
+    if (Accepts(target) && MayReach(aFilter, aView, target)) {
       minFailureFraction =
         std::min(minFailureFraction, RecentFailureFraction(FindStats(aState, target), aNow));
     }
@@ -517,7 +531,7 @@
   Candidates failing;
   Candidates ejectedTargets;
   for (const Target& target : found->second) {
-    if (!Accepts(target) || Contains(aExclude, target.host_)) {
+    if (!Accepts(target) || Contains(aExclude, target.host_) || !MayReach(aFilter, aView, target)) {
       continue;
     }
     const TargetStats* stats = FindStats(aState, target);
--- a/standins/lib/UserStore.cpp
+++ b/standins/lib/UserStore.cpp
@@ -116,6 +116,12 @@
            : platform::DecodeBase64(row->second.value_).value_or("");
 }
 
+void UserStore::Remove(const std::string& aTable, const std::string& aKey)
+{
+  const std::lock_guard lock(mutex_);
+  rows_[{ aTable, aKey }] = { "", ++version_, true };
+}
+
 void UserStore::Compact()
 {
   const std::lock_guard lock(mutex_);
