Serve evacuations only where the settings call for them

Cause: each reading host read the rows of evacuations every 2 s, and each follower got them every 10 s, on deployments that never evacuate. A test that builds a ConfigWatch without that event ended by bad_function_call.

--- a/peridotquay/process/Metrics.cpp
+++ b/peridotquay/process/Metrics.cpp
@@ -24,17 +24,43 @@
 namespace ba = boost::accumulators;
 namespace bh = boost::histogram;
 
-"caller_requests", "outbound_requests", "owner_calls", "answers_ran", "answers_not_run",
-  "answers_unknown", "refused_key", "refused_rate", "refused_not_fresh", "refused_upstream",
-  "refused_region", "refused_draining", "attempts", "retries", "retries_denied", "guard_calls",
-  "guard_refused", "runs_refused", "target_calls", "target_refusals", "target_truncated",
-  "target_lost", "dropped_answers", "fates_asked", "request_ids_issued", "repeats_answered",
-  "requests_abandoned", "requests_unanswered", "answers_cut", "requests_not_begun", "load_reports",
-  "attempts_by_load", "attempts_by_load_far", "returning_requests",
-  "refused_for_returns"
-
-  constexpr std::array<std::string_view, kStageCount>
-    kStageNames = { "caller", "target", "queue" };
+constexpr std::array<std::string_view, kCounterCount> kCounterNames = { "caller_requests",
+                                                                        "outbound_requests",
+                                                                        "owner_calls",
+                                                                        "answers_ran",
+                                                                        "answers_not_run",
+                                                                        "answers_unknown",
+                                                                        "refused_key",
+                                                                        "refused_rate",
+                                                                        "refused_not_fresh",
+                                                                        "refused_upstream",
+                                                                        "refused_region",
+                                                                        "refused_draining",
+                                                                        "attempts",
+                                                                        "retries",
+                                                                        "retries_denied",
+                                                                        "guard_calls",
+                                                                        "guard_refused",
+                                                                        "runs_refused",
+                                                                        "target_calls",
+                                                                        "target_refusals",
+                                                                        "target_truncated",
+                                                                        "target_lost",
+                                                                        "dropped_answers",
+                                                                        "fates_asked",
+                                                                        "request_ids_issued",
+                                                                        "repeats_answered",
+                                                                        "requests_abandoned",
+                                                                        "requests_unanswered",
+                                                                        "answers_cut",
+                                                                        "requests_not_begun",
+                                                                        "load_reports",
+                                                                        "attempts_by_load",
+                                                                        "attempts_by_load_far",
+                                                                        "returning_requests",
+                                                                        "refused_for_returns" };
+
+constexpr std::array<std::string_view, kStageCount> kStageNames = { "caller", "target", "queue" };
 
 constexpr std::array<double, 3> kQuantiles = { 0.5, 0.9, 0.99 };
 
--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -124,14 +124,16 @@
   /// With aHasLinks, each host reaches the store and its target through its own HostLinks. Without
   /// aHasDocument, the store has no configuration document at first. aDescriptors limits the file
   /// descriptors of each process; 0 leaves the limit of the test. The store states aStoreEra, if
-  /// any, from the start.
+  /// any, from the start. aAdapterSettings are lines for the table of the adapter.
   explicit UserFleet(std::size_t aHosts,
                      bool aHasLinks = false,
                      bool aHasDocument = true,
                      unsigned aDescriptors = 0,
-                     std::optional<std::uint64_t> aStoreEra = std::nullopt)
+                     std::optional<std::uint64_t> aStoreEra = std::nullopt,
+                     std::string aAdapterSettings = "")
     : hasLinks_(aHasLinks)
     , descriptors_(aDescriptors)
+    , adapterSettings_(std::move(aAdapterSettings))
   {
     if (aStoreEra) {
       store_.StateEra(*aStoreEra);
@@ -331,7 +333,8 @@
         "drain_timeout_ms = 5000\naccept_while_draining_ms = 1000\n[adapter]\nstore = " +
         address(storePort) + "ready = " + address(host->readyPort_) +
         "heartbeats = " + address(host->heartbeatPort_) +
-        "heartbeat_ms = 500\nkey_freshness_ms = 5000\nrefusal_freshness_ms = 2500\n");
+        "heartbeat_ms = 500\nkey_freshness_ms = 5000\nrefusal_freshness_ms = 2500\n" +
+        adapterSettings_);
     StartProcess(*host);
     hosts_.push_back(std::move(host));
   }
@@ -353,6 +356,7 @@
 
   bool hasLinks_;
   unsigned descriptors_; ///< Limit for each process; 0: that of the test.
+  std::string adapterSettings_;
   standins::UserStore store_;
   TemporaryDirectory directory_;
   std::vector<std::unique_ptr<Host>> hosts_;
--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -809,7 +809,7 @@
 {
   for (const UserStoreFault fault : { UserStoreFault::kNone, UserStoreFault::kDeafWatches }) {
     INFO("fault " << static_cast<int>(fault));
-    UserFleet fleet(8);
+    UserFleet fleet(8, false, true, 0, std::nullopt, "evacuations = true\n");
     REQUIRE(fleet.WaitReady());
     fleet.Store().SetFault(fault);
     const std::vector<std::size_t> evacuated{ 2, 6 };
--- a/tests/platform/EvacuationRowsTest.cpp
+++ b/tests/platform/EvacuationRowsTest.cpp
@@ -13,7 +13,7 @@
 
 StoreRows StoreAnswer(std::uint64_t aVersion, std::vector<StoreRow> aRows)
 {
-  return { std::move(aRows), aVersion, false };
+  return { std::move(aRows), { 0, aVersion }, false };
 }
 
 } // namespace
@@ -22,22 +22,23 @@
 TEST_CASE("evacuations follow the rows of the store", "[evacuation]")
 {
   EvacuationRows rows;
-  const StoreRow document{ "config", "{}", 3, false };
+  const StoreRow document{ "config", "{}", { 0, 3 }, false };
   CHECK_FALSE(
-    ApplyEvacuationChanges(rows, StoreAnswer(5, { { "evacuate/d1", "", 5, false } }), kNow));
+    ApplyEvacuationChanges(rows, StoreAnswer(5, { { "evacuate/d1", "", { 0, 5 }, false } }), kNow));
   CHECK_FALSE(rows.isKnown_);
   CHECK(ApplyEvacuationRead(
-    rows, StoreAnswer(6, { document, { "evacuate/d1", "x", 5, false } }), kNow));
+    rows, StoreAnswer(6, { document, { "evacuate/d1", "x", { 0, 5 }, false } }), kNow));
   CHECK(rows.dataCentres_ == Names{ { "d1" } });
   CHECK_FALSE(ApplyEvacuationChanges(rows, StoreAnswer(9, { document }), kNow));
-  CHECK(rows.version_ == 6);
+  CHECK(rows.position_ == StorePosition{ 0, 6 });
   CHECK(ApplyEvacuationChanges(
     rows,
-    StoreAnswer(9, { { "evacuate/d1", "", 8, true }, { "evacuate/d2", "", 7, false } }),
+    StoreAnswer(9,
+                { { "evacuate/d1", "", { 0, 8 }, true }, { "evacuate/d2", "", { 0, 7 }, false } }),
     kNow));
   CHECK(rows.dataCentres_ == Names{ { "d2" } });
   CHECK_FALSE(ApplyEvacuationRead(rows, StoreAnswer(7, {}), kNow));
-  CHECK_FALSE(ApplyEvacuationRead(rows, { {}, 12, true }, kNow));
+  CHECK_FALSE(ApplyEvacuationRead(rows, { {}, { 0, 12 }, true }, kNow));
   CHECK(rows.dataCentres_ == Names{ { "d2" } });
   CHECK(ApplyEvacuationRead(rows, StoreAnswer(12, {}), kNow));
   CHECK(rows.dataCentres_.empty());
@@ -48,12 +49,12 @@
 TEST_CASE("evacuations and their end pass between hosts", "[evacuation]")
 {
   EvacuationRows source;
-  ApplyEvacuationRead(source, StoreAnswer(6, { { "evacuate/d1", "", 5, false } }), kNow);
+  ApplyEvacuationRead(source, StoreAnswer(6, { { "evacuate/d1", "", { 0, 5 }, false } }), kNow);
   EvacuationRows follower;
   const FeedRows older = EvacuationFeed(source);
   CHECK(ApplyEvacuationFeed(follower, older, kNow));
   CHECK(follower.dataCentres_ == source.dataCentres_);
-  ApplyEvacuationChanges(source, StoreAnswer(8, { { "evacuate/d1", "", 8, true } }), kNow);
+  ApplyEvacuationChanges(source, StoreAnswer(8, { { "evacuate/d1", "", { 0, 8 }, true } }), kNow);
   CHECK(ApplyEvacuationFeed(follower, EvacuationFeed(source), kNow));
   CHECK(follower.dataCentres_.empty());
   CHECK_FALSE(ApplyEvacuationFeed(follower, older, kNow));
@@ -82,7 +83,7 @@
   ApplyEvacuationRead(rows, StoreAnswer(6, {}), kNow);
   CHECK(countIn(seconds(5), seconds(25)) == 2);
   ApplyEvacuationRead(
-    rows, StoreAnswer(7, { { "evacuate/d1", "", 7, false } }), kNow + seconds(25));
+    rows, StoreAnswer(7, { { "evacuate/d1", "", { 0, 7 }, false } }), kNow + seconds(25));
   CHECK(countIn(seconds(25), seconds(30)) >= 4);
   CHECK(countIn(seconds(35), seconds(55)) <= 3);
 }
