Don't end connections that wait for the server to make room

Sending an answer marks the connection as waiting for its caller. The mark was taken back only if bytes were held at the end of the write. After a small answer it stayed, so that a large answer behind a running request let the connection count as idle after 1 s: it was sent an unsolicited 503 when another connection needed room. Take the mark back after every write. The test server makes its budget on its own loop, so that checks of the budget run.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -876,9 +876,9 @@
     const bool closes = FinishAnswer(pipeline_);
     if (!SendNext()) {
       UpdateHeld();
-      if (held_.Bytes() > 0) {
-        held_.SetNeedsOtherSide(incomingBytes_ > 0);
-      }
+      // Also if nothing is held yet: a later answer may be held while this connection waits for the
+      // handler.
+      held_.SetNeedsOtherSide(incomingBytes_ > 0);
     }
     if (closes) {
       StartClose();
--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -23,13 +23,17 @@
 class ManualServer
 {
 public:
-  explicit ManualServer(std::uint32_t aMaxPipelined = 8, std::shared_ptr<ByteBudget> aBudget = {})
+  /// Without a budget if aBudgetBytes is 0.
+  explicit ManualServer(std::uint32_t aMaxPipelined = 8, std::size_t aBudgetBytes = 0)
   {
+    if (aBudgetBytes > 0) {
+      budget_ = std::make_shared<ByteBudget>(loop_, aBudgetBytes);
+    }
     HttpServerSettings settings;
     settings.maxPipelined_ = aMaxPipelined;
-    settings.budget_ = std::move(aBudget);
+    settings.budget_ = budget_;
     settings.requestIdHeader_ = "X-Request-Id";
-    settings.mayOverlap_ = [](const HttpRequest& aRequest) { return MayOverlap(aRequest); };
+    settings.mayOverlap_ = [this](const HttpRequest& aRequest) { return MayOverlap(aRequest); };
     auto server = HttpServer::Listen(
       loop_,
       settings,
@@ -113,12 +117,14 @@
   }
 
   EventLoop loop_;
+  std::shared_ptr<ByteBudget> budget_; ///< Used on the server's thread; may be null.
   std::unique_ptr<HttpServer> server_;
+  bool allowsOverlap_ = true; ///< Used on the server's thread.
 
 private:
-  static bool MayOverlap(const HttpRequest& aRequest)
+  bool MayOverlap(const HttpRequest& aRequest) const
   {
-    return !aRequest.path_.starts_with("/once");
+    return allowsOverlap_ && !aRequest.path_.starts_with("/once");
   }
   void OnRequest(std::shared_ptr<HttpExchange> aExchange)
   {
@@ -366,9 +372,8 @@
 // that are never given back.
 TEST_CASE("waiting answers are held in the budget until they are sent", "[pipelining]")
 {
-  EventLoop budgetLoop;
-  const auto budget = std::make_shared<ByteBudget>(budgetLoop, 100'000);
-  ManualServer server(8, budget);
+  ManualServer server(8, 100'000);
+  const auto budget = server.budget_;
   {
     RawSocket socket(server.Port());
     socket.Write(Get("/a") + Get("/b") + Get("/c"));
@@ -396,6 +401,29 @@
   server.Run([&] { CHECK(budget->used_ == 0); });
 }
 
+// Guards against an unsolicited 503 on a connection whose caller has sent and read everything,
+// while its answers wait for one that the server itself still owes.
+TEST_CASE("a connection that waits for the server isn't ended to make room", "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + Get("/b") + Get("/c"));
+  server.WaitBegun(3);
+  server.Answer("/a");
+  CHECK(Next(socket).body_ == "/a");
+  ManualServer::WaitUntil([&] { return server.PendingAnswers() == 0; });
+  server.Answer("/c", 30'000);
+  std::this_thread::sleep_for(milliseconds(1200));
+  RawSocket other(server.Port());
+  other.Write("POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n");
+  CHECK(Next(other).status_ == "503");
+  server.Answer("/b");
+  CHECK(Next(socket).body_ == "/b");
+  CHECK(Next(socket).body_.size() == 30'002);
+  socket.Write(Get("/e"));
+  CHECK(server.WaitBegun(4) == Paths{ "/a", "/b", "/c", "/e" });
+}
+
 // Guards against work that runs on for a caller that has left, and against a report that leaves out
 // one of its requests.
 TEST_CASE("all requests of a caller that leaves are ended, and no further one begins",
