Drop a partly received body when the connection closes

A closing connection kept the bytes of a body whose request never begins until its caller closed. While they were held, it could be ended to make room: Reject stopped the close timer and returned, and the connection stayed open until its caller closed. Drop the body when the close starts, and leave the timer alone once the closing answer is chosen.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -309,16 +309,17 @@
   // input. Only discards it if the answer that closes the connection was chosen already.
   void Reject(ErrorCode aCode, std::uint32_t aRetryAfterMs = 0)
   {
-    StopTimer(timer_);
     discardsInput_ = true;
     parser_.reset();
     unparsed_ = std::string();
     incomingBytes_ = 0;
     held_.SetNeedsOtherSide(pipeline_.sending_);
     if (pipeline_.closing_) {
+      // timer_ may be the one that ends a closing connection.
       UpdateHeld();
       return;
     }
+    StopTimer(timer_);
     ++server_.rejectedRequests_;
     const std::uint64_t number = BeginRequest(pipeline_, false, true);
     Slot& slot = SlotOf(number);
@@ -501,6 +502,10 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     discardsInput_ = true;
     unparsed_.clear();
+    parser_.reset();
+    incomingBytes_ = 0;
+    UpdateHeld();
+    held_.SetNeedsOtherSide(false);
     StartTimer(timer_, kCloseTimeout, false);
     Read();
   }
--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -424,6 +424,36 @@
   CHECK(server.WaitBegun(4) == Paths{ "/a", "/b", "/c", "/e" });
 }
 
+// Guards against a connection that closes but still holds the bytes of a request that never begins,
+// and against one that loses its close timer when it is ended to make room.
+TEST_CASE("a closing connection holds no partly received body", "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n" +
+               std::string(1000, 'x'));
+  server.WaitBegun(1);
+  server.Run([&] {
+    CHECK(server.budget_->used_ == 30'000);
+    server.server_->CloseAfterAnswers();
+  });
+  server.Answer("/a");
+  CheckAnswers(socket, { "/a" }, true);
+  HeldBytes other(server.budget_, [] {});
+  server.Run([&] {
+    CHECK(server.budget_->used_ == 0);
+    CHECK(server.server_->ConnectionCount() == 1);
+    other.ReserveAlways(300'000); // Above the excess at which connections are ended at once.
+  });
+  std::size_t connections = 1;
+  ManualServer::WaitUntil([&] {
+    server.Run([&] { connections = server.server_->ConnectionCount(); });
+    return connections == 0;
+  });
+  CHECK(connections == 0);
+  server.Run([&] { other.Release(); });
+}
+
 // Guards against work that runs on for a caller that has left, and against a report that leaves out
 // one of its requests.
 TEST_CASE("all requests of a caller that leaves are ended, and no further one begins",
