Reserve no body for requests that have none

More than 16 KiB of pipelined bytes behind a request without a body were taken for a part of its body, so that maxBodyBytes_ was reserved for it, and it was refused if they didn't fit. Reserve only for a body that is still to come.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -668,7 +668,8 @@
       if (timer_ == 0) {
         StartTimer(timer_, server_.settings_.readTimeout_, true);
       }
-      if (!ReserveBody()) {
+      // For a request without a body, unparsed_ begins with the next request.
+      if (!parser_->is_done() && !ReserveBody()) {
         return false;
       }
       if (expectsContinue_ && !parser_->is_done()) {
--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -454,6 +454,22 @@
   server.Run([&] { other.Release(); });
 }
 
+// Guards against a refusal of a request without a body because of what was sent behind it.
+TEST_CASE("pipelined bytes behind a request aren't reserved for its body", "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  std::string input = Get("/once") + Get("/b");
+  for (int i = 0; i < 25; ++i) {
+    input += Get("/once/d", "X-Filler: " + std::string(2000, 'x') + "\r\n");
+  }
+  socket.Write(input);
+  CHECK(server.WaitBegun(1) == Paths{ "/once" });
+  server.Answer("/once");
+  CHECK(server.WaitBegun(2) == Paths{ "/once", "/b" });
+  server.Run([&] { CHECK(server.server_->RejectedRequests() == 0); });
+}
+
 // Guards against work that runs on for a caller that has left, and against a report that leaves out
 // one of its requests.
 TEST_CASE("all requests of a caller that leaves are ended, and no further one begins",
