End connections whose answers wait while other answers need the room

Answers that wait behind an unanswered request hold bytes of the budget and couldn't be ended, while the missing answer could wait for the same bytes: neither would go on before a timeout. HeldBytes::SetWaitsBehind now marks such bytes. After 1 s, and only while answers wait for room or the budget is exceeded, the connection with the most of them is ended (memory_full), after idle messages. Requests still can't end it.

--- a/peridotquay/connection/ByteBudget.cpp
+++ b/peridotquay/connection/ByteBudget.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-// A message whose other side hasn't sent or read a byte for this long may be ended to make room.
+// A message whose other side hasn't sent or read a byte for this long may be ended to make room,
+// and so may one that has waited for this long behind another.
 constexpr Duration kIdleTime = seconds(1);
 
 // Interval of the checks while holders wait or the budget is exceeded.
@@ -53,39 +54,65 @@
   return found;
 }
 
-// Ends idle messages until aBytes fit into aLimit. Returns whether they do.
-bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes, std::size_t aLimit)
+// Returns the largest message that has waited behind another one for kIdleTime; null if there is
+// none.
+HeldBytes* FindWaitingBehind(const ByteBudget& aBudget)
+{
+  const TimePoint now = aBudget.loop_.Now();
+  HeldBytes* found = nullptr;
+  for (const auto& [number, held] : aBudget.held_) {
+    if (held->waitsBehind_ && now - held->waitsBehindSince_ >= kIdleTime &&
+        (found == nullptr || held->bytes_ > found->bytes_)) {
+      found = held;
+    }
+  }
+  return found;
+}
+
+// Ends a message to make room.
+void End(ByteBudget& aBudget, HeldBytes& aHeld)
+{
+  ++aBudget.endedMessages_;
+  LogFull(aBudget);
+  aHeld.needsOtherSide_ = false;
+  aHeld.waitsBehind_ = false;
+  const auto end = aHeld.end_; // Copied, because the call may destroy aHeld.
+  end();
+}
+
+namespace {
+
+// Ends messages until aBytes fit into aLimit: idle ones first, then those that wait behind others
+// if aEndsWaiting. Returns whether the bytes fit.
+bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes, std::size_t aLimit, bool aEndsWaiting)
 {
   while (aBudget.used_ + aBytes > aLimit) {
-    HeldBytes* idle = FindIdle(aBudget, kIdleTime);
-    if (idle == nullptr) {
+    HeldBytes* found = FindIdle(aBudget, kIdleTime);
+    if (found == nullptr && aEndsWaiting) {
+      found = FindWaitingBehind(aBudget);
+    }
+    if (found == nullptr) {
       return false;
     }
-    ++aBudget.endedMessages_;
-    LogFull(aBudget);
-    idle->needsOtherSide_ = false;
-    const auto end = idle->end_;
-    end();
+    End(aBudget, *found);
   }
   return true;
 }
 
+} // namespace
+
 void CheckBudget(ByteBudget& aBudget)
 {
-  MakeRoom(aBudget, 0, aBudget.limit_);
+  MakeRoom(aBudget, 0, aBudget.limit_, true);
   while (aBudget.used_ > aBudget.limit_ * kMaxExcessFactor) {
     HeldBytes* largest = FindIdle(aBudget, Duration::zero());
     if (largest == nullptr) {
       break;
     }
-    ++aBudget.endedMessages_;
-    LogFull(aBudget);
-    largest->needsOtherSide_ = false;
-    const auto end = largest->end_;
-    end();
+    End(aBudget, *largest);
   }
   while (!aBudget.waiting_.empty() &&
-         MakeRoom(aBudget, aBudget.waiting_.front()->wantedBytes_, aBudget.limit_)) {
+         MakeRoom(aBudget, aBudget.waiting_.front()->wantedBytes_, aBudget.limit_, true)) {
     // Making room may have ended the wait of the first holder.
     if (aBudget.waiting_.empty() ||
         aBudget.used_ + aBudget.waiting_.front()->wantedBytes_ > aBudget.limit_) {
@@ -150,7 +177,7 @@
   }
   const std::size_t more = aBytes - std::min(aBytes, bytes_);
   if (more > 0 &&
-      (!budget_->waiting_.empty() || !MakeRoom(*budget_, more, budget_->requestLimit_))) {
+      (!budget_->waiting_.empty() || !MakeRoom(*budget_, more, budget_->requestLimit_, false))) {
     ++budget_->refusedMessages_;
     LogFull(*budget_);
     return false;
@@ -204,6 +231,14 @@
   Touch();
 }
 
+void HeldBytes::SetWaitsBehind(bool aWaitsBehind)
+{
+  if (budget_ && aWaitsBehind && !waitsBehind_) {
+    waitsBehindSince_ = budget_->loop_.Now();
+  }
+  waitsBehind_ = aWaitsBehind;
+}
+
 void HeldBytes::Touch()
 {
   if (budget_) {
--- a/peridotquay/connection/ByteBudget.h
+++ b/peridotquay/connection/ByteBudget.h
@@ -59,8 +59,9 @@
 {
 public:
   /// Without a budget there is no limit. aEnd ends the message and releases its bytes; it is called
-  /// for a message whose other side has been idle for long, and never from within the constructor,
-  /// ReserveAlways or ReserveOrWait.
+  /// for a message whose other side has been idle for long or that has waited for long behind
+  /// another one (SetWaitsBehind), and never from within the constructor, ReserveAlways or
+  /// ReserveOrWait.
   HeldBytes(std::shared_ptr<ByteBudget> aBudget, std::function<void()> aEnd);
   HeldBytes(const HeldBytes&) = delete;
   HeldBytes& operator=(const HeldBytes&) = delete;
@@ -81,6 +82,11 @@
   /// States whether the message goes on only if the other side of the connection sends or reads.
   /// Only then it may be ended to make room. Restarts the idle time.
   void SetNeedsOtherSide(bool aNeedsOtherSide);
+  /// States whether answers among the bytes wait for one that isn't there yet and precedes them on
+  /// the connection. That one may itself wait for room, which the other side can't make. The
+  /// message may therefore be ended after a time while answers wait for room or the budget is
+  /// exceeded, but not to make room for a request.
+  void SetWaitsBehind(bool aWaitsBehind);
   /// Restarts the idle time, because the other side has sent or read bytes.
   void Touch();
   std::size_t Bytes() const { return bytes_; }
@@ -88,7 +94,8 @@
 private:
   friend void CheckBudget(ByteBudget& aBudget);
   friend HeldBytes* FindIdle(const ByteBudget& aBudget, Duration aIdleTime);
-  friend bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes, std::size_t aLimit);
+  friend HeldBytes* FindWaitingBehind(const ByteBudget& aBudget);
+  friend void End(ByteBudget& aBudget, HeldBytes& aHeld);
   void Set(std::size_t aBytes);
 
   std::shared_ptr<ByteBudget> budget_; ///< Null without a limit.
@@ -98,7 +105,9 @@
   std::size_t bytes_ = 0;
   std::uint64_t number_ = 0; ///< Key in ByteBudget::held_ while bytes_ isn't 0.
   TimePoint touchedAt_{};
+  TimePoint waitsBehindSince_{}; ///< Valid while waitsBehind_.
   bool needsOtherSide_ = false;
+  bool waitsBehind_ = false;
 };
 
 /// Gives the memory of an empty buffer back if it is larger than kUncountedMessageBytes.
--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -420,8 +420,9 @@
   void UpdateHeld()
   {
     const std::size_t answers = pipeline_.answerBytes_;
-    held_.ReserveAlways(incomingBytes_ + requestBytes_ +
-                        (answers > kUncountedMessageBytes ? answers : 0));
+    const bool counted = answers > kUncountedMessageBytes;
+    held_.SetWaitsBehind(counted && !pipeline_.requests_.front().answered_);
+    held_.ReserveAlways(incomingBytes_ + requestBytes_ + (counted ? answers : 0));
   }
 
   // Starts to send the next answer if it is ready and no other is being sent. Returns whether it
@@ -461,10 +462,11 @@
     return true;
   }
 
-  // Ends the message that the caller doesn't go on to send or to read.
+  // Ends the message that the caller doesn't go on to send or to read, or the connection if its
+  // answers wait behind an unanswered request: they can't be sent without the answer before them.
   void EndToMakeRoom()
   {
-    if (pipeline_.sending_) {
+    if (pipeline_.sending_ || incomingBytes_ == 0) {
       Close(CloseReason::kMemoryFull);
     } else {
       Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -7,9 +7,11 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <rapidcheck.h>
 #include <thread>
 
@@ -439,11 +441,12 @@
   });
   server.Answer("/a");
   CheckAnswers(socket, { "/a" }, true);
-  HeldBytes other(server.budget_, [] {});
+  std::optional<HeldBytes> other; // Used on the server's thread.
   server.Run([&] {
     CHECK(server.budget_->used_ == 0);
     CHECK(server.server_->ConnectionCount() == 1);
-    other.ReserveAlways(300'000); // Above the excess at which connections are ended at once.
+    other.emplace(server.budget_, [] {});
+    other->ReserveAlways(300'000); // Above the excess at which connections are ended at once.
   });
   std::size_t connections = 1;
   ManualServer::WaitUntil([&] {
@@ -451,7 +454,41 @@
     return connections == 0;
   });
   CHECK(connections == 0);
-  server.Run([&] { other.Release(); });
+  server.Run([&] { other.reset(); });
+}
+
+// Guards against answers that hold all memory while the one before them waits for the same memory:
+// neither would ever be sent.
+TEST_CASE("a connection whose answers wait is ended when other answers need the room",
+          "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + Get("/b"));
+  server.WaitBegun(2);
+  server.Answer("/b", 60'000);
+  std::this_thread::sleep_for(milliseconds(1200));
+  CHECK(server.Unanswered().empty());
+  std::optional<HeldBytes> other; // Used on the server's thread.
+  std::atomic<bool> fits{ false };
+  server.Run([&] {
+    other.emplace(server.budget_, [] {});
+    CHECK_FALSE(other->Reserve(40'000));
+    CHECK(server.server_->ConnectionCount() == 1);
+    CHECK_FALSE(other->ReserveOrWait(50'000, [&] { fits = true; }));
+  });
+  ManualServer::WaitUntil([&] { return fits.load(); });
+  CHECK(fits.load());
+  const auto unanswered = server.Unanswered();
+  REQUIRE(unanswered.size() == 2);
+  for (const UnansweredRequest& request : unanswered) {
+    CHECK(request.reason_ == CloseReason::kMemoryFull);
+  }
+  CHECK(server.Closed() == Paths{ "/a" });
+  server.Run([&] {
+    CHECK(server.budget_->used_ == 50'000);
+    other.reset();
+  });
 }
 
 // Guards against a refusal of a request without a body because of what was sent behind it.
