Decide again on overlapping before a request begins behind others

Whether a request may overlap was decided when its head arrived. If the configuration changed while it waited or its body arrived, it began beside others although its route wasn't repeatable any more. Ask again before it begins; not for a request that arrived whole, so that the usual case has no second look-up. A request that was refused at first stays so.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -658,7 +658,8 @@
     if (closed_ || discardsInput_) {
       return false;
     }
-    if (!parser_ && !ParseNextHead()) {
+    const bool isNew = !parser_;
+    if (isNew && !ParseNextHead()) {
       return false;
     }
     if (headWaits_) {
@@ -678,7 +679,7 @@
         SendContinue();
       }
     }
-    return ParseBody();
+    return ParseBody(isNew);
   }
 
   // Parses the head of the next request. Returns false if it is incomplete, invalid, or may not be
@@ -799,11 +800,15 @@
                              [self = shared_from_this()](const error_code&, std::size_t) {});
   }
 
-  // Returns whether the request is complete and began.
-  bool ParseBody()
+  // Returns whether the request is complete and began. aIsNew: its head was parsed just now.
+  bool ParseBody(bool aIsNew)
   {
     switch (ParseBytes(*parser_, unparsed_, server_.settings_.maxHeaderBytes_)) {
       case ParseStatus::kComplete:
+        // The configuration may have changed since the head arrived.
+        if (!aIsNew && nextMayOverlap_ && !pipeline_.requests_.empty()) {
+          nextMayOverlap_ = MayOverlap();
+        }
         // A limit may have been reached while the body arrived. The caller has sent its part, so
         // the request isn't ended to make room.
         if (MustWait(nextMayOverlap_)) {
--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -507,6 +507,21 @@
   server.Run([&] { CHECK(server.server_->RejectedRequests() == 0); });
 }
 
+// Guards against a request that begins behind others although it must run alone by now, because the
+// configuration changed while its body arrived.
+TEST_CASE("whether a request may overlap is decided when it begins", "[pipelining]")
+{
+  ManualServer server;
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+  CHECK(server.WaitBegun(1) == Paths{ "/a" });
+  server.Run([&] { server.allowsOverlap_ = false; });
+  socket.Write("y");
+  CHECK(server.WaitBegun(1) == Paths{ "/a" });
+  server.Answer("/a");
+  CHECK(server.WaitBegun(2) == Paths{ "/a", "/b" });
+}
+
 // Guards against work that runs on for a caller that has left, and against a report that leaves out
 // one of its requests.
 TEST_CASE("all requests of a caller that leaves are ended, and no further one begins",
