Require a report in the tests of closing answers

The check of reports passed with an empty list. Each section leaves input behind the closing answer, so that exactly one report is due.

--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -274,10 +274,10 @@
   }
   CHECK(server.WaitBegun(2) == Paths{ "/a", "/b" });
   CHECK(server.Closed().empty());
-  for (const UnansweredRequest& request : server.Unanswered()) {
-    CHECK(request.reason_ == CloseReason::kClosing);
-    CHECK(request.stage_ == RequestStage::kPartlyRead);
-  }
+  const auto unanswered = server.Unanswered();
+  REQUIRE(unanswered.size() == 1);
+  CHECK(unanswered[0].reason_ == CloseReason::kClosing);
+  CHECK(unanswered[0].stage_ == RequestStage::kPartlyRead);
 }
 
 // Guards against a rejection that overtakes answers, or that drops valid requests before it.
