Give held bytes back before the callbacks of a closed connection

Close and OnCallerClosed updated the held bytes only after onClosed_ of the dropped requests, so that a callback that reserves bytes found them still taken, and one that closes the connection let OnCallerClosed go on with a closed one. Drop gives the bytes back before the callbacks, and nothing follows them; Close also forgets the bytes of a partly received request. There is no test: the only callback, that of the dispatcher, cancels the call, and no case is known in which it does either.

--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -242,8 +242,8 @@
     socket_.close(ignored);
     const auto self = shared_from_this();
     server_.sessions_.erase(self);
+    incomingBytes_ = 0;
     Drop(0);
-    held_.Release();
   }
 
   // True if the request was begun, isn't answered and may still be answered.
@@ -381,7 +381,8 @@
     }
   }
 
-  // Drops the requests behind the first aKept ones and calls onClosed_ of those without an answer.
+  // Drops the requests behind the first aKept ones, gives their bytes back and calls onClosed_ of
+  // those without an answer. These calls may close the connection.
   void Drop(std::size_t aKept)
   {
     std::vector<std::shared_ptr<Exchange>> exchanges;
@@ -396,6 +397,11 @@
       }
     }
     DropRequests(pipeline_, aKept);
+    if (closed_) {
+      held_.Release();
+    } else {
+      UpdateHeld();
+    }
     for (const auto& exchange : exchanges) {
       if (exchange->onClosed_) {
         const auto function = std::move(exchange->onClosed_);
@@ -413,7 +419,6 @@
       ReportRequests(CloseReason::kCallerClosed, kept);
     }
     Drop(kept);
-    UpdateHeld();
   }
 
   // Updates the bytes that the connection holds. Small answers aren't counted.
