--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -345,7 +345,8 @@
   }
 
   // Reports the requests that this connection holds before it ends. Input that didn't begin as a
-  // request is reported only if nothing else is.
+  // request is reported only if nothing else is, and not if it is only line ends, which are ignored
+  // before a request.
   void ReportUnanswered(CloseReason aReason)
   {
     if (!server_.unansweredHandler_) {
@@ -353,7 +354,8 @@
     }
     if (!pipeline_.requests_.empty()) {
       ReportRequests(aReason, 0);
-    } else if (!discardsInput_ && (requestBegan_ || !unparsed_.empty())) {
+    } else if (!discardsInput_ &&
+               (requestBegan_ || unparsed_.find_first_not_of("\r\n") != std::string::npos)) {
       UnansweredRequest request;
       request.reason_ = aReason;
       request.sinceRead_ = server_.loop_.Now() - requestReadAt_;
--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -280,6 +280,18 @@
   CHECK(unanswered[0].stage_ == RequestStage::kPartlyRead);
 }
 
+// Guards against a report of a request that the caller never sent.
+TEST_CASE("line ends behind a closing answer aren't reported as a request", "[pipelining]")
+{
+  ManualServer server;
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a", "Connection: close\r\n") + "\r\n\r\n");
+  server.WaitBegun(1);
+  server.Answer("/a");
+  CheckAnswers(socket, { "/a" }, true);
+  CHECK(server.Unanswered().empty());
+}
+
 // Guards against a rejection that overtakes answers, or that drops valid requests before it.
 TEST_CASE("valid requests are answered before malformed bytes behind them are rejected",
           "[pipelining]")
