--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -242,8 +242,8 @@
     socket_.close(ignored);
     const auto self = shared_from_this();
     server_.sessions_.erase(self);
+    incomingBytes_ = 0;
     Drop(0);
-    held_.Release();
   }
 
   // True if the request was begun, isn't answered and may still be answered.
@@ -309,16 +309,17 @@
   // input. Only discards it if the answer that closes the connection was chosen already.
   void Reject(ErrorCode aCode, std::uint32_t aRetryAfterMs = 0)
   {
-    StopTimer(timer_);
     discardsInput_ = true;
     parser_.reset();
     unparsed_ = std::string();
     incomingBytes_ = 0;
     held_.SetNeedsOtherSide(pipeline_.sending_);
     if (pipeline_.closing_) {
+      // timer_ may be the one that ends a closing connection.
       UpdateHeld();
       return;
     }
+    StopTimer(timer_);
     ++server_.rejectedRequests_;
     const std::uint64_t number = BeginRequest(pipeline_, false, true);
     Slot& slot = SlotOf(number);
@@ -344,7 +345,8 @@
   }
 
   // Reports the requests that this connection holds before it ends. Input that didn't begin as a
-  // request is reported only if nothing else is.
+  // request is reported only if nothing else is, and not if it is only line ends, which are ignored
+  // before a request.
   void ReportUnanswered(CloseReason aReason)
   {
     if (!server_.unansweredHandler_) {
@@ -352,7 +354,8 @@
     }
     if (!pipeline_.requests_.empty()) {
       ReportRequests(aReason, 0);
-    } else if (!discardsInput_ && (requestBegan_ || !unparsed_.empty())) {
+    } else if (!discardsInput_ &&
+               (requestBegan_ || unparsed_.find_first_not_of("\r\n") != std::string::npos)) {
       UnansweredRequest request;
       request.reason_ = aReason;
       request.sinceRead_ = server_.loop_.Now() - requestReadAt_;
@@ -380,7 +383,8 @@
     }
   }
 
-  // Drops the requests behind the first aKept ones and calls onClosed_ of those without an answer.
+  // Drops the requests behind the first aKept ones, gives their bytes back and calls onClosed_ of
+  // those without an answer. These calls may close the connection.
   void Drop(std::size_t aKept)
   {
     std::vector<std::shared_ptr<Exchange>> exchanges;
@@ -395,6 +399,11 @@
       }
     }
     DropRequests(pipeline_, aKept);
+    if (closed_) {
+      held_.Release();
+    } else {
+      UpdateHeld();
+    }
     for (const auto& exchange : exchanges) {
       if (exchange->onClosed_) {
         const auto function = std::move(exchange->onClosed_);
@@ -412,15 +421,15 @@
       ReportRequests(CloseReason::kCallerClosed, kept);
     }
     Drop(kept);
-    UpdateHeld();
   }
 
   // Updates the bytes that the connection holds. Small answers aren't counted.
   void UpdateHeld()
   {
     const std::size_t answers = pipeline_.answerBytes_;
-    held_.ReserveAlways(incomingBytes_ + requestBytes_ +
-                        (answers > kUncountedMessageBytes ? answers : 0));
+    const bool counted = answers > kUncountedMessageBytes;
+    held_.SetWaitsBehind(counted && !pipeline_.requests_.front().answered_);
+    held_.ReserveAlways(incomingBytes_ + requestBytes_ + (counted ? answers : 0));
   }
 
   // Starts to send the next answer if it is ready and no other is being sent. Returns whether it
@@ -460,10 +469,11 @@
     return true;
   }
 
-  // Ends the message that the caller doesn't go on to send or to read.
+  // Ends the message that the caller doesn't go on to send or to read, or the connection if its
+  // answers wait behind an unanswered request: they can't be sent without the answer before them.
   void EndToMakeRoom()
   {
-    if (pipeline_.sending_) {
+    if (pipeline_.sending_ || incomingBytes_ == 0) {
       Close(CloseReason::kMemoryFull);
     } else {
       Reject(ErrorCode::kLimitReached, kFullRetryAfterMs);
@@ -501,6 +511,10 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     discardsInput_ = true;
     unparsed_.clear();
+    parser_.reset();
+    incomingBytes_ = 0;
+    UpdateHeld();
+    held_.SetNeedsOtherSide(false);
     StartTimer(timer_, kCloseTimeout, false);
     Read();
   }
@@ -651,7 +665,8 @@
     if (closed_ || discardsInput_) {
       return false;
     }
-    if (!parser_ && !ParseNextHead()) {
+    const bool isNew = !parser_;
+    if (isNew && !ParseNextHead()) {
       return false;
     }
     if (headWaits_) {
@@ -663,14 +678,15 @@
       if (timer_ == 0) {
         StartTimer(timer_, server_.settings_.readTimeout_, true);
       }
-      if (!ReserveBody()) {
+      // For a request without a body, unparsed_ begins with the next request.
+      if (!parser_->is_done() && !ReserveBody()) {
         return false;
       }
       if (expectsContinue_ && !parser_->is_done()) {
         SendContinue();
       }
     }
-    return ParseBody();
+    return ParseBody(isNew);
   }
 
   // Parses the head of the next request. Returns false if it is incomplete, invalid, or may not be
@@ -791,11 +807,15 @@
                              [self = shared_from_this()](const error_code&, std::size_t) {});
   }
 
-  // Returns whether the request is complete and began.
-  bool ParseBody()
+  // Returns whether the request is complete and began. aIsNew: its head was parsed just now.
+  bool ParseBody(bool aIsNew)
   {
     switch (ParseBytes(*parser_, unparsed_, server_.settings_.maxHeaderBytes_)) {
       case ParseStatus::kComplete:
+        // The configuration may have changed since the head arrived.
+        if (!aIsNew && nextMayOverlap_ && !pipeline_.requests_.empty()) {
+          nextMayOverlap_ = MayOverlap();
+        }
         // A limit may have been reached while the body arrived. The caller has sent its part, so
         // the request isn't ended to make room.
         if (MustWait(nextMayOverlap_)) {
@@ -876,9 +896,9 @@
     const bool closes = FinishAnswer(pipeline_);
     if (!SendNext()) {
       UpdateHeld();
-      if (held_.Bytes() > 0) {
-        held_.SetNeedsOtherSide(incomingBytes_ > 0);
-      }
+      // Also if nothing is held yet: a later answer may be held while this connection waits for the
+      // handler.
+      held_.SetNeedsOtherSide(incomingBytes_ > 0);
     }
     if (closes) {
       StartClose();
--- a/tests/connection/PipeliningTest.cpp
+++ b/tests/connection/PipeliningTest.cpp
@@ -7,9 +7,11 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <rapidcheck.h>
 #include <thread>
 
@@ -23,13 +25,17 @@
 class ManualServer
 {
 public:
-  explicit ManualServer(std::uint32_t aMaxPipelined = 8, std::shared_ptr<ByteBudget> aBudget = {})
+  /// Without a budget if aBudgetBytes is 0.
+  explicit ManualServer(std::uint32_t aMaxPipelined = 8, std::size_t aBudgetBytes = 0)
   {
+    if (aBudgetBytes > 0) {
+      budget_ = std::make_shared<ByteBudget>(loop_, aBudgetBytes);
+    }
     HttpServerSettings settings;
     settings.maxPipelined_ = aMaxPipelined;
-    settings.budget_ = std::move(aBudget);
+    settings.budget_ = budget_;
     settings.requestIdHeader_ = "X-Request-Id";
-    settings.mayOverlap_ = [](const HttpRequest& aRequest) { return MayOverlap(aRequest); };
+    settings.mayOverlap_ = [this](const HttpRequest& aRequest) { return MayOverlap(aRequest); };
     auto server = HttpServer::Listen(
       loop_,
       settings,
@@ -113,12 +119,14 @@
   }
 
   EventLoop loop_;
+  std::shared_ptr<ByteBudget> budget_; ///< Used on the server's thread; may be null.
   std::unique_ptr<HttpServer> server_;
+  bool allowsOverlap_ = true; ///< Used on the server's thread.
 
 private:
-  static bool MayOverlap(const HttpRequest& aRequest)
+  bool MayOverlap(const HttpRequest& aRequest) const
   {
-    return !aRequest.path_.starts_with("/once");
+    return allowsOverlap_ && !aRequest.path_.starts_with("/once");
   }
   void OnRequest(std::shared_ptr<HttpExchange> aExchange)
   {
@@ -266,10 +274,22 @@
   }
   CHECK(server.WaitBegun(2) == Paths{ "/a", "/b" });
   CHECK(server.Closed().empty());
-  for (const UnansweredRequest& request : server.Unanswered()) {
-    CHECK(request.reason_ == CloseReason::kClosing);
-    CHECK(request.stage_ == RequestStage::kPartlyRead);
-  }
+  const auto unanswered = server.Unanswered();
+  REQUIRE(unanswered.size() == 1);
+  CHECK(unanswered[0].reason_ == CloseReason::kClosing);
+  CHECK(unanswered[0].stage_ == RequestStage::kPartlyRead);
+}
+
+// Guards against a report of a request that the caller never sent.
+TEST_CASE("line ends behind a closing answer aren't reported as a request", "[pipelining]")
+{
+  ManualServer server;
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a", "Connection: close\r\n") + "\r\n\r\n");
+  server.WaitBegun(1);
+  server.Answer("/a");
+  CheckAnswers(socket, { "/a" }, true);
+  CHECK(server.Unanswered().empty());
 }
 
 // Guards against a rejection that overtakes answers, or that drops valid requests before it.
@@ -366,9 +386,8 @@
 // that are never given back.
 TEST_CASE("waiting answers are held in the budget until they are sent", "[pipelining]")
 {
-  EventLoop budgetLoop;
-  const auto budget = std::make_shared<ByteBudget>(budgetLoop, 100'000);
-  ManualServer server(8, budget);
+  ManualServer server(8, 100'000);
+  const auto budget = server.budget_;
   {
     RawSocket socket(server.Port());
     socket.Write(Get("/a") + Get("/b") + Get("/c"));
@@ -396,6 +415,125 @@
   server.Run([&] { CHECK(budget->used_ == 0); });
 }
 
+// Guards against an unsolicited 503 on a connection whose caller has sent and read everything,
+// while its answers wait for one that the server itself still owes.
+TEST_CASE("a connection that waits for the server isn't ended to make room", "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + Get("/b") + Get("/c"));
+  server.WaitBegun(3);
+  server.Answer("/a");
+  CHECK(Next(socket).body_ == "/a");
+  ManualServer::WaitUntil([&] { return server.PendingAnswers() == 0; });
+  server.Answer("/c", 30'000);
+  std::this_thread::sleep_for(milliseconds(1200));
+  RawSocket other(server.Port());
+  other.Write("POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n");
+  CHECK(Next(other).status_ == "503");
+  server.Answer("/b");
+  CHECK(Next(socket).body_ == "/b");
+  CHECK(Next(socket).body_.size() == 30'002);
+  socket.Write(Get("/e"));
+  CHECK(server.WaitBegun(4) == Paths{ "/a", "/b", "/c", "/e" });
+}
+
+// Guards against a connection that closes but still holds the bytes of a request that never begins,
+// and against one that loses its close timer when it is ended to make room.
+TEST_CASE("a closing connection holds no partly received body", "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n" +
+               std::string(1000, 'x'));
+  server.WaitBegun(1);
+  server.Run([&] {
+    CHECK(server.budget_->used_ == 30'000);
+    server.server_->CloseAfterAnswers();
+  });
+  server.Answer("/a");
+  CheckAnswers(socket, { "/a" }, true);
+  std::optional<HeldBytes> other; // Used on the server's thread.
+  server.Run([&] {
+    CHECK(server.budget_->used_ == 0);
+    CHECK(server.server_->ConnectionCount() == 1);
+    other.emplace(server.budget_, [] {});
+    other->ReserveAlways(300'000); // Above the excess at which connections are ended at once.
+  });
+  std::size_t connections = 1;
+  ManualServer::WaitUntil([&] {
+    server.Run([&] { connections = server.server_->ConnectionCount(); });
+    return connections == 0;
+  });
+  CHECK(connections == 0);
+  server.Run([&] { other.reset(); });
+}
+
+// Guards against answers that hold all memory while the one before them waits for the same memory:
+// neither would ever be sent.
+TEST_CASE("a connection whose answers wait is ended when other answers need the room",
+          "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + Get("/b"));
+  server.WaitBegun(2);
+  server.Answer("/b", 60'000);
+  std::this_thread::sleep_for(milliseconds(1200));
+  CHECK(server.Unanswered().empty());
+  std::optional<HeldBytes> other; // Used on the server's thread.
+  std::atomic<bool> fits{ false };
+  server.Run([&] {
+    other.emplace(server.budget_, [] {});
+    CHECK_FALSE(other->Reserve(40'000));
+    CHECK(server.server_->ConnectionCount() == 1);
+    CHECK_FALSE(other->ReserveOrWait(50'000, [&] { fits = true; }));
+  });
+  ManualServer::WaitUntil([&] { return fits.load(); });
+  CHECK(fits.load());
+  const auto unanswered = server.Unanswered();
+  REQUIRE(unanswered.size() == 2);
+  for (const UnansweredRequest& request : unanswered) {
+    CHECK(request.reason_ == CloseReason::kMemoryFull);
+  }
+  CHECK(server.Closed() == Paths{ "/a" });
+  server.Run([&] {
+    CHECK(server.budget_->used_ == 50'000);
+    other.reset();
+  });
+}
+
+// Guards against a refusal of a request without a body because of what was sent behind it.
+TEST_CASE("pipelined bytes behind a request aren't reserved for its body", "[pipelining]")
+{
+  ManualServer server(8, 100'000);
+  RawSocket socket(server.Port());
+  std::string input = Get("/once") + Get("/b");
+  for (int i = 0; i < 25; ++i) {
+    input += Get("/once/d", "X-Filler: " + std::string(2000, 'x') + "\r\n");
+  }
+  socket.Write(input);
+  CHECK(server.WaitBegun(1) == Paths{ "/once" });
+  server.Answer("/once");
+  CHECK(server.WaitBegun(2) == Paths{ "/once", "/b" });
+  server.Run([&] { CHECK(server.server_->RejectedRequests() == 0); });
+}
+
+// Guards against a request that begins behind others although it must run alone by now, because the
+// configuration changed while its body arrived.
+TEST_CASE("whether a request may overlap is decided when it begins", "[pipelining]")
+{
+  ManualServer server;
+  RawSocket socket(server.Port());
+  socket.Write(Get("/a") + "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+  CHECK(server.WaitBegun(1) == Paths{ "/a" });
+  server.Run([&] { server.allowsOverlap_ = false; });
+  socket.Write("y");
+  CHECK(server.WaitBegun(1) == Paths{ "/a" });
+  server.Answer("/a");
+  CHECK(server.WaitBegun(2) == Paths{ "/a", "/b" });
+}
+
 // Guards against work that runs on for a caller that has left, and against a report that leaves out
 // one of its requests.
 TEST_CASE("all requests of a caller that leaves are ended, and no further one begins",
