Measure the waited time by the stated deadline of the account

The waited time was the difference to a deadline that was capped by the route's own, so no return was recognised where that is shorter (route 1.5 s, stated 5 s). The longest deadline was kept per route, so that one caller with a long deadline made all other callers look as returning.

The dispatcher keeps the uncapped value of the deadline header; without a header nothing is recorded. Entries are kept by route and account, at most 4096, and are removed after two periods.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -164,7 +164,8 @@
     if (!value || *value == 0) {
       return malformed;
     }
-    aCall.deadline_ = std::min(aCall.deadline_, now + milliseconds(*value));
+    aCall.statedDeadline_ = milliseconds(*value);
+    aCall.deadline_ = std::min(aCall.deadline_, now + aCall.statedDeadline_);
   }
   aCall.budget_.left_ = aCall.route_->maxRetries_;
   if (!dialect_.hasContexts_) {
@@ -384,8 +385,10 @@
   if (!guard_.SchedulesCapacity() || aCall.call_.clientAccount_.value_.empty()) {
     return;
   }
-  const Duration waited = WaitedTime(
-    statedDeadlines_, aCall.call_.route_, aCall.deadline_ - aCall.arrivedAt_, aCall.arrivedAt_);
+  const Duration waited = WaitedTime(statedDeadlines_,
+                                     { aCall.call_.route_, aCall.call_.clientAccount_ },
+                                     aCall.statedDeadline_,
+                                     aCall.arrivedAt_);
   aCall.call_.waitedMs_ = static_cast<std::uint32_t>(waited / milliseconds(1));
   metrics_.Add(Counter::kReturningRequests, aCall.call_.waitedMs_ > 0 ? 1 : 0);
 }
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -119,6 +119,8 @@
     std::weak_ptr<HttpExchange> exchange_; ///< Empty for a call that another host forwarded.
     TimePoint arrivedAt_{};
     TimePoint deadline_{};
+    /// Value of the deadline header, also where the route's own deadline is shorter; 0 without one.
+    Duration statedDeadline_{};
     std::uint64_t deadlineTimer_ = 0;
     RetryBudget budget_;
     std::vector<HostId> excludedHosts_; ///< Hosts that refused or failed this call.
--- a/peridotquay/request/ReturnSchedule.cpp
+++ b/peridotquay/request/ReturnSchedule.cpp
@@ -44,26 +44,35 @@
 } // namespace
 
 Duration WaitedTime(StatedDeadlines& aState,
-                    const RouteId& aRoute,
+                    const std::pair<RouteId, ClientAccountId>& aKey,
                     Duration aDeadline,
                     TimePoint aNow)
 {
-  auto found = aState.routes_.find(aRoute);
-  if (found == aState.routes_.end()) {
-    if (aState.routes_.size() >= kMaxDeadlineRoutes) {
+  if (aDeadline <= Duration::zero()) {
+    return Duration::zero();
+  }
+  if (aNow - aState.cleanedAt_ >= kDeadlinePeriod) {
+    aState.cleanedAt_ = aNow;
+    std::erase_if(aState.entries_, [&](const auto& aEntry) {
+      return aNow - aEntry.second.periodStart_ >= 2 * kDeadlinePeriod;
+    });
+  }
+  auto found = aState.entries_.find(aKey);
+  if (found == aState.entries_.end()) {
+    if (aState.entries_.size() >= kMaxStatedDeadlines) {
       return Duration::zero();
     }
-    found = aState.routes_.emplace(aRoute, RouteDeadlines{ {}, {}, aNow }).first;
+    found = aState.entries_.emplace(aKey, LongestDeadlines{ {}, {}, aNow }).first;
   }
-  RouteDeadlines& route = found->second;
-  const Duration age = aNow - route.periodStart_;
+  LongestDeadlines& entry = found->second;
+  const Duration age = aNow - entry.periodStart_;
   if (age >= kDeadlinePeriod) {
-    route.longestBefore_ = age < 2 * kDeadlinePeriod ? route.longest_ : Duration::zero();
-    route.longest_ = Duration::zero();
-    route.periodStart_ = aNow;
+    entry.longestBefore_ = age < 2 * kDeadlinePeriod ? entry.longest_ : Duration::zero();
+    entry.longest_ = Duration::zero();
+    entry.periodStart_ = aNow;
   }
-  route.longest_ = std::max(route.longest_, aDeadline);
-  const Duration waited = std::max(route.longest_, route.longestBefore_) - aDeadline;
+  entry.longest_ = std::max(entry.longest_, aDeadline);
+  const Duration waited = std::max(entry.longest_, entry.longestBefore_) - aDeadline;
   return waited < kMinWaitedTime ? Duration::zero() : waited;
 }
 
--- a/peridotquay/request/ReturnSchedule.h
+++ b/peridotquay/request/ReturnSchedule.h
@@ -11,11 +11,13 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace peridotquay {
 
-/// Longest deadline that requests of one route stated in the present period and in the one before.
-struct RouteDeadlines
+/// Longest deadline that requests of one route and account stated in the present period and in the
+/// one before.
+struct LongestDeadlines
 {
   Duration longest_{};
   Duration longestBefore_{};
@@ -25,23 +27,26 @@
 /// Deadlines stated by a host's callers. Changed only by WaitedTime.
 struct StatedDeadlines
 {
-  std::map<RouteId, RouteDeadlines> routes_; ///< At most kMaxDeadlineRoutes.
+  /// By route and account: accounts may use deadlines of different length. At most
+  /// kMaxStatedDeadlines.
+  std::map<std::pair<RouteId, ClientAccountId>, LongestDeadlines> entries_;
+  TimePoint cleanedAt_{}; ///< When old entries were removed last.
 };
 
 /// Length of a period. Deadlines count for one to two periods.
 inline constexpr Duration kDeadlinePeriod = seconds(5);
 
-/// Maximum number of routes whose deadlines are kept; callers of others count as new.
-inline constexpr std::size_t kMaxDeadlineRoutes = 256;
+/// Maximum number of entries; callers of further routes and accounts count as new.
+inline constexpr std::size_t kMaxStatedDeadlines = 4096;
 
 /// A caller that has waited for less counts as new: it may have spent that time on its way here.
 inline constexpr Duration kMinWaitedTime = milliseconds(20);
 
-/// Records the deadline that a request of the route states and returns for how long its caller has
-/// waited already: the difference to the longest deadline that was stated recently. 0 for a first
-/// attempt.
+/// Records the deadline that a request of a route and account states and returns for how long its
+/// caller has waited already: the difference to the longest deadline that was stated recently. 0
+/// for a first attempt, and if no deadline is stated (aDeadline is 0).
 Duration WaitedTime(StatedDeadlines& aState,
-                    const RouteId& aRoute,
+                    const std::pair<RouteId, ClientAccountId>& aKey,
                     Duration aDeadline,
                     TimePoint aNow);
 
--- a/tests/request/ReturnScheduleTest.cpp
+++ b/tests/request/ReturnScheduleTest.cpp
@@ -19,6 +19,7 @@
 
 const TimePoint kStart{ seconds(1000) };
 const RouteId kRoute{ "balance" };
+const std::pair<RouteId, ClientAccountId> kKey{ kRoute, { "a" } };
 
 /// Requests by whether their caller came back, and how many of them were served.
 struct Served
@@ -205,19 +206,42 @@
 TEST_CASE("the waited time is the difference to the longest recent deadline", "[returns]")
 {
   StatedDeadlines state;
-  CHECK(WaitedTime(state, kRoute, seconds(5), kStart) == Duration::zero());
-  CHECK(WaitedTime(state, kRoute, milliseconds(4990), kStart) == Duration::zero());
-  CHECK(WaitedTime(state, kRoute, milliseconds(3400), kStart) == milliseconds(1600));
-  CHECK(WaitedTime(state, { "other" }, seconds(1), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, seconds(5), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, milliseconds(4990), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, milliseconds(3400), kStart) == milliseconds(1600));
+  CHECK(WaitedTime(state, { { "other" }, { "a" } }, seconds(1), kStart) == Duration::zero());
   // It is kept over the end of a period, and forgotten after two.
   const TimePoint later = kStart + kDeadlinePeriod;
-  CHECK(WaitedTime(state, kRoute, seconds(4), later) == seconds(1));
-  CHECK(WaitedTime(state, kRoute, seconds(4), later + kDeadlinePeriod) == Duration::zero());
-  CHECK(WaitedTime(state, kRoute, seconds(2), later + 5 * kDeadlinePeriod) == Duration::zero());
-  for (int i = 0; i < 1000; ++i) {
-    WaitedTime(state, { std::to_string(i) }, seconds(1), kStart);
+  CHECK(WaitedTime(state, kKey, seconds(4), later) == seconds(1));
+  CHECK(WaitedTime(state, kKey, seconds(4), later + kDeadlinePeriod) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, seconds(2), later + 5 * kDeadlinePeriod) == Duration::zero());
+  const TimePoint flood = later + 5 * kDeadlinePeriod;
+  for (int i = 0; i < 5000; ++i) {
+    WaitedTime(state, { kRoute, { std::to_string(i) } }, seconds(1), flood);
   }
-  CHECK(state.routes_.size() == kMaxDeadlineRoutes);
+  CHECK(state.entries_.size() == kMaxStatedDeadlines);
+  // Entries of accounts that come no more don't keep others out for ever.
+  WaitedTime(state, kKey, seconds(5), flood + 2 * kDeadlinePeriod);
+  CHECK(state.entries_.size() == 1);
+}
+
+// Guards against one caller with a long deadline that makes the first attempts of all other
+// accounts look like returns.
+TEST_CASE("the waited time is measured against the deadlines of the same account", "[returns]")
+{
+  StatedDeadlines state;
+  CHECK(WaitedTime(state, { kRoute, { "a" } }, seconds(60), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, { kRoute, { "b" } }, seconds(5), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, { kRoute, { "a" } }, seconds(59), kStart) == seconds(1));
+}
+
+// Guards against requests without a stated deadline, for which the route's own would be taken, that
+// make requests with a shorter one look like returns.
+TEST_CASE("a request without a stated deadline has no waited time", "[returns]")
+{
+  StatedDeadlines state;
+  CHECK(WaitedTime(state, kKey, {}, kStart) == Duration::zero());
+  CHECK(state.entries_.empty());
 }
 
 // Guards against callers that are refused again and again while newcomers of their account are
