Charge slot time when a call starts, and put important requests first

The slot time was charged when a class was chosen, so a call that was then dropped as late cost its class a part of its share, or earned the lower ones one. Every class left a quarter to the ones below it, which the most urgent requests lost to less urgent ones.

StartNext charges a call that starts. Critical calls still leave lowerClassShare_ to all lower classes together; requests leave 0.05.

--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -98,6 +98,11 @@
 /// Minimum fraction of a closed class that is sent as probes.
 constexpr double kMinProbeFraction = 0.01;
 
+/// Share of the slot time that a class of requests leaves to less important requests, with
+/// capacityScheduling_. It only prevents starvation: at the share of 0.25 that requests have beside
+/// critical calls, the most urgent requests lost a quarter of the capacity to less urgent ones.
+constexpr double kLowerRequestShare = 0.05;
+
 /// Slot time of a call before the first one has ended. All calls then count the same.
 constexpr double kUnknownSlotSeconds = 0.01;
 
@@ -287,52 +292,61 @@
 /// counts, and a class that rarely starts would otherwise seem to cost nothing.
 double NextSlotSeconds(const AdmissionState& aState, ClassQueue& aQueue)
 {
-  const WaitingCall& call = NextAccount(aQueue)->second.calls_.front();
-  const auto route = aState.routes_.find(call.route_);
-  const double seconds =
-    route == aState.routes_.end() ? aState.serviceSeconds_ : route->second.seconds_;
+  const double seconds = SlotSeconds(aState, NextAccount(aQueue)->second.calls_.front().route_);
   return seconds > 0 ? seconds : kUnknownSlotSeconds;
 }
 
-/// As NextQueue, with shares of the slot time. Each class that waits leaves lowerClassShare_ of the
-/// time to the classes below it, which divide it in the same way, so that none is starved. The slot
-/// time that a start takes is charged at every boundary between classes above which calls wait.
+/// Share of the slot time that a class leaves to the classes below it while calls of both wait.
+double ShareBelow(const AdmissionState& aState, std::size_t aClass)
+{
+  return aClass == Index(Importance::kCritical) ? aState.settings_.lowerClassShare_
+                                                : kLowerRequestShare;
+}
+
+/// The first class from aFrom on that has waiting calls; the number of classes if there is none.
+std::size_t NextWaitingClass(const AdmissionState& aState, std::size_t aFrom)
+{
+  while (aFrom < aState.queues_.size() && aState.queues_[aFrom].size_ == 0) {
+    ++aFrom;
+  }
+  return aFrom;
+}
+
+/// As NextQueue, with shares of the slot time. Each class that waits leaves its ShareBelow to the
+/// classes below it, which divide it in the same way, so that none is starved.
 ClassQueue* NextQueueBySlotTime(AdmissionState& aState)
 {
-  const double share = aState.settings_.lowerClassShare_;
   auto& queues = aState.queues_;
-  const auto nextWaiting = [&](std::size_t aFrom) {
-    while (aFrom < queues.size() && queues[aFrom].size_ == 0) {
-      ++aFrom;
-    }
-    return aFrom;
-  };
-  std::size_t current = nextWaiting(0);
+  std::size_t current = NextWaitingClass(aState, 0);
   if (current == queues.size()) {
     return nullptr;
   }
-  std::vector<std::size_t> passed; // Classes that leave this start to a lower one.
-  std::optional<std::size_t> kept; // The class that doesn't, while lower ones wait.
-  std::size_t lower = nextWaiting(current + 1);
-  while (share > 0 && lower < queues.size()) {
+  std::size_t lower = NextWaitingClass(aState, current + 1);
+  while (lower < queues.size()) {
     // The start of a lower call earns the share of its own time too: the share is one of all time.
-    const double missing = (1 - share) * NextSlotSeconds(aState, queues[lower]);
+    const double missing =
+      (1 - ShareBelow(aState, current)) * NextSlotSeconds(aState, queues[lower]);
     if (aState.lowerClassSeconds_[current] < missing) {
-      kept = current;
       break;
     }
-    passed.push_back(current);
     current = lower;
-    lower = nextWaiting(current + 1);
+    lower = NextWaitingClass(aState, current + 1);
   }
-  const double started = NextSlotSeconds(aState, queues[current]);
-  for (const std::size_t index : passed) {
-    aState.lowerClassSeconds_[index] -= (1 - share) * started;
+  return &queues[current];
+}
+
+/// Charges the slot time of a start at every boundary between classes above which calls wait. The
+/// started call must still be counted in the size of its queue.
+void ChargeSlotTime(AdmissionState& aState, std::size_t aClass, double aSeconds)
+{
+  for (std::size_t above = 0; above < aClass; ++above) {
+    if (aState.queues_[above].size_ > 0) {
+      aState.lowerClassSeconds_[above] -= (1 - ShareBelow(aState, above)) * aSeconds;
+    }
   }
-  if (kept) {
-    aState.lowerClassSeconds_[*kept] += share * started;
+  if (NextWaitingClass(aState, aClass + 1) < aState.queues_.size()) {
+    aState.lowerClassSeconds_[aClass] += ShareBelow(aState, aClass) * aSeconds;
   }
-  return &queues[current];
 }
 
 /// The queue whose next call starts: the most important one that isn't empty, but for the share of
@@ -369,12 +383,16 @@
   ClassQueue::AccountQueue& account = NextAccount(aQueue)->second;
   const WaitingCall call = account.calls_.front();
   account.calls_.pop_front();
-  // A dropped call doesn't use the target, so its account isn't charged for it.
+  // A dropped call doesn't use the target, so its account and its class aren't charged for it.
   if (MustDrop(aState, call, aNow)) {
     RefuseCall(aState, aActions, call, ErrorCode::kDeadlineExceeded, aNow);
   } else {
     aQueue.virtualTime_ = account.finishTag_;
     account.finishTag_ += 1 / Weight(call);
+    if (aState.settings_.capacityScheduling_) {
+      const double seconds = SlotSeconds(aState, call.route_);
+      ChargeSlotTime(aState, Index(call.importance_), seconds > 0 ? seconds : kUnknownSlotSeconds);
+    }
     StartCall(aState, aActions, call, aNow);
   }
   RecordRemovedCalls(aState, aQueue, 1);
@@ -707,6 +725,12 @@
 
 } // namespace
 
+double SlotSeconds(const AdmissionState& aState, const RouteId& aRoute)
+{
+  const auto route = aState.routes_.find(aRoute);
+  return route == aState.routes_.end() ? aState.serviceSeconds_ : route->second.seconds_;
+}
+
 AdmissionActions OfferCall(AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow)
 {
   AdmissionActions actions;
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -29,8 +29,7 @@
   std::uint32_t queueCapacity_ = 1024; ///< Waiting calls of all classes.
   double queueDeadlineFraction_ = 0.5; ///< Fraction of its remaining time that a call may wait.
   /// Part of the starts that waiting calls below `critical` get while critical ones wait too. With
-  /// capacityScheduling_, it is a part of the slot time, and every class leaves this part of its
-  /// own to the less important ones that wait.
+  /// capacityScheduling_, it is a part of the slot time.
   double lowerClassShare_ = 0;
   /// Whether the target states how long its work takes at present, so that its capacity is known.
   bool capacityScheduling_ = false;
@@ -168,6 +167,9 @@
   bool operator==(const AdmissionActions&) const = default;
 };
 
+/// Average slot time of a call of the route, without decay; 0 before the first one ended.
+double SlotSeconds(const AdmissionState& aState, const RouteId& aRoute);
+
 /// Starts, queues or refuses a call. If the queue is full, a less important waiting call may be
 /// refused in its place.
 AdmissionActions OfferCall(AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow);
