Keep places of a run limit from the account of the refused returns only

A refused return of one account held back the new requests of all accounts, and the kept places counted as demand, so that the limit grew without need.

The counts are kept by account, at most 256 a route. limitReachedAt_ and windowRefused_ are computed without kept places.

--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -272,7 +272,8 @@
 {
   const RouteId& route = aGuardedCall.call_.route_;
   const TimePoint now = loop_.Now();
-  if (TryBeginRun(runLimits_, route, now, aGuardedCall.call_.waitedMs_ > 0)) {
+  const Call& call = aGuardedCall.call_;
+  if (TryBeginRun(runLimits_, route, now, call.clientAccount_, call.waitedMs_ > 0)) {
     aGuardedCall.isLimitedRun_ = true;
     return true;
   }
--- a/peridotquay/request/RunLimit.cpp
+++ b/peridotquay/request/RunLimit.cpp
@@ -36,6 +36,9 @@
 constexpr double kReturningHalfLifeSeconds = 0.3;
 constexpr double kMaxReturningFraction = 0.8;
 
+/// Below this count no place is kept, and the entry may be removed.
+constexpr double kMinRefusedReturns = 0.5;
+
 double Decay(const OverloadMeter& aMeter, TimePoint aNow)
 {
   return std::exp2(-std::max(0.0, ToSeconds(aNow - aMeter.updatedAt_)) / kOverloadHalfLifeSeconds);
@@ -120,6 +123,43 @@
                    : mean + kRunTimeWeight * (aSeconds - mean);
 }
 
+double RefusedReturnsNow(const RefusedReturns& aRefused, TimePoint aNow)
+{
+  const double age = std::max(0.0, ToSeconds(aNow - aRefused.updatedAt_));
+  return aRefused.count_ * std::exp2(-age / kReturningHalfLifeSeconds);
+}
+
+/// Counts a returning request that is about to begin or to be refused. Returns how many places of
+/// the limit are kept from the request, if it is a new one.
+double UpdateRefusedReturns(RouteRuns& aRoute,
+                            const ClientAccountId& aAccount,
+                            bool aIsReturning,
+                            TimePoint aNow)
+{
+  auto& accounts = aRoute.returningRefused_;
+  const auto found = accounts.find(aAccount);
+  const double refused = found == accounts.end() ? 0 : RefusedReturnsNow(found->second, aNow);
+  if (!aIsReturning) {
+    return std::floor(std::min(refused, kMaxReturningFraction * *aRoute.limit_));
+  }
+  const bool begins = aRoute.running_ + 1.0 <= *aRoute.limit_;
+  if (begins && found == accounts.end()) {
+    return 0;
+  }
+  if (found == accounts.end() && accounts.size() >= kMaxReturningAccounts) {
+    std::erase_if(accounts, [&](const auto& aEntry) {
+      return RefusedReturnsNow(aEntry.second, aNow) < kMinRefusedReturns;
+    });
+    if (accounts.size() >= kMaxReturningAccounts) {
+      return 0;
+    }
+  }
+  accounts[aAccount] = { begins ? std::max(0.0, refused - 1)
+                                : std::min(refused + 1, *aRoute.limit_),
+                         aNow };
+  return 0;
+}
+
 } // namespace
 
 void RecordDeeperCall(RunLimitState& aState, double aOverload, TimePoint aNow)
@@ -144,7 +184,11 @@
   return meter.total_ * Decay(meter, aNow) < kMinDeeperCalls ? 0 : meter.overloaded_ / meter.total_;
 }
 
-bool TryBeginRun(RunLimitState& aState, const RouteId& aRoute, TimePoint aNow, bool aIsReturning)
+bool TryBeginRun(RunLimitState& aState,
+                 const RouteId& aRoute,
+                 TimePoint aNow,
+                 const ClientAccountId& aAccount,
+                 bool aIsReturning)
 {
   RouteRuns* route = FindRoute(aState, aRoute);
   if (route == nullptr) {
@@ -154,24 +198,17 @@
     EndWindow(aState, *route, aNow);
   }
   if (route->limit_ && aState.settings_.enabled_) {
-    double wanted = route->running_ + 1.0;
-    if (aState.settings_.capacityScheduling_) {
-      double& refused = route->returningRefused_;
-      const double age = std::max(0.0, ToSeconds(aNow - route->returningUpdatedAt_));
-      route->returningUpdatedAt_ = aNow;
-      refused *= std::exp2(-age / kReturningHalfLifeSeconds);
-      if (aIsReturning) {
-        refused = wanted > *route->limit_ ? std::min(refused + 1, *route->limit_)
-                                          : std::max(0.0, refused - 1);
-      } else {
-        wanted += std::floor(std::min(refused, kMaxReturningFraction * *route->limit_));
-      }
-    }
+    const double wanted = route->running_ + 1.0;
     if (wanted + 1 > *route->limit_) {
       route->limitReachedAt_ = aNow;
     }
     if (wanted > *route->limit_) {
       ++route->windowRefused_;
+    }
+    const double kept = aState.settings_.capacityScheduling_
+                          ? UpdateRefusedReturns(*route, aAccount, aIsReturning, aNow)
+                          : 0;
+    if (wanted + kept > *route->limit_) {
       return false;
     }
   }
--- a/peridotquay/request/RunLimit.h
+++ b/peridotquay/request/RunLimit.h
@@ -8,6 +8,7 @@
 #include "peridotquay/process/Time.h"
 #include "peridotquay/version/Ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -52,6 +53,18 @@
   bool operator==(const OverloadMeter&) const = default;
 };
 
+/// Refused returning requests of one account for which none has begun since; decays. So many places
+/// of the limit are kept from new requests of the account.
+struct RefusedReturns
+{
+  double count_ = 0;
+  TimePoint updatedAt_{};
+  bool operator==(const RefusedReturns&) const = default;
+};
+
+/// Maximum number of accounts of a route for whose returning requests places are kept.
+inline constexpr std::size_t kMaxReturningAccounts = 256;
+
 /// Runs of one route at this guard.
 struct RouteRuns
 {
@@ -68,10 +81,8 @@
   std::uint32_t windowFailed_ = 0; ///< At most windowEnded_.
   std::uint32_t windowRefused_ = 0;
   std::uint32_t windowPeak_ = 0; ///< Most runs at once in the window.
-  /// Refused returning requests for which none has begun since; decays. So many places of the limit
-  /// are kept for returning requests.
-  double returningRefused_ = 0;
-  TimePoint returningUpdatedAt_{};
+  /// By account, at most kMaxReturningAccounts.
+  std::map<ClientAccountId, RefusedReturns> returningRefused_;
   bool operator==(const RouteRuns&) const = default;
 };
 
@@ -100,10 +111,12 @@
 double DeeperOverload(const RunLimitState& aState, TimePoint aNow);
 
 /// Begins a run of the route; false if deeper services have no room for it. Every run that began
-/// must be ended by EndRun. aIsReturning: its caller comes back after a refusal.
+/// must be ended by EndRun. aIsReturning: its caller comes back after a refusal; it then takes
+/// precedence over new requests of the same account.
 bool TryBeginRun(RunLimitState& aState,
                  const RouteId& aRoute,
                  TimePoint aNow,
+                 const ClientAccountId& aAccount = {},
                  bool aIsReturning = false);
 
 /// After how many milliseconds the caller of a refused run should try again: after about a run,
--- a/standins/lib/ServiceGraph.cpp
+++ b/standins/lib/ServiceGraph.cpp
@@ -254,7 +254,8 @@
     const GraphRoute& route = scene_.routes_[aCall->route_];
     if (aCall->fromClient_) {
       const RouteId id{ route.name_ };
-      if (!TryBeginRun(target->limits_, id, now_, aCall->waited_ > Duration::zero())) {
+      if (!TryBeginRun(
+            target->limits_, id, now_, { "account" }, aCall->waited_ > Duration::zero())) {
         Refused(aCall, RunRetryAfterMs(target->limits_, id, route.objective_), 0);
         return;
       }
--- a/tests/request/ReturnScheduleTest.cpp
+++ b/tests/request/ReturnScheduleTest.cpp
@@ -70,7 +70,7 @@
   std::multimap<TimePoint, int> ends;
   PlayReturns(
     [&](TimePoint aNow, bool aReturning) {
-      const bool begins = TryBeginRun(state, kRoute, aNow, aReturning);
+      const bool begins = TryBeginRun(state, kRoute, aNow, { "a" }, aReturning);
       ++(aReturning ? served.returningOffered_ : served.newOffered_);
       if (begins) {
         ++(aReturning ? served.returningServed_ : served.newServed_);
@@ -292,6 +292,42 @@
   CHECK(on.newServed_ + on.returningServed_ >= 0.95 * (off.newServed_ + off.returningServed_));
 }
 
+// Guards against refused returns of one account that keep the new requests of all others out, and
+// against places kept for them that look like demand, so that the limit grows without need.
+TEST_CASE("a run limit keeps places from the account of the refused returns only", "[returns]")
+{
+  RunLimitState state;
+  state.settings_.capacityScheduling_ = true;
+  state.settings_.minWindow_ = std::chrono::hours(1);
+  RouteRuns& route = state.routes_[kRoute];
+  route.windowStart_ = kStart;
+  route.limit_ = 4;
+  for (int i = 0; i < 4; ++i) {
+    REQUIRE(TryBeginRun(state, kRoute, kStart, { "a" }));
+  }
+  for (int i = 0; i < 6; ++i) {
+    CHECK_FALSE(TryBeginRun(state, kRoute, kStart, { "a" }, true));
+  }
+  for (int i = 0; i < 3; ++i) {
+    EndRun(state, kRoute, RunResult::kSucceeded, milliseconds(10), kStart);
+  }
+  const std::uint32_t refused = route.windowRefused_;
+  route.limitReachedAt_ = {};
+  CHECK_FALSE(TryBeginRun(state, kRoute, kStart, { "a" }));
+  CHECK(route.windowRefused_ == refused);
+  CHECK(route.limitReachedAt_ == TimePoint{});
+  CHECK(TryBeginRun(state, kRoute, kStart, { "b" }));
+  CHECK(TryBeginRun(state, kRoute, kStart, { "a" }, true));
+  // The number of accounts is bounded, and those whose refusals are long ago make room.
+  route.limit_ = 1;
+  for (int i = 0; i < 1000; ++i) {
+    TryBeginRun(state, kRoute, kStart, { std::to_string(i) }, true);
+  }
+  CHECK(route.returningRefused_.size() == kMaxReturningAccounts);
+  TryBeginRun(state, kRoute, kStart + seconds(10), { "late" }, true);
+  CHECK(route.returningRefused_.size() == 1);
+}
+
 // Guards against hints that call everybody back at once, too early or too late, and against callers
 // of little weight or importance that come back as early as others.
 TEST_CASE("returns are booked for when the capacity reaches them", "[returns]")
