Book returns by slot time, for known times only, and match them on use

A booking was used by any request of the account, also of another class; a returning request without a booking passed the kept capacity; waiting calls of less important classes counted as users of it; and it had no upper bound. The hint compared counts of calls with ends per second, in which refused and cancelled runs counted as freed capacity. Refusals by the run limit and by kept capacity at an idle queue were booked too.

The time until a return is the expected slot time of the calls ahead divided by the limit. Without a known time, or if a third of the time left is below the minimum wait, nothing is booked; the hint has jitter and stays within the third. Bookings match account and class (the earliest one is taken, which is a due one if any is due) and keep at most 0.8 of the limit. The run limit's hint is kept, within a third of the time left. MakeWayForReturns is UseBookingOrRefuse. Event 2011 has ahead_ms in place of ahead, and is_booked.

--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -165,7 +165,7 @@
     return;
   }
   if (IsRequest(aCall) &&
-      (!MakeWayForReturns(number, guardedCall) || !BeginLimitedRun(number, guardedCall))) {
+      (!UseBookingOrRefuse(number, guardedCall) || !BeginLimitedRun(number, guardedCall))) {
     return;
   }
   Apply(OfferCall(admission_, Waiting(number, guardedCall), now));
@@ -212,46 +212,38 @@
   return account == config_->clientAccounts_.end() ? 1 : account->second.ratePerSecond_;
 }
 
-bool Guard::MakeWayForReturns(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall)
+bool Guard::UseBookingOrRefuse(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall)
 {
   const Call& call = aGuardedCall.call_;
   const TimePoint now = loop_.Now();
-  if (!SchedulesCapacity()) {
-    return true;
-  }
-  if (call.waitedMs_ > 0) {
-    UseBooking(returns_, call.clientAccount_, now);
-    return true;
-  }
-  const auto used =
-    static_cast<double>(admission_.running_) + static_cast<double>(admission_.queued_);
-  const double free = admission_.limit_ - used;
-  if (!IsCapacityKept(returns_, call.importance_, call.clientAccount_, free, now)) {
+  if (!SchedulesCapacity() ||
+      (call.waitedMs_ > 0 && UseBooking(returns_, call.clientAccount_, call.importance_, now)) ||
+      !IsCapacityKept(returns_, admission_, call.importance_, call.clientAccount_, now)) {
     return true;
   }
   metrics_.Add(Counter::kRefusedForReturns);
-  Refuse(aCallNumber, ErrorCode::kShed, 0);
+  // Without a queue there is no shortage beyond the kept capacity, for which a return would be
+  // booked in its turn.
+  RefuseForCapacity(aCallNumber, ErrorCode::kShed, 0, admission_.queued_ > 0);
   return false;
 }
 
-std::uint32_t Guard::ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode)
+std::uint32_t Guard::ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode, bool aMayBook)
 {
   const Call& call = aGuardedCall.call_;
   const TimePoint now = loop_.Now();
   RefusedRequest request = DescribeRefused(admission_, Waiting(0, aGuardedCall));
   request.left_ = aGuardedCall.deadline_ - now;
+  request.mayBook_ = aMayBook;
   const Route* route = ConfiguredRoute(call.route_);
   if (route != nullptr && route->latencyObjective_ > Duration::zero()) {
-    const auto times = admission_.routes_.find(call.route_);
-    const double run =
-      times == admission_.routes_.end() ? admission_.serviceSeconds_ : times->second.seconds_;
-    const auto margin =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(kRunTimeMargin * run));
+    const auto margin = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kRunTimeMargin * request.slotSeconds_));
     request.spare_ = route->latencyObjective_ - milliseconds(call.waitedMs_) -
                      (now - aGuardedCall.arrivedAt_) - margin;
   }
   const std::size_t booked = returns_.booked_.size();
-  const std::uint32_t retryAfterMs = BookReturn(returns_, request, now);
+  const BookingResult result = BookReturn(returns_, request, now);
   std::uint64_t skipped = 0;
   if (returnThrottle_.Allow(now, skipped)) {
     LogEvent(Event::kReturnScheduled,
@@ -259,13 +251,16 @@
                { "route", call.route_.value_ },
                { "reason", std::string(ErrorName(aCode)) },
                { "waited_ms", std::to_string(call.waitedMs_) },
-               { "ahead", std::to_string(static_cast<std::uint64_t>(request.ahead_)) },
+               { "ahead_ms",
+                 std::to_string(static_cast<std::uint64_t>(1000 * request.aheadSeconds_ /
+                                                           std::max(1.0, request.limit_))) },
                { "booked", std::to_string(booked) },
+               { "is_booked", result.isBooked_ ? "true" : "false" },
                { "used", std::to_string(returns_.usedFraction_) },
-               { "retry_after_ms", std::to_string(retryAfterMs) },
+               { "retry_after_ms", std::to_string(result.retryAfterMs_) },
                { "skipped", std::to_string(skipped) } });
   }
-  return retryAfterMs;
+  return result.retryAfterMs_;
 }
 
 bool Guard::BeginLimitedRun(std::uint64_t aCallNumber, GuardedCall& aGuardedCall)
@@ -280,7 +275,12 @@
   const Route* configured = ConfiguredRoute(route);
   const Duration objective =
     configured == nullptr ? Duration::zero() : configured->latencyObjective_;
-  const std::uint32_t retryAfterMs = RunRetryAfterMs(runLimits_, route, objective);
+  std::uint32_t retryAfterMs = RunRetryAfterMs(runLimits_, route, objective);
+  if (SchedulesCapacity()) {
+    const auto leftMs = static_cast<double>((aGuardedCall.deadline_ - now) / milliseconds(1));
+    const double third = returns_.settings_.maxLeftFraction_ * std::max(0.0, leftMs);
+    retryAfterMs = std::min(retryAfterMs, static_cast<std::uint32_t>(third));
+  }
   metrics_.Add(Counter::kRunsRefused);
   std::uint64_t skipped = 0;
   if (runLimitThrottle_.Allow(now, skipped)) {
@@ -313,7 +313,7 @@
 void Guard::Apply(const AdmissionActions& aActions)
 {
   for (const auto& refused : aActions.refuse_) {
-    Refuse(refused.id_, refused.code_, refused.retryAfterMs_);
+    RefuseForCapacity(refused.id_, refused.code_, refused.retryAfterMs_, true);
   }
   for (const std::uint64_t number : aActions.start_) {
     Start(number);
@@ -470,6 +470,19 @@
               : RefusedAnswer(guardedCall.call_, ErrorCode::kDeadlineExceeded, 0));
 }
 
+void Guard::RefuseForCapacity(std::uint64_t aCallNumber,
+                              ErrorCode aCode,
+                              std::uint32_t aRetryAfterMs,
+                              bool aMayBook)
+{
+  const auto entry = calls_.find(aCallNumber);
+  if (entry != calls_.end() && SchedulesCapacity() && IsRequest(entry->second.call_) &&
+      entry->second.deadline_ > loop_.Now()) {
+    aRetryAfterMs = ScheduleReturn(entry->second, aCode, aMayBook);
+  }
+  Refuse(aCallNumber, aCode, aRetryAfterMs);
+}
+
 void Guard::Refuse(std::uint64_t aCallNumber, ErrorCode aCode, std::uint32_t aRetryAfterMs)
 {
   const auto entry = calls_.find(aCallNumber);
@@ -479,11 +492,6 @@
   metrics_.Add(Counter::kGuardRefused);
   loop_.CancelTimer(entry->second.deadlineTimer_);
   EndLimitedRun(entry->second, RunResult::kNoResult);
-  const bool isForCapacity = aCode == ErrorCode::kShed || aCode == ErrorCode::kDeadlineExceeded;
-  if (SchedulesCapacity() && isForCapacity && IsRequest(entry->second.call_) &&
-      entry->second.deadline_ > loop_.Now()) {
-    aRetryAfterMs = ScheduleReturn(entry->second, aCode);
-  }
   Answer answer = RefusedAnswer(entry->second.call_, aCode, aRetryAfterMs);
   FillLoad(answer);
   LogEnd(entry->second, answer);
@@ -515,9 +523,6 @@
     actions = FinishCall(
       admission_, aExecutionResult, { total, total - deeperTime }, now, guardedCall.call_.route_);
     RecordTargetOutcome(aExecutionResult, aAnswer);
-    if (SchedulesCapacity() && IsRequest(guardedCall.call_)) {
-      RecordRunEnd(returns_, now);
-    }
     EndLimitedRun(guardedCall, RunResultOf(aExecutionResult, aAnswer));
   }
   FillLoad(aAnswer);
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -139,11 +139,17 @@
   /// Applies what the target states about itself in the answer to a call.
   void ApplyNotice(const GuardedCall& aGuardedCall, const HeaderList& aHeaders);
   void OnDeadline(std::uint64_t aCallNumber);
-  /// Uses the booking of a returning request, or refuses a new one while the free capacity is kept
-  /// for returns that are due.
-  bool MakeWayForReturns(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall);
-  /// Books the return of a refused request and returns the hint for its caller.
-  std::uint32_t ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode);
+  /// Uses the booking of a returning request. Refuses a request without one while the free capacity
+  /// is kept for returns that are due.
+  bool UseBookingOrRefuse(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall);
+  /// Schedules the return of a refused request and returns the hint for its caller.
+  std::uint32_t ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode, bool aMayBook);
+  /// Refuses a call for lack of capacity at this guard. aRetryAfterMs is used where insufficient
+  /// capacity isn't scheduled.
+  void RefuseForCapacity(std::uint64_t aCallNumber,
+                         ErrorCode aCode,
+                         std::uint32_t aRetryAfterMs,
+                         bool aMayBook);
   WaitingCall Waiting(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall) const;
   /// The route as configured; null if it isn't.
   const Route* ConfiguredRoute(const RouteId& aRoute) const;
--- a/peridotquay/request/ReturnSchedule.cpp
+++ b/peridotquay/request/ReturnSchedule.cpp
@@ -5,21 +5,19 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
-#include <numbers>
 
 namespace peridotquay {
 
 namespace {
 
-/// The count of ended runs halves in this time.
-constexpr double kEndsHalfLifeSeconds = 0.5;
-
 /// Weight of one booking in the moving average of those that are used, and bounds of the average.
 /// It stays above 0 so that it can rise again.
 constexpr double kUsedWeight = 0.02;
 constexpr double kMinUsedFraction = 0.02;
 
+/// At most this part of the limit is kept for returns: new requests aren't starved.
+constexpr double kMaxKeptFraction = 0.8;
+
 void RecordUse(ReturnSchedule& aState, bool aIsUsed)
 {
   aState.usedFraction_ += kUsedWeight * ((aIsUsed ? 1 : 0) - aState.usedFraction_);
@@ -35,10 +33,13 @@
   }
 }
 
-double Ends(const ReturnSchedule& aState, TimePoint aNow)
+/// Slot time of the waiting calls of an account. They are taken to be like its first one, because
+/// this is computed for each refusal.
+double WaitingSeconds(const AdmissionState& aState, const ClassQueue::AccountQueue& aQueue)
 {
-  const double age = std::max(0.0, ToSeconds(aNow - aState.endsUpdatedAt_));
-  return aState.ends_ * std::exp2(-age / kEndsHalfLifeSeconds);
+  return aQueue.calls_.empty() ? 0
+                               : static_cast<double>(aQueue.calls_.size()) *
+                                   SlotSeconds(aState, aQueue.calls_.front().route_);
 }
 
 } // namespace
@@ -79,68 +80,72 @@
 RefusedRequest DescribeRefused(const AdmissionState& aState, const WaitingCall& aCall)
 {
   RefusedRequest request{ aCall.importance_, aCall.clientAccount_ };
+  request.limit_ = EffectiveLimit(aState);
+  request.slotSeconds_ = SlotSeconds(aState, aCall.route_);
   const auto index = static_cast<std::size_t>(aCall.importance_);
   for (std::size_t i = 0; i < index; ++i) {
-    request.ahead_ += static_cast<double>(aState.queues_.at(i).size_);
+    for (const auto& [account, queue] : aState.queues_.at(i).accounts_) {
+      request.aheadSeconds_ += WaitingSeconds(aState, queue);
+    }
   }
   const double own = std::max(1e-3, aCall.weight_);
   double weights = own;
-  double ownCalls = 0;
+  double ownSeconds = 0;
   for (const auto& [account, queue] : aState.queues_.at(index).accounts_) {
     if (account == aCall.clientAccount_) {
-      ownCalls = static_cast<double>(queue.calls_.size());
+      ownSeconds = WaitingSeconds(aState, queue);
     } else if (!queue.calls_.empty()) {
       weights += std::max(1e-3, queue.calls_.front().weight_);
     }
   }
   request.startsPerOwn_ = weights / own;
-  request.ahead_ += ownCalls * request.startsPerOwn_;
+  request.aheadSeconds_ += ownSeconds * request.startsPerOwn_;
   return request;
 }
 
-void RecordRunEnd(ReturnSchedule& aState, TimePoint aNow)
-{
-  aState.ends_ = Ends(aState, aNow) + 1;
-  aState.endsUpdatedAt_ = aNow;
-}
-
-std::uint32_t BookReturn(ReturnSchedule& aState, const RefusedRequest& aRequest, TimePoint aNow)
+BookingResult BookReturn(ReturnSchedule& aState, const RefusedRequest& aRequest, TimePoint aNow)
 {
   RemoveExpired(aState, aNow);
   const ReturnSettings& settings = aState.settings_;
-  double booked = 0;
+  double bookedSeconds = 0;
   for (const BookedReturn& other : aState.booked_) {
     if (other.importance_ < aRequest.importance_) {
-      booked += 1;
+      bookedSeconds += other.slotSeconds_;
     } else if (other.importance_ == aRequest.importance_ && other.account_ == aRequest.account_) {
-      booked += aRequest.startsPerOwn_;
+      bookedSeconds += aRequest.startsPerOwn_ * other.slotSeconds_;
     }
   }
-  const double ahead = aRequest.ahead_ + aState.usedFraction_ * booked + 1;
-  const double perSecond = Ends(aState, aNow) * std::numbers::ln2 / kEndsHalfLifeSeconds;
+  const double limit = std::max(1.0, aRequest.limit_);
+  const double third = settings.maxLeftFraction_ * ToSeconds(aRequest.left_);
   const double least = ToSeconds(settings.minWait_);
-  double most = settings.maxLeftFraction_ * ToSeconds(aRequest.left_);
+  double most = third;
   // Returning callers wait in the queue too. A late answer is worth a small part of one in time, so
   // booking the place of a request in time for one that is late by then would be a loss.
-  const double queueSeconds = perSecond > 0 ? aRequest.ahead_ / perSecond : 0;
-  const double spare = ToSeconds(aRequest.spare_) - queueSeconds;
+  const double spare = ToSeconds(aRequest.spare_) - aRequest.aheadSeconds_ / limit;
   if (spare > 0) {
     most = std::min(most, spare);
   }
   most = std::max(least, most);
-  // Without a run that ended lately there is no rate, and the wait is the longest one.
-  const double wait = perSecond > 0 ? ahead / perSecond : most;
+  const double wait =
+    (aRequest.aheadSeconds_ + aState.usedFraction_ * bookedSeconds + aRequest.slotSeconds_) / limit;
   const double jitter = 1 + settings.jitter_ * (2 * RandomFraction(aState.random_) - 1);
-  // Returns that the capacity doesn't reach in time are spread over the last half of the time.
   const bool isInTime = wait * jitter <= most;
-  const double hint = isInTime
-                        ? std::max(least, wait * jitter)
-                        : std::max(least, most * (0.5 + 0.5 * RandomFraction(aState.random_)));
-  if (isInTime && aState.booked_.size() < kMaxBookedReturns) {
+  BookingResult result;
+  // Before the first run ended, the time until capacity becomes free isn't known.
+  result.isBooked_ = aRequest.mayBook_ && aRequest.slotSeconds_ > 0 && isInTime && third >= least &&
+                     aState.booked_.size() < kMaxBookedReturns;
+  // Returns that aren't expected in time are spread over the last half of the time.
+  const double hint =
+    aRequest.slotSeconds_ > 0 && isInTime
+      ? std::max(least * jitter, wait * jitter)
+      : std::max(least * jitter, most * (0.5 + 0.5 * RandomFraction(aState.random_)));
+  const double hintSeconds = std::min(hint, third);
+  if (result.isBooked_) {
     const BookedReturn entry{ aNow + std::chrono::duration_cast<Duration>(
-                                       std::chrono::duration<double>(hint)),
+                                       std::chrono::duration<double>(hintSeconds)),
                               aRequest.importance_,
-                              aRequest.account_ };
+                              aRequest.account_,
+                              aRequest.slotSeconds_ };
     aState.booked_.insert(
       std::upper_bound(aState.booked_.begin(),
                        aState.booked_.end(),
@@ -150,26 +155,32 @@
                        }),
       entry);
   }
-  return static_cast<std::uint32_t>(1000 * hint);
+  result.retryAfterMs_ = static_cast<std::uint32_t>(1000 * std::max(0.0, hintSeconds));
+  return result;
 }
 
-void UseBooking(ReturnSchedule& aState, const ClientAccountId& aAccount, TimePoint aNow)
+bool UseBooking(ReturnSchedule& aState,
+                const ClientAccountId& aAccount,
+                Importance aImportance,
+                TimePoint aNow)
 {
   RemoveExpired(aState, aNow);
   const auto found =
     std::find_if(aState.booked_.begin(), aState.booked_.end(), [&](const BookedReturn& aBooked) {
-      return aBooked.account_ == aAccount;
+      return aBooked.account_ == aAccount && aBooked.importance_ == aImportance;
     });
-  if (found != aState.booked_.end()) {
-    aState.booked_.erase(found);
-    RecordUse(aState, true);
+  if (found == aState.booked_.end()) {
+    return false;
   }
+  aState.booked_.erase(found);
+  RecordUse(aState, true);
+  return true;
 }
 
 bool IsCapacityKept(ReturnSchedule& aState,
+                    const AdmissionState& aAdmission,
                     Importance aImportance,
                     const ClientAccountId& aAccount,
-                    double aFree,
                     TimePoint aNow)
 {
   RemoveExpired(aState, aNow);
@@ -184,8 +195,13 @@
              ? 1
              : 0;
   }
-  const double kept = std::floor(aState.usedFraction_ * due);
-  return kept > 0 && aFree < kept + 1;
+  double free = aAdmission.limit_ - static_cast<double>(aAdmission.running_);
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(aImportance); ++i) {
+    free -= static_cast<double>(aAdmission.queues_.at(i).size_);
+  }
+  const double kept =
+    std::floor(std::min(aState.usedFraction_ * due, kMaxKeptFraction * aAdmission.limit_));
+  return kept > 0 && free < kept + 1;
 }
 
 } // namespace peridotquay
--- a/peridotquay/request/ReturnSchedule.h
+++ b/peridotquay/request/ReturnSchedule.h
@@ -67,6 +67,7 @@
   TimePoint dueAt_{};
   Importance importance_ = Importance::kNormal;
   ClientAccountId account_;
+  double slotSeconds_ = 0; ///< Expected slot time of the request.
 };
 
 /// Returns that a guard expects. Changed only by the functions below.
@@ -77,8 +78,6 @@
   /// Moving average of the part of the bookings that callers used. Callers may not come back, or
   /// may come back to another guard, and one request may be refused by several guards.
   double usedFraction_ = 0.5;
-  double ends_ = 0; ///< Ended runs, decaying.
-  TimePoint endsUpdatedAt_{};
   std::uint64_t random_ = 0x9E3779B97F4A7C15ULL; ///< State of the random generator.
 };
 
@@ -93,8 +92,11 @@
   /// Starts of the class for one of the account: weights of the waiting accounts, relative to its
   /// own; at least 1.
   double startsPerOwn_ = 1;
-  Duration left_{};  ///< Until the deadline.
-  double ahead_ = 0; ///< Calls that start before one more call of the account would.
+  Duration left_{};         ///< Until the deadline.
+  double aheadSeconds_ = 0; ///< Slot time of calls that start before one more of the account would.
+  double slotSeconds_ = 0;  ///< Expected slot time of the request; 0 if it isn't known.
+  double limit_ = 1;        ///< Slots that the guard uses at once.
+  bool mayBook_ = true;     ///< If false, the caller gets a hint without a booking.
   /// For how long the caller can wait and still be served within its latency objective, if it then
   /// starts at once; 0 if that can't be.
   Duration spare_{};
@@ -103,23 +105,31 @@
 /// Describes a call that is refused, or was taken from the queue to be refused.
 RefusedRequest DescribeRefused(const AdmissionState& aState, const WaitingCall& aCall);
 
-/// Records that a run ended, which frees its capacity.
-void RecordRunEnd(ReturnSchedule& aState, TimePoint aNow);
+/// How the return of a refused request is scheduled.
+struct BookingResult
+{
+  std::uint32_t retryAfterMs_ = 0; ///< After this time the caller should come back.
+  bool isBooked_ = false;
+};
 
-/// Books the return of a refused request and returns after how many milliseconds its caller should
-/// come back: when the capacity that becomes free at the present rate reaches this return, but
-/// early enough to be served within the latency objective where that can be.
-std::uint32_t BookReturn(ReturnSchedule& aState, const RefusedRequest& aRequest, TimePoint aNow);
+/// Books the return of a refused request for when the slots have run the calls ahead of it, but
+/// early enough to be served within the latency objective where that can be. Nothing is booked if
+/// the capacity doesn't reach the request in time, or if that isn't known.
+BookingResult BookReturn(ReturnSchedule& aState, const RefusedRequest& aRequest, TimePoint aNow);
 
-/// Uses the earliest booking of the account, for a request whose caller came back.
-void UseBooking(ReturnSchedule& aState, const ClientAccountId& aAccount, TimePoint aNow);
+/// Uses the earliest booking of the account and class, for a request whose caller came back. False
+/// if there is none.
+bool UseBooking(ReturnSchedule& aState,
+                const ClientAccountId& aAccount,
+                Importance aImportance,
+                TimePoint aNow);
 
-/// Whether a new request must be refused because free capacity is kept for returns that are due:
-/// aFree is the number of places that no call runs in or waits for.
+/// Whether a request without a booking must be refused because capacity is kept for returns that
+/// are due. Waiting calls of less important classes don't use capacity before it.
 bool IsCapacityKept(ReturnSchedule& aState,
+                    const AdmissionState& aAdmission,
                     Importance aImportance,
                     const ClientAccountId& aAccount,
-                    double aFree,
                     TimePoint aNow);
 
 } // namespace peridotquay
