Schedule capacity at guards whose target states its duration of work

Nothing called Guard::SetTargetStatesWorkDuration, so the scheduling was on with the setting `always` only. The guard now calls it with true when it reads a stated duration and with false when the target is replaced. A host also sets the waited time if the load of the called service is balanced by stated loads, since its own target may be of another service.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -378,11 +378,14 @@
     });
 }
 
-// Older hosts reject a call with a waited time, so it is set only where this host's guard schedules
-// capacity. A deeper call has the deadline of its request, which says nothing about its own.
+// Older hosts reject a call with a waited time, so it is set only where targets state the duration
+// of their work: this host's own, or those of the called service. A deeper call has the deadline of
+// its request, which says nothing about its own.
 void Dispatcher::SetWaitedTime(ActiveCall& aCall)
 {
-  if (!guard_.SchedulesCapacity() || aCall.call_.clientAccount_.value_.empty()) {
+  const bool isUsed = settings_.roomScheduling_ != FeatureMode::kOff &&
+                      (guard_.SchedulesCapacity() || IsLoadEven(routing_, aCall.call_.service_));
+  if (!isUsed || aCall.call_.clientAccount_.value_.empty()) {
     return;
   }
   const Duration waited = WaitedTime(statedDeadlines_,
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -403,6 +403,9 @@
     // An answer of the previous target at this address says nothing about the current one.
     if (!target_ || guardedCall.targetId_ == target_->id_) {
       workPercent_ = load->workPercent_.value_or(0);
+      if (workPercent_ > 0) {
+        SetTargetStatesWorkDuration(true);
+      }
     }
   }
   ApplyNotice(guardedCall, aResult.response_.headers_);
@@ -807,6 +810,7 @@
     client_.CloseIdleConnections();
     failures_ = {};
     workPercent_ = 0;
+    SetTargetStatesWorkDuration(false);
     ResetStartRate(admission_.startRate_, loop_.Now());
   } else if (hasReturned) {
     // It may have become cold without requests, after its last heartbeat too.
--- /dev/null
+++ b/tests/request/GuardTest.cpp
@@ -0,0 +1,68 @@
+// Tests of the guard with a target on a real socket.
+#include "peridotquay/process/Guard.h"
+
+#include "peridotquay/connection/HttpServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace peridotquay;
+
+namespace {
+
+/// Sends one call through the guard and waits for its answer.
+Answer RunCall(EventLoop& aLoop, Guard& aGuard)
+{
+  Call call;
+  call.service_ = { "svc" };
+  call.route_ = { "balance" };
+  call.method_ = "GET";
+  call.path_ = "/balance";
+  call.deadlineMs_ = 2000;
+  Answer result;
+  aLoop.Post([&] {
+    aGuard.Run(
+      call,
+      [](std::uint64_t) {},
+      [&](Answer aAnswer) {
+        result = std::move(aAnswer);
+        aLoop.Stop();
+      });
+  });
+  aLoop.Run();
+  return result;
+}
+
+} // namespace
+
+// Guards against a scheduling of insufficient capacity that is never switched on, because nothing
+// tells the guard that its target states the duration of its work, and against one that stays on
+// for a target that states none, or with the setting `off`.
+TEST_CASE("the guard schedules capacity while its target states the duration of work", "[guard]")
+{
+  for (const FeatureMode mode : { FeatureMode::kStated, FeatureMode::kOff }) {
+    EventLoop loop;
+    auto server = HttpServer::Listen(loop, {}, [](const std::shared_ptr<HttpExchange>& aExchange) {
+      aExchange->Respond({ 200, {}, "ok", std::nullopt });
+    });
+    REQUIRE(server.has_value());
+    NodeSettings settings;
+    settings.service_ = { "svc" };
+    settings.target_ = { "127.0.0.1", server.assume_value()->Port() };
+    settings.roomScheduling_ = mode;
+    Metrics metrics;
+    HttpDialect dialect = QuayDialect();
+    dialect.load_ = [](const HttpResponse&) -> std::optional<TargetLoad> {
+      return TargetLoad{ 1, 0, 10, 100 };
+    };
+    Guard guard(loop, settings, metrics, dialect);
+    guard.SetTarget({ "one", TargetState::kReady, 10, false, {} });
+    CHECK_FALSE(guard.SchedulesCapacity());
+    CHECK(RunCall(loop, guard).status_ == 200);
+    CHECK(guard.SchedulesCapacity() == (mode == FeatureMode::kStated));
+    guard.SetTarget({ "two", TargetState::kReady, 10, false, {} });
+    CHECK_FALSE(guard.SchedulesCapacity());
+  }
+}
