--- a/bench/graph_trials.cpp
+++ b/bench/graph_trials.cpp
@@ -47,7 +47,7 @@
       static_cast<std::size_t>(last ? aScene.durationSeconds_ : aScene.phases_[i + 1].atSecond_);
     std::printf("%-14s %-6s %3zu-%-3zu allowed %.3f",
                 aScene.name_.c_str(),
-                aSchedules    ? "room"
+                aSchedules    ? "capacity"
                 : aLimitsRuns ? "limits"
                               : "none",
                 from,
