--- a/peridotquay/request/RunLimit.h
+++ b/peridotquay/request/RunLimit.h
@@ -20,7 +20,7 @@
 {
   bool enabled_ = true; ///< If false, no run is refused.
   /// Whether the target states how long its work takes at present. Returning requests then begin
-  /// before new ones.
+  /// before new ones of their account.
   bool capacityScheduling_ = false;
   /// A limit is adapted at most this often, and at most once in half the usual time of a run.
   Duration minWindow_ = milliseconds(200);
