--- a/tests/request/GuardTest.cpp
+++ b/tests/request/GuardTest.cpp
@@ -7,6 +7,8 @@
 
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace peridotquay;
 
@@ -66,3 +68,59 @@
     CHECK_FALSE(guard.SchedulesCapacity());
   }
 }
+
+// Guards against a refusal by the run limit that books capacity of the guard, which isn't short, or
+// that tells its caller to return later than it can.
+TEST_CASE("a refusal by the run limit books no return and keeps its own hint", "[guard]")
+{
+  EventLoop loop;
+  auto server = HttpServer::Listen(loop, {}, [](const std::shared_ptr<HttpExchange>& aExchange) {
+    aExchange->Respond({ 500, {}, "", std::nullopt });
+  });
+  REQUIRE(server.has_value());
+  NodeSettings settings;
+  settings.service_ = { "svc" };
+  settings.target_ = { "127.0.0.1", server.assume_value()->Port() };
+  settings.roomScheduling_ = FeatureMode::kAlways;
+  Metrics metrics;
+  Guard guard(loop, settings, metrics);
+  const auto recordOverload = [&] {
+    for (int i = 0; i < 20; ++i) {
+      guard.RecordDeeperCall(1);
+    }
+  };
+  recordOverload();
+  for (int i = 0; i < 6; ++i) {
+    RunCall(loop, guard);
+  }
+  // The window of the run limit ends after 200 ms; the limit is then a single run.
+  std::this_thread::sleep_for(milliseconds(250));
+  loop.Post([&] { loop.Stop(); });
+  loop.Run();
+  recordOverload();
+  Call call;
+  call.service_ = { "svc" };
+  call.route_ = { "balance" };
+  call.method_ = "GET";
+  call.path_ = "/balance";
+  call.deadlineMs_ = 150;
+  std::vector<Answer> answers;
+  loop.Post([&] {
+    for (int i = 0; i < 2; ++i) {
+      guard.Run(
+        call,
+        [](std::uint64_t) {},
+        [&](Answer aAnswer) {
+          answers.push_back(std::move(aAnswer));
+          if (answers.size() == 2) {
+            loop.Stop();
+          }
+        });
+    }
+  });
+  loop.Run();
+  const Answer& refused = answers.at(0);
+  CHECK(refused.error_ == static_cast<std::uint16_t>(ErrorCode::kShed));
+  CHECK(refused.retryAfterMs_ <= 50);
+  CHECK(guard.BookedReturns() == 0);
+}
