--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -164,7 +164,8 @@
     if (!value || *value == 0) {
       return malformed;
     }
-    aCall.deadline_ = std::min(aCall.deadline_, now + milliseconds(*value));
+    aCall.statedDeadline_ = milliseconds(*value);
+    aCall.deadline_ = std::min(aCall.deadline_, now + aCall.statedDeadline_);
   }
   aCall.budget_.left_ = aCall.route_->maxRetries_;
   if (!dialect_.hasContexts_) {
@@ -377,15 +378,20 @@
     });
 }
 
-// Older hosts reject a call with a waited time, so it is set only where this host's guard schedules
-// capacity. A deeper call has the deadline of its request, which says nothing about its own.
+// Older hosts reject a call with a waited time, so it is set only where targets state the duration
+// of their work: this host's own, or those of the called service. A deeper call has the deadline of
+// its request, which says nothing about its own.
 void Dispatcher::SetWaitedTime(ActiveCall& aCall)
 {
-  if (!guard_.SchedulesCapacity() || aCall.call_.clientAccount_.value_.empty()) {
+  const bool isUsed = settings_.roomScheduling_ != FeatureMode::kOff &&
+                      (guard_.SchedulesCapacity() || IsLoadEven(routing_, aCall.call_.service_));
+  if (!isUsed || aCall.call_.clientAccount_.value_.empty()) {
     return;
   }
-  const Duration waited = WaitedTime(
-    statedDeadlines_, aCall.call_.route_, aCall.deadline_ - aCall.arrivedAt_, aCall.arrivedAt_);
+  const Duration waited = WaitedTime(statedDeadlines_,
+                                     { aCall.call_.route_, aCall.call_.clientAccount_ },
+                                     aCall.statedDeadline_,
+                                     aCall.arrivedAt_);
   aCall.call_.waitedMs_ = static_cast<std::uint32_t>(waited / milliseconds(1));
   metrics_.Add(Counter::kReturningRequests, aCall.call_.waitedMs_ > 0 ? 1 : 0);
 }
--- a/tests/request/ReturnScheduleTest.cpp
+++ b/tests/request/ReturnScheduleTest.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -19,6 +20,7 @@
 
 const TimePoint kStart{ seconds(1000) };
 const RouteId kRoute{ "balance" };
+const std::pair<RouteId, ClientAccountId> kKey{ kRoute, { "a" } };
 
 /// Requests by whether their caller came back, and how many of them were served.
 struct Served
@@ -69,7 +71,7 @@
   std::multimap<TimePoint, int> ends;
   PlayReturns(
     [&](TimePoint aNow, bool aReturning) {
-      const bool begins = TryBeginRun(state, kRoute, aNow, aReturning);
+      const bool begins = TryBeginRun(state, kRoute, aNow, { "a" }, aReturning);
       ++(aReturning ? served.returningOffered_ : served.newOffered_);
       if (begins) {
         ++(aReturning ? served.returningServed_ : served.newServed_);
@@ -132,7 +134,7 @@
           state, { 0, Importance::kNormal, { aCaller.account_ }, 1, now, now + left, kRoute });
         request.left_ = left;
         request.spare_ = aCaller.firstAt_ + milliseconds(1350) - now;
-        aHintMs = BookReturn(returns, request, now);
+        aHintMs = BookReturn(returns, request, now).retryAfterMs_;
       }
       const Duration wait = std::min<Duration>(milliseconds(aHintMs), left / 3);
       due.emplace(now + wait, Caller{ aCaller.account_, aCaller.firstAt_, true });
@@ -149,11 +151,11 @@
     const auto offer = [&](const Caller& aCaller) {
       Served& served = result.accounts_[aCaller.account_];
       ++(aCaller.returned_ ? served.returningOffered_ : served.newOffered_);
-      const double free = state.limit_ - state.running_ - static_cast<double>(state.queued_);
       const ClientAccountId account{ aCaller.account_ };
-      if (schedules_ && aCaller.returned_) {
-        UseBooking(returns, account, now);
-      } else if (schedules_ && IsCapacityKept(returns, Importance::kNormal, account, free, now)) {
+      const bool hasBooking =
+        schedules_ && aCaller.returned_ && UseBooking(returns, account, Importance::kNormal, now);
+      if (schedules_ && !hasBooking &&
+          IsCapacityKept(returns, state, Importance::kNormal, account, now)) {
         refuse(aCaller, 0);
         return;
       }
@@ -177,7 +179,6 @@
         result.servedInTrouble_ += inTrouble ? 1 : 0;
         result.inTime_ += now - caller.firstAt_ <= milliseconds(1500) ? 1 : 0;
         callers.erase(ended);
-        RecordRunEnd(returns, now);
         apply(FinishCall(state, ExecutionResult::kAnswered, milliseconds(100), now, kRoute));
       }
       for (const auto& [account, perSecond] : perSecond_) {
@@ -205,19 +206,42 @@
 TEST_CASE("the waited time is the difference to the longest recent deadline", "[returns]")
 {
   StatedDeadlines state;
-  CHECK(WaitedTime(state, kRoute, seconds(5), kStart) == Duration::zero());
-  CHECK(WaitedTime(state, kRoute, milliseconds(4990), kStart) == Duration::zero());
-  CHECK(WaitedTime(state, kRoute, milliseconds(3400), kStart) == milliseconds(1600));
-  CHECK(WaitedTime(state, { "other" }, seconds(1), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, seconds(5), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, milliseconds(4990), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, milliseconds(3400), kStart) == milliseconds(1600));
+  CHECK(WaitedTime(state, { { "other" }, { "a" } }, seconds(1), kStart) == Duration::zero());
   // It is kept over the end of a period, and forgotten after two.
   const TimePoint later = kStart + kDeadlinePeriod;
-  CHECK(WaitedTime(state, kRoute, seconds(4), later) == seconds(1));
-  CHECK(WaitedTime(state, kRoute, seconds(4), later + kDeadlinePeriod) == Duration::zero());
-  CHECK(WaitedTime(state, kRoute, seconds(2), later + 5 * kDeadlinePeriod) == Duration::zero());
-  for (int i = 0; i < 1000; ++i) {
-    WaitedTime(state, { std::to_string(i) }, seconds(1), kStart);
+  CHECK(WaitedTime(state, kKey, seconds(4), later) == seconds(1));
+  CHECK(WaitedTime(state, kKey, seconds(4), later + kDeadlinePeriod) == Duration::zero());
+  CHECK(WaitedTime(state, kKey, seconds(2), later + 5 * kDeadlinePeriod) == Duration::zero());
+  const TimePoint flood = later + 5 * kDeadlinePeriod;
+  for (int i = 0; i < 5000; ++i) {
+    WaitedTime(state, { kRoute, { std::to_string(i) } }, seconds(1), flood);
   }
-  CHECK(state.routes_.size() == kMaxDeadlineRoutes);
+  CHECK(state.entries_.size() == kMaxStatedDeadlines);
+  // Entries of accounts that come no more don't keep others out for ever.
+  WaitedTime(state, kKey, seconds(5), flood + 2 * kDeadlinePeriod);
+  CHECK(state.entries_.size() == 1);
+}
+
+// Guards against one caller with a long deadline that makes the first attempts of all other
+// accounts look like returns.
+TEST_CASE("the waited time is measured against the deadlines of the same account", "[returns]")
+{
+  StatedDeadlines state;
+  CHECK(WaitedTime(state, { kRoute, { "a" } }, seconds(60), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, { kRoute, { "b" } }, seconds(5), kStart) == Duration::zero());
+  CHECK(WaitedTime(state, { kRoute, { "a" } }, seconds(59), kStart) == seconds(1));
+}
+
+// Guards against requests without a stated deadline, for which the route's own would be taken, that
+// make requests with a shorter one look like returns.
+TEST_CASE("a request without a stated deadline has no waited time", "[returns]")
+{
+  StatedDeadlines state;
+  CHECK(WaitedTime(state, kKey, {}, kStart) == Duration::zero());
+  CHECK(state.entries_.empty());
 }
 
 // Guards against callers that are refused again and again while newcomers of their account are
@@ -268,6 +292,42 @@
   CHECK(on.newServed_ + on.returningServed_ >= 0.95 * (off.newServed_ + off.returningServed_));
 }
 
+// Guards against refused returns of one account that keep the new requests of all others out, and
+// against places kept for them that look like demand, so that the limit grows without need.
+TEST_CASE("a run limit keeps places from the account of the refused returns only", "[returns]")
+{
+  RunLimitState state;
+  state.settings_.capacityScheduling_ = true;
+  state.settings_.minWindow_ = std::chrono::hours(1);
+  RouteRuns& route = state.routes_[kRoute];
+  route.windowStart_ = kStart;
+  route.limit_ = 4;
+  for (int i = 0; i < 4; ++i) {
+    REQUIRE(TryBeginRun(state, kRoute, kStart, { "a" }));
+  }
+  for (int i = 0; i < 6; ++i) {
+    CHECK_FALSE(TryBeginRun(state, kRoute, kStart, { "a" }, true));
+  }
+  for (int i = 0; i < 3; ++i) {
+    EndRun(state, kRoute, RunResult::kSucceeded, milliseconds(10), kStart);
+  }
+  const std::uint32_t refused = route.windowRefused_;
+  route.limitReachedAt_ = {};
+  CHECK_FALSE(TryBeginRun(state, kRoute, kStart, { "a" }));
+  CHECK(route.windowRefused_ == refused);
+  CHECK(route.limitReachedAt_ == TimePoint{});
+  CHECK(TryBeginRun(state, kRoute, kStart, { "b" }));
+  CHECK(TryBeginRun(state, kRoute, kStart, { "a" }, true));
+  // The number of accounts is bounded, and those whose refusals are long ago make room.
+  route.limit_ = 1;
+  for (int i = 0; i < 1000; ++i) {
+    TryBeginRun(state, kRoute, kStart, { std::to_string(i) }, true);
+  }
+  CHECK(route.returningRefused_.size() == kMaxReturningAccounts);
+  TryBeginRun(state, kRoute, kStart + seconds(10), { "late" }, true);
+  CHECK(route.returningRefused_.size() == 1);
+}
+
 // Guards against hints that call everybody back at once, too early or too late, and against callers
 // of little weight or importance that come back as early as others.
 TEST_CASE("returns are booked for when the capacity reaches them", "[returns]")
@@ -275,13 +335,13 @@
   ReturnSchedule state;
   state.usedFraction_ = 1;
   state.settings_.jitter_ = 0;
-  for (int i = 0; i < 800; ++i) {
-    RecordRunEnd(state, kStart + milliseconds(10 * i)); // 100 runs a second.
-  }
+  // Runs of 0.1 s in 10 slots: 100 a second.
   const TimePoint now = kStart + seconds(8);
   const auto book = [&](Importance aImportance, double aStartsPerOwn, double aAhead) {
     ReturnSchedule copy = state;
-    return BookReturn(copy, { aImportance, { "a" }, aStartsPerOwn, seconds(6), aAhead }, now);
+    return BookReturn(
+             copy, { aImportance, { "a" }, aStartsPerOwn, seconds(6), 0.1 * aAhead, 0.1, 10 }, now)
+      .retryAfterMs_;
   };
   const std::uint32_t usual = book(Importance::kNormal, 1, 50);
   CHECK(usual == Approx(510).margin(30));
@@ -291,7 +351,8 @@
   CHECK(book(Importance::kNormal, 1, 5000) <= 2000);
   std::uint32_t last = 0;
   for (int i = 0; i < 40; ++i) {
-    last = BookReturn(state, { Importance::kNormal, { "a" }, 1, seconds(6), 10 }, now);
+    last = BookReturn(state, { Importance::kNormal, { "a" }, 1, seconds(6), 1, 0.1, 10 }, now)
+             .retryAfterMs_;
   }
   CHECK(last == Approx(500).margin(30));
   // Booked returns of lower classes don't delay higher ones.
@@ -301,17 +362,69 @@
   CHECK(book(Importance::kNormal, 2, 10) == Approx(910).margin(50));
   // When they are due, capacity is kept for them, but not from other accounts of their class.
   const TimePoint due = now + milliseconds(500);
-  CHECK(IsCapacityKept(state, Importance::kNormal, { "a" }, 2, due));
-  CHECK(IsCapacityKept(state, Importance::kLow, { "b" }, 2, due));
-  CHECK_FALSE(IsCapacityKept(state, Importance::kNormal, { "b" }, 2, due));
-  CHECK_FALSE(IsCapacityKept(state, Importance::kHigh, { "a" }, 2, due));
-  CHECK_FALSE(IsCapacityKept(state, Importance::kNormal, { "a" }, 100, due));
+  AdmissionState guard;
+  guard.limit_ = 10;
+  guard.running_ = 8;
+  CHECK(IsCapacityKept(state, guard, Importance::kNormal, { "a" }, due));
+  CHECK(IsCapacityKept(state, guard, Importance::kLow, { "b" }, due));
+  CHECK_FALSE(IsCapacityKept(state, guard, Importance::kNormal, { "b" }, due));
+  CHECK_FALSE(IsCapacityKept(state, guard, Importance::kHigh, { "a" }, due));
+  // New requests get a fifth of the limit, however many returns are due.
+  guard.running_ = 1;
+  CHECK_FALSE(IsCapacityKept(state, guard, Importance::kNormal, { "a" }, due));
+  // Waiting calls of less important classes don't use the capacity before the request.
+  guard.queues_[static_cast<std::size_t>(Importance::kLow)].size_ = 5;
+  CHECK_FALSE(IsCapacityKept(state, guard, Importance::kNormal, { "a" }, due));
+  guard.queues_[static_cast<std::size_t>(Importance::kHigh)].size_ = 5;
+  CHECK(IsCapacityKept(state, guard, Importance::kNormal, { "a" }, due));
   // Bookings that nobody uses expire, and the next ones keep less.
-  CHECK_FALSE(IsCapacityKept(state, Importance::kNormal, { "a" }, 2, due + seconds(1)));
+  CHECK_FALSE(IsCapacityKept(state, guard, Importance::kNormal, { "a" }, due + seconds(1)));
   CHECK(state.booked_.empty());
   CHECK(state.usedFraction_ < 0.5);
 }
 
+// Guards against bookings that a request of another class uses up, which then keep nothing for the
+// ones that they were made for.
+TEST_CASE("a booking is used by its account and class only", "[returns]")
+{
+  ReturnSchedule state;
+  const RefusedRequest request{ Importance::kNormal, { "a" }, 1, seconds(6), 0, 0.1, 10 };
+  REQUIRE(BookReturn(state, request, kStart).isBooked_);
+  CHECK_FALSE(UseBooking(state, { "a" }, Importance::kLow, kStart));
+  CHECK_FALSE(UseBooking(state, { "b" }, Importance::kNormal, kStart));
+  CHECK(UseBooking(state, { "a" }, Importance::kNormal, kStart));
+  CHECK_FALSE(UseBooking(state, { "a" }, Importance::kNormal, kStart));
+}
+
+// Guards against bookings for a guessed time, for callers that can't wait until they are due, and
+// against callers that all return after the same minimum wait or later than they can.
+TEST_CASE("nothing is booked without a known time that the caller can wait", "[returns]")
+{
+  ReturnSchedule state;
+  RefusedRequest request{ Importance::kNormal, { "a" }, 1, seconds(6), 0, 0, 10 };
+  CHECK_FALSE(BookReturn(state, request, kStart).isBooked_);
+  request.slotSeconds_ = 0.1;
+  request.mayBook_ = false;
+  CHECK_FALSE(BookReturn(state, request, kStart).isBooked_);
+  request.mayBook_ = true;
+  std::set<std::uint32_t> hints;
+  for (int i = 0; i < 20; ++i) {
+    ReturnSchedule fresh;
+    fresh.random_ += static_cast<std::uint64_t>(i) * 1'000'003;
+    const BookingResult result = BookReturn(fresh, request, kStart);
+    CHECK(result.isBooked_);
+    CHECK(result.retryAfterMs_ >= 85);
+    CHECK(result.retryAfterMs_ <= 115);
+    hints.insert(result.retryAfterMs_);
+  }
+  CHECK(hints.size() > 5);
+  request.left_ = milliseconds(240);
+  const BookingResult result = BookReturn(state, request, kStart);
+  CHECK_FALSE(result.isBooked_);
+  CHECK(result.retryAfterMs_ <= 80);
+  CHECK(state.booked_.empty());
+}
+
 // One account sends 7.5 times its load; 0.7 of the capacity for 10 s; five times the capacity.
 // Guards against returns that are refused while newcomers are served, that come together, and that
 // cost the other accounts their share or the target its work.
