Bring start rates up to date when a call arrives

OfferCall computed the wait for a stated or cold rate from the tokens of the last start. Calls that were refused started nothing, so nothing added tokens until a call ended or a heartbeat came: a target with a low limit got nothing in between, and the limit outlasted the cold start.

OfferCall updates the bucket and the cold state first, and EffectiveLimit, ColdPerSecond and AllowedPerSecond take the time. A refused connection to the target counts as a possible restart, so the target is assumed to be cold. X-Cold-Ms in an answer shortens a cold start only if the call began after the last statement.

The tests of short deadlines use rates of 0.4, 1, 3 and 4.5 with 5 and 300 arrivals a second and require 0.8 x 0.9 x rate x time - 1 starts.

--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -376,6 +376,11 @@
   const Call& call = guardedCall.call_;
   switch (aResult.requestStatus_) {
     case TargetRequestStatus::kNotSent:
+      // It may have restarted; its next heartbeat comes after it accepts connections.
+      if (target_ && guardedCall.targetId_ == target_->id_) {
+        AssumeCold(admission_.startRate_, loop_.Now());
+        LogColdLimit(std::nullopt);
+      }
       Finish(aCallNumber,
              ExecutionResult::kTargetRefused,
              RefusedAnswer(call, ErrorCode::kTargetUnreachable, 0));
@@ -441,7 +446,7 @@
                { "queued", std::to_string(admission_.queued_) } });
   }
   if (notice.coldRemaining_) {
-    RecordCold(admission_.startRate_, *notice.coldRemaining_, loop_.Now());
+    RecordCold(admission_.startRate_, *notice.coldRemaining_, loop_.Now(), aGuardedCall.startedAt_);
     LogColdLimit(notice.coldRemaining_);
   }
   if (notice.leaving_ && target_ && onTargetLeaving_) {
@@ -578,7 +583,7 @@
     return;
   }
   aAnswer.inFlight_ = admission_.running_;
-  aAnswer.limit_ = EffectiveLimit(admission_);
+  aAnswer.limit_ = EffectiveLimit(admission_, loop_.Now());
   aAnswer.queued_ = static_cast<std::uint32_t>(admission_.queued_);
   aAnswer.level_ = CurrentAdmissionLevel(admission_, loop_.Now());
   if (aAnswer.level_.admittedFraction_ >= 1) {
@@ -595,7 +600,7 @@
   }
   return LoadReport{ admission_.running_,
                      static_cast<std::uint32_t>(admission_.queued_),
-                     EffectiveLimit(admission_),
+                     EffectiveLimit(admission_, loop_.Now()),
                      workPercent_ };
 }
 
@@ -912,12 +917,12 @@
 
 double Guard::ColdPerSecond() const
 {
-  return peridotquay::ColdPerSecond(admission_.startRate_).value_or(0);
+  return peridotquay::ColdPerSecond(admission_.startRate_, loop_.Now()).value_or(0);
 }
 
 void Guard::LogColdLimit(const std::optional<Duration>& aRemaining)
 {
-  const auto current = peridotquay::ColdPerSecond(admission_.startRate_);
+  const auto current = peridotquay::ColdPerSecond(admission_.startRate_, loop_.Now());
   if (current.has_value() == hasLoggedCold_) {
     return;
   }
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -157,9 +157,9 @@
 }
 
 /// Time that one more call of the class would wait because of the target's stated rate.
-double RateWaitSeconds(const AdmissionState& aState, Importance aImportance)
+double RateWaitSeconds(const AdmissionState& aState, Importance aImportance, TimePoint aNow)
 {
-  const auto rate = AllowedPerSecond(aState.startRate_);
+  const auto rate = AllowedPerSecond(aState.startRate_, aNow);
   if (!rate) {
     return 0;
   }
@@ -174,7 +174,7 @@
 {
   const double waiting = static_cast<double>(aState.queued_) + 1;
   const double slotSeconds = waiting * ExpectedServiceSeconds(aState, aNow) / aState.limit_;
-  const double waitMs = 1000 * std::max(slotSeconds, RateWaitSeconds(aState, aImportance));
+  const double waitMs = 1000 * std::max(slotSeconds, RateWaitSeconds(aState, aImportance, aNow));
   return static_cast<std::uint32_t>(std::clamp(waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
 }
 
@@ -711,6 +711,8 @@
 {
   AdmissionActions actions;
   UpdateAdmissionLevel(aState, aNow);
+  // A call that is refused starts nothing, so nothing else would update the rate until a call ends.
+  UpdateStartRate(aState.startRate_, aNow);
   aState.offered_[Index(aCall.importance_)] += 1;
   if (IsTooLate(aState, aCall, aNow)) {
     RefuseCall(aState, actions, aCall, ErrorCode::kDeadlineExceeded, aNow);
@@ -718,7 +720,7 @@
   }
   const double maxRateWait =
     aState.settings_.maxRateWaitFraction_ * ToSeconds(aCall.deadline_ - aNow);
-  if (RateWaitSeconds(aState, aCall.importance_) > maxRateWait) {
+  if (RateWaitSeconds(aState, aCall.importance_, aNow) > maxRateWait) {
     RefuseCall(aState, actions, aCall, ErrorCode::kShed, aNow);
     return actions;
   }
@@ -808,9 +810,9 @@
   SetLimit(aState, isNew && !aState.slotsContradicted_ ? aSlots : aState.limit_);
 }
 
-std::uint32_t EffectiveLimit(const AdmissionState& aState)
+std::uint32_t EffectiveLimit(const AdmissionState& aState, TimePoint aNow)
 {
-  const auto rate = AllowedPerSecond(aState.startRate_);
+  const auto rate = AllowedPerSecond(aState.startRate_, aNow);
   // By Little's law, calls at this rate occupy that many slots.
   const double atRate = rate ? *rate * aState.serviceSeconds_ : aState.limit_;
   return static_cast<std::uint32_t>(std::max(1.0, std::min(aState.limit_, atRate)));
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -222,7 +222,7 @@
 
 /// Calls that the target can run at once under its concurrency limit and its stated rate; at
 /// least 1. Sent to callers with each answer.
-std::uint32_t EffectiveLimit(const AdmissionState& aState);
+std::uint32_t EffectiveLimit(const AdmissionState& aState, TimePoint aNow);
 
 /// The least important class that the guard currently admits; sent to callers with each answer.
 AdmissionLevel CurrentAdmissionLevel(AdmissionState& aState, TimePoint aNow);
--- a/peridotquay/request/StartRate.cpp
+++ b/peridotquay/request/StartRate.cpp
@@ -14,7 +14,7 @@
 void Refill(StartRateState& aState, TimePoint aNow)
 {
   aState.isCold_ = aState.isCold_ && aNow < aState.coldUntil_;
-  const auto rate = AllowedPerSecond(aState);
+  const auto rate = AllowedPerSecond(aState, aNow);
   if (!rate) {
     return;
   }
@@ -30,7 +30,7 @@
 void ChangeLimits(StartRateState& aState, TimePoint aNow, Change aChange)
 {
   Refill(aState, aNow);
-  const bool wasLimited = AllowedPerSecond(aState).has_value();
+  const bool wasLimited = AllowedPerSecond(aState, aNow).has_value();
   aChange();
   if (!wasLimited) {
     aState.tokens_ = 0;
@@ -59,6 +59,7 @@
   fresh.coldPerSecond_ = aState.coldPerSecond_;
   fresh.isCold_ = true;
   fresh.coldUntil_ = TimePoint::max();
+  fresh.coldStatedAt_ = aNow;
   // The host may have restarted and have started calls of this target just before.
   fresh.refilledAt_ = aNow;
   aState = fresh;
@@ -83,12 +84,22 @@
   ChangeLimits(aState, aNow, [&] { aState.coldPerSecond_ = aPerSecond; });
 }
 
-void RecordCold(StartRateState& aState, Duration aRemaining, TimePoint aNow)
+void RecordCold(StartRateState& aState,
+                Duration aRemaining,
+                TimePoint aNow,
+                const std::optional<TimePoint>& aCallStartedAt)
 {
+  const bool isEarlier = aCallStartedAt && *aCallStartedAt <= aState.coldStatedAt_;
+  if (isEarlier && aState.isCold_ && aNow + aRemaining < aState.coldUntil_) {
+    return;
+  }
   ChangeLimits(aState, aNow, [&] {
     aState.isCold_ = aRemaining > Duration::zero();
     aState.coldUntil_ = aNow + aRemaining;
   });
+  if (aState.isCold_) {
+    aState.coldStatedAt_ = aNow;
+  }
 }
 
 void AssumeCold(StartRateState& aState, TimePoint aNow)
@@ -97,28 +108,34 @@
     aState.isCold_ = true;
     aState.coldUntil_ = TimePoint::max();
   });
+  aState.coldStatedAt_ = aNow;
 }
 
-std::optional<double> ColdPerSecond(const StartRateState& aState)
+std::optional<double> ColdPerSecond(const StartRateState& aState, TimePoint aNow)
 {
-  if (!aState.isCold_ || aState.coldPerSecond_ <= 0) {
+  if (!aState.isCold_ || aNow >= aState.coldUntil_ || aState.coldPerSecond_ <= 0) {
     return std::nullopt;
   }
   return aState.settings_.coldRateFraction_ * aState.coldPerSecond_;
 }
 
+void UpdateStartRate(StartRateState& aState, TimePoint aNow)
+{
+  Refill(aState, aNow);
+}
+
 bool MayStart(StartRateState& aState, std::uint32_t aRunning, TimePoint aNow)
 {
   if (!aState.isProven_ && aRunning >= MaxFirstCalls(aState, aNow)) {
     return false;
   }
   Refill(aState, aNow);
-  return !AllowedPerSecond(aState) || aState.tokens_ >= 1;
+  return !AllowedPerSecond(aState, aNow) || aState.tokens_ >= 1;
 }
 
 void RecordStart(StartRateState& aState, TimePoint aNow)
 {
-  if (AllowedPerSecond(aState)) {
+  if (AllowedPerSecond(aState, aNow)) {
     aState.tokens_ -= 1;
   }
   if (!aState.isProven_ && aState.firstStartAt_ == TimePoint{}) {
@@ -126,9 +143,9 @@
   }
 }
 
-std::optional<double> AllowedPerSecond(const StartRateState& aState)
+std::optional<double> AllowedPerSecond(const StartRateState& aState, TimePoint aNow)
 {
-  const std::optional<double> cold = ColdPerSecond(aState);
+  const std::optional<double> cold = ColdPerSecond(aState, aNow);
   if (!aState.perSecond_) {
     return cold;
   }
--- a/peridotquay/request/StartRate.h
+++ b/peridotquay/request/StartRate.h
@@ -24,10 +24,9 @@
   std::uint32_t firstCalls_ = 3;
   /// That number doubles each time this passes without an answer, so that a slow target isn't idle.
   Duration firstCallsDoubling_ = milliseconds(250);
-  /// Fraction of the rate that a cold target tolerates which the guard uses. With burst_, the
-  /// starts of any second stay below 1.13 times the rate plus 1. The rest of what a target
-  /// tolerates (1.5 times the rate plus 8) is left for calls that reach it later than those sent
-  /// after them.
+  /// Fraction of the rate that a cold target tolerates which the guard uses. With burst_, at most
+  /// 1.125 times that rate plus 1 start in any second. A target tolerates 1.5 times the rate plus 8,
+  /// because calls may be delayed on their way and arrive together.
   double coldRateFraction_ = 0.9;
   bool operator==(const StartRateSettings&) const = default;
 };
@@ -48,6 +47,7 @@
   /// The target is cold, or it isn't known whether it is. Ends at coldUntil_.
   bool isCold_ = false;
   TimePoint coldUntil_{};
+  TimePoint coldStatedAt_{}; ///< When the target was last stated or assumed to be cold.
   TimePoint firstStartAt_{}; ///< First start of an unproven target; zero if there was none.
 };
 
@@ -64,14 +64,23 @@
 /// Sets the rate that a cold target tolerates; 0 for no limit.
 void SetColdRate(StartRateState& aState, double aPerSecond, TimePoint aNow);
 
-/// Applies what the target states about how long it stays cold; 0 if it isn't cold.
-void RecordCold(StartRateState& aState, Duration aRemaining, TimePoint aNow);
+/// Applies what the target states about how long it stays cold; 0 if it isn't cold. If it is stated
+/// in the answer to a call that started before the last statement or assumption of a cold target,
+/// it doesn't shorten that.
+void RecordCold(StartRateState& aState,
+                Duration aRemaining,
+                TimePoint aNow,
+                const std::optional<TimePoint>& aCallStartedAt = std::nullopt);
 
 /// Treats the target as cold until it states how long it stays cold.
 void AssumeCold(StartRateState& aState, TimePoint aNow);
 
 /// Calls a second that are started because the target is cold or may be; empty for no limit.
-std::optional<double> ColdPerSecond(const StartRateState& aState);
+std::optional<double> ColdPerSecond(const StartRateState& aState, TimePoint aNow);
+
+/// Adds the starts allowed since the last update, and ends the limit of a target that isn't cold
+/// any more.
+void UpdateStartRate(StartRateState& aState, TimePoint aNow);
 
 /// Whether one more call may start while aRunning run.
 bool MayStart(StartRateState& aState, std::uint32_t aRunning, TimePoint aNow);
@@ -80,6 +89,6 @@
 void RecordStart(StartRateState& aState, TimePoint aNow);
 
 /// Starts a second that the stated rate and that of a cold target allow; empty for no limit.
-std::optional<double> AllowedPerSecond(const StartRateState& aState);
+std::optional<double> AllowedPerSecond(const StartRateState& aState, TimePoint aNow);
 
 } // namespace peridotquay
--- a/tests/request/StartRateTest.cpp
+++ b/tests/request/StartRateTest.cpp
@@ -23,6 +23,7 @@
   std::vector<TimePoint> starts_;
   std::deque<TimePoint> running_; ///< Start of each running call, oldest first.
   std::size_t refused_ = 0;
+  Duration callTime_ = seconds(6); ///< From a call's arrival to its deadline.
   std::uint64_t nextId_ = 1;
 
   RatedGuard()
@@ -54,7 +55,7 @@
       }
       for (due += aArrivalsPerSecond / 1000; due >= 1; due -= 1) {
         Apply(OfferCall(
-          state_, { nextId_++, Importance::kNormal, { "a" }, 1, now_, now_ + seconds(6) }, now_));
+          state_, { nextId_++, Importance::kNormal, { "a" }, 1, now_, now_ + callTime_ }, now_));
       }
       Apply(DropLateCalls(state_, now_));
     }
@@ -105,9 +106,9 @@
   RecordStatedRate(state, 10.0, now, now + milliseconds(100));
   CHECK_FALSE(MayStart(state, 0, now + milliseconds(100)));
   RecordStatedRate(state, std::nullopt, now + milliseconds(50), now + milliseconds(150));
-  CHECK(AllowedPerSecond(state) == 10.0);
+  CHECK(AllowedPerSecond(state, now) == 10.0);
   RecordStatedRate(state, std::nullopt, now + milliseconds(200), now + milliseconds(300));
-  CHECK_FALSE(AllowedPerSecond(state));
+  CHECK_FALSE(AllowedPerSecond(state, now + milliseconds(300)));
   CHECK(MayStart(state, 100, now + milliseconds(300)));
 }
 
@@ -154,7 +155,7 @@
   CHECK(normal.refuse_[0].code_ == ErrorCode::kShed);
   CHECK(normal.refuse_[0].retryAfterMs_ >= 500);
   // Callers' hosts see a full target.
-  CHECK(EffectiveLimit(guard.state_) <= 1);
+  CHECK(EffectiveLimit(guard.state_, guard.now_) <= 1);
 }
 
 // Guards against a cold target that gets more than it tolerates in a second and crashes: after its
@@ -178,14 +179,14 @@
     // What it tolerates is used, and the limit ends with the cold start.
     CHECK(static_cast<double>(guard.starts_.size()) >= 0.85 * tolerated * 4.99 - 2);
     guard.Play(seconds(3), 400);
-    CHECK_FALSE(AllowedPerSecond(rate));
+    CHECK_FALSE(AllowedPerSecond(rate, guard.now_));
     const TimePoint relapseAt = guard.now_;
     AssumeCold(rate, guard.now_);
     guard.Play(seconds(3), 400);
     CHECK(static_cast<double>(guard.MaxStartsIn(seconds(1), relapseAt)) < bound);
     // A report that it isn't cold ends the assumption.
     RecordCold(rate, {}, guard.now_);
-    CHECK_FALSE(AllowedPerSecond(rate));
+    CHECK_FALSE(AllowedPerSecond(rate, guard.now_));
   }
 }
 
@@ -197,11 +198,53 @@
   SetColdRate(state, 10, now);
   RecordCold(state, seconds(5), now);
   RecordStatedRate(state, 4.0, now, now);
-  CHECK(AllowedPerSecond(state) == 4.0);
+  CHECK(AllowedPerSecond(state, now) == 4.0);
   RecordStatedRate(state, 40.0, now, now);
-  CHECK(AllowedPerSecond(state) == 9.0);
+  CHECK(AllowedPerSecond(state, now) == 9.0);
   CHECK_FALSE(MayStart(state, 0, now));
   // Without a tolerated rate in the document, a cold target has no limit.
   SetColdRate(state, 0, now);
-  CHECK(AllowedPerSecond(state) == 40.0);
+  CHECK(AllowedPerSecond(state, now) == 40.0);
+}
+
+// Guards against a target with a low limit that gets nothing although it is idle: refused calls
+// must not keep the allowed starts and the end of a cold start from being updated. Nothing else
+// runs on the guard in that time.
+TEST_CASE("a low rate is used with short deadlines", "[start-rate]")
+{
+  for (const double tolerated : { 0.4, 1.0, 3.0, 4.5 }) {
+    for (const double arrivals : { 5.0, 300.0 }) {
+      INFO("tolerated " << tolerated << ", arrivals " << arrivals);
+      RatedGuard guard;
+      guard.callTime_ = milliseconds(1500);
+      StartRateState& rate = guard.state_.startRate_;
+      SetColdRate(rate, tolerated, guard.now_);
+      RecordCold(rate, seconds(30), guard.now_);
+      guard.Play(milliseconds(29990), arrivals);
+      CHECK(static_cast<double>(guard.starts_.size()) >= 0.8 * 0.9 * tolerated * 30 - 1);
+      CHECK(static_cast<double>(guard.MaxStartsIn(seconds(1), {})) < 1.5 * tolerated + 8);
+      // All calls start once the cold start has ended.
+      guard.Play(seconds(1), arrivals);
+      const std::size_t refused = guard.refused_;
+      guard.Play(seconds(4), arrivals);
+      CHECK(guard.refused_ == refused);
+    }
+  }
+}
+
+// Guards against a target that restarts or relapses and crashes because the answer to an earlier
+// call says that it isn't cold.
+TEST_CASE("an answer to an earlier call doesn't end a cold start", "[start-rate]")
+{
+  const TimePoint now{ seconds(50) };
+  StartRateState state;
+  SetColdRate(state, 10, now);
+  AssumeCold(state, now);
+  RecordCold(state, {}, now + milliseconds(20), now - milliseconds(10));
+  CHECK(ColdPerSecond(state, now + milliseconds(20)));
+  RecordCold(state, seconds(5), now + milliseconds(100));
+  RecordCold(state, {}, now + milliseconds(200), now + milliseconds(50));
+  CHECK(ColdPerSecond(state, now + milliseconds(200)));
+  RecordCold(state, {}, now + milliseconds(300), now + milliseconds(150));
+  CHECK_FALSE(ColdPerSecond(state, now + milliseconds(300)));
 }
