Apply the allowed regions in force to retries and waiting calls

A call kept the lists of the configuration under which it began, so its retries went to regions that the operator had excluded since, and guards didn't check regions at all.

The choice applies the lists of the call's configuration and of the one in force. A guard refuses arriving and waiting calls as not run (no-target) if its region is excluded by their route or account.

--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -192,6 +192,8 @@
   static TargetFilter FilterFor(const Config& aConfig,
                                 const Route& aRoute,
                                 const ClientAccountId& aAccount);
+  /// Those of the call's configuration and of the one in force now.
+  TargetFilter FilterFor(const ActiveCall& aCall) const;
   /// Whether allowed regions and evacuated data centres exclude all targets of the call's service.
   bool ExcludesAllTargets(const ActiveCall& aCall) const;
   /// Whether the target stated that it leaves.
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -48,8 +48,7 @@
   }
   const TimePoint now = loop_.Now();
   std::vector<HostId> excluded = aCall->excludedHosts_;
-  const TargetFilter filter =
-    FilterFor(*aCall->config_, *aCall->route_, aCall->call_.clientAccount_);
+  const TargetFilter filter = FilterFor(*aCall);
   while (true) {
     auto target = ChooseTarget(
       routing_, *targets_, service, excluded, now, aCall->route_->latencyObjective_, filter);
@@ -79,6 +78,27 @@
            account == aConfig.clientAccounts_.end() ? nullptr : &account->second.allowedRegions_ };
 }
 
+TargetFilter Dispatcher::FilterFor(const ActiveCall& aCall) const
+{
+  const ClientAccountId& account = aCall.call_.clientAccount_;
+  TargetFilter filter = FilterFor(*aCall.config_, *aCall.route_, account);
+  if (!config_ || config_ == aCall.config_) {
+    return filter;
+  }
+  const auto route =
+    std::find_if(config_->routes_.begin(), config_->routes_.end(), [&](const Route& aRoute) {
+      return aRoute.id_ == aCall.route_->id_;
+    });
+  if (route != config_->routes_.end()) {
+    filter.currentRouteRegions_ = &route->allowedRegions_;
+  }
+  const auto entry = config_->clientAccounts_.find(account);
+  if (entry != config_->clientAccounts_.end()) {
+    filter.currentAccountRegions_ = &entry->second.allowedRegions_;
+  }
+  return filter;
+}
+
 bool Dispatcher::ExcludesAllTargets(const ActiveCall& aCall) const
 {
   if (!targets_ || settings_.naive_) {
@@ -88,7 +108,7 @@
   if (found == targets_->targets_.end() || found->second.empty()) {
     return false;
   }
-  const TargetFilter filter = FilterFor(*aCall.config_, *aCall.route_, aCall.call_.clientAccount_);
+  const TargetFilter filter = FilterFor(aCall);
   return std::none_of(found->second.begin(), found->second.end(), [&](const Target& aTarget) {
     return MayReach(filter, *targets_, aTarget);
   });
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -2,6 +2,7 @@
 #include "peridotquay/process/Guard.h"
 
 #include "peridotquay/process/Events.h"
+#include "peridotquay/request/RouteChoice.h"
 
 #include <nlohmann/json.hpp>
 
@@ -143,7 +144,8 @@
     Refuse(number, ErrorCode::kDraining, 0);
     return;
   }
-  if (aCall.service_ != settings_.service_) {
+  // Another target may be in an allowed region, so the caller's host goes on choosing.
+  if (aCall.service_ != settings_.service_ || IsRegionExcluded(aCall)) {
     Refuse(number, ErrorCode::kNoTarget, 0);
     return;
   }
@@ -748,6 +750,36 @@
               coldStart == config_->coldStarts_.end() ? 0 : coldStart->second.perSecond_,
               loop_.Now());
   LogColdLimit(std::nullopt);
+  SetExcluded();
+}
+
+void Guard::SetExcluded()
+{
+  // The baseline that the product is compared with knows no regions.
+  if (settings_.naive_) {
+    return;
+  }
+  excludedRoutes_.clear();
+  excludedAccounts_.clear();
+  for (const Route& route : config_->routes_) {
+    if (!AllowsRegion(&route.allowedRegions_, settings_.region_)) {
+      excludedRoutes_.insert(route.id_);
+    }
+  }
+  for (const auto& [account, entry] : config_->clientAccounts_) {
+    if (!AllowsRegion(&entry.allowedRegions_, settings_.region_)) {
+      excludedAccounts_.insert(account);
+    }
+  }
+  if (!excludedRoutes_.empty() || !excludedAccounts_.empty()) {
+    RefuseWaiting(ErrorCode::kNoTarget,
+                  [this](const Call& aCall) { return IsRegionExcluded(aCall); });
+  }
+}
+
+bool Guard::IsRegionExcluded(const Call& aCall) const
+{
+  return excludedRoutes_.contains(aCall.route_) || excludedAccounts_.contains(aCall.clientAccount_);
 }
 
 void Guard::SetTargetStatesWorkDuration(bool aStates)
@@ -817,15 +849,15 @@
   LogColdLimit(aTarget.coldRemaining_);
   SetSlots(aTarget.slots_);
   if (IsTargetLeaving()) {
-    RefuseWaiting(ErrorCode::kDraining);
+    RefuseWaiting(ErrorCode::kDraining, [](const Call& /*aCall*/) { return true; });
   }
 }
 
-void Guard::RefuseWaiting(ErrorCode aCode)
+void Guard::RefuseWaiting(ErrorCode aCode, const std::function<bool(const Call&)>& aIsRefused)
 {
   std::vector<std::uint64_t> waiting;
   for (const auto& [number, guardedCall] : calls_) {
-    if (guardedCall.targetRequest_ == 0) {
+    if (guardedCall.targetRequest_ == 0 && aIsRefused(guardedCall.call_)) {
       waiting.push_back(number);
     }
   }
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace peridotquay {
@@ -172,7 +173,11 @@
   /// Logs the beginning and the end of the limit for a cold target. aRemaining: what was stated
   /// just now about how long it stays cold, if anything.
   void LogColdLimit(const std::optional<Duration>& aRemaining);
-  void RefuseWaiting(ErrorCode aCode);
+  void RefuseWaiting(ErrorCode aCode, const std::function<bool(const Call&)>& aIsRefused);
+  /// Whether the allowed regions of its route or account exclude the region of this guard.
+  bool IsRegionExcluded(const Call& aCall) const;
+  /// Applies the allowed regions of the configuration in force.
+  void SetExcluded();
   bool IsTargetLeaving() const;
   /// Switches the scheduling of insufficient capacity on or off in all states that it concerns.
   void SetCapacityScheduling(bool aIsOn);
@@ -197,6 +202,9 @@
   std::map<std::uint64_t, GuardedCall> calls_;
   std::uint64_t nextCallNumber_ = 1;
   TargetHealth health_;
+  /// Routes and accounts whose allowed regions exclude the region of this guard.
+  std::set<RouteId> excludedRoutes_;
+  std::set<ClientAccountId> excludedAccounts_;
   bool hasLoggedCold_ = false; ///< The last TargetCold event stated a limit.
   LogThrottle refusalThrottle_;
   LogThrottle runLimitThrottle_;
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -344,12 +344,6 @@
   aStats.consecutiveFailures_ = aSettings.failuresToEject_ > 0 ? aSettings.failuresToEject_ - 1 : 0;
 }
 
-bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion)
-{
-  return aRegions == nullptr || aRegions->empty() ||
-         std::find(aRegions->begin(), aRegions->end(), aRegion) != aRegions->end();
-}
-
 /// Draws of a target by its share before a call falls back to the choice among all targets.
 constexpr int kMaxDraws = 6;
 
@@ -489,11 +483,19 @@
 
 } // namespace
 
+bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion)
+{
+  return aRegions == nullptr || aRegions->empty() ||
+         std::find(aRegions->begin(), aRegions->end(), aRegion) != aRegions->end();
+}
+
 bool MayReach(const TargetFilter& aFilter, const TargetView& aView, const Target& aTarget)
 {
   return !aView.evacuated_.contains(aTarget.dataCentre_) &&
          AllowsRegion(aFilter.routeRegions_, aTarget.region_) &&
-         AllowsRegion(aFilter.accountRegions_, aTarget.region_);
+         AllowsRegion(aFilter.accountRegions_, aTarget.region_) &&
+         AllowsRegion(aFilter.currentRouteRegions_, aTarget.region_) &&
+         AllowsRegion(aFilter.currentAccountRegions_, aTarget.region_);
 }
 
 std::optional<Target> ChooseTarget(RoutingState& aState,
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -89,8 +89,14 @@
 {
   const std::vector<RegionId>* routeRegions_ = nullptr;   ///< Null or empty allows all regions.
   const std::vector<RegionId>* accountRegions_ = nullptr; ///< Null or empty allows all regions.
+  /// Lists of the configuration in force now, for a call that began under an earlier one.
+  const std::vector<RegionId>* currentRouteRegions_ = nullptr;
+  const std::vector<RegionId>* currentAccountRegions_ = nullptr;
 };
 
+/// Whether a list of allowed regions contains the region. Null or empty allows all regions.
+bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion);
+
 /// Whether a call may be sent to the target: the filter allows its region, and its data centre
 /// isn't evacuated.
 bool MayReach(const TargetFilter& aFilter, const TargetView& aView, const Target& aTarget);
