Test evacuations and cold targets under continuous traffic

The test of evacuations sent no requests between the order and 5 s later, so starts after that were hardly tested. Clients now run through order and withdrawal, and starts later than the order plus 5 s count. The test of cold targets passed with 11 starts in 8 s although 43 are allowed, and took any line with per_s=none for the end of the limit; it now requires 30 starts and a TargetCold line.

--- a/tests/failure/UserFleetTest.cpp
+++ b/tests/failure/UserFleetTest.cpp
@@ -815,19 +815,34 @@
     const std::vector<std::size_t> evacuated{ 2, 6 };
     CHECK(ServeFromAll(fleet, "before", 10) == 80);
     CHECK(StartedAt(fleet, evacuated) > 0);
+    // Host 0 restarts meanwhile.
+    const SteadyClients clients(fleet, { 1, 2, 3, 4, 5, 6, 7 }, milliseconds(20));
+    std::this_thread::sleep_for(milliseconds(500));
     fleet.Store().Put("op", "evacuate/d2", "x");
+    const TimePoint inForceAt = Clock::now() + milliseconds(5000);
     std::this_thread::sleep_for(milliseconds(5000));
-    const std::size_t started = StartedAt(fleet, evacuated);
     CHECK(ServeFromAll(fleet, "during", 10) == 80);
     fleet.Restart(0);
     REQUIRE(fleet.WaitReady());
     CHECK(ServeFromAll(fleet, "restarted", 10) == 80);
-    CHECK(StartedAt(fleet, evacuated) == started);
+    std::this_thread::sleep_for(milliseconds(1000));
+    const auto startedInForce = [&] {
+      std::size_t started = 0;
+      for (const std::size_t host : evacuated) {
+        const std::vector<TimePoint> starts = fleet.TargetOf(host).StartTimes();
+        started += static_cast<std::size_t>(std::count_if(
+          starts.begin(), starts.end(), [&](TimePoint aAt) { return aAt > inForceAt; }));
+      }
+      return started;
+    };
+    CHECK(startedInForce() == 0);
     CHECK(fleet.Log(1).find("name=DataCentreEvacuated") != std::string::npos);
     fleet.Store().Remove("op", "evacuate/d2");
     std::this_thread::sleep_for(milliseconds(5000));
     CHECK(ServeFromAll(fleet, "after", 10) == 80);
-    CHECK(StartedAt(fleet, evacuated) > started);
+    CHECK(startedInForce() > 0);
+    CHECK(clients.Sent() > 1000);
+    CHECK(clients.Served() >= clients.Sent() * 99 / 100);
   }
 }
 
@@ -880,7 +895,8 @@
     std::this_thread::sleep_for(milliseconds(4000));
   }
   const std::vector<TimePoint> starts = startsInColdTime();
-  CHECK(starts.size() > 10);
+  // 0.9 times the tolerated rate are 43 in 8 s, less the time without the host that restarts.
+  CHECK(starts.size() >= 30);
   for (auto first = starts.begin(); first != starts.end(); ++first) {
     const auto last = std::upper_bound(first, starts.end(), *first + seconds(1));
     REQUIRE(static_cast<double>(last - first) <= kTolerated * 1.5 + 8);
@@ -896,5 +912,12 @@
   const auto started = static_cast<double>(fleet.TargetOf(0).StartTimes().size() - cold);
   CHECK(started > 2 * 1.125 * kTolerated + 1);
   CHECK(fleet.Log(0).find("name=TargetCold target=i-h0 per_s=") != std::string::npos);
-  CHECK(fleet.Log(0).find("per_s=none") != std::string::npos);
+  const std::string log = fleet.Log(0);
+  bool hasEnd = false;
+  for (std::size_t at = log.find("name=TargetCold"); at != std::string::npos;
+       at = log.find("name=TargetCold", at + 1)) {
+    const std::string line = log.substr(at, log.find('\n', at) - at);
+    hasEnd = hasEnd || line.find(" per_s=none") != std::string::npos;
+  }
+  CHECK(hasEnd);
 }
