Update start rates in the tests only when the guard does

The simulated guard called DropLateCalls every millisecond, which adds tokens; the real one calls it only while calls wait. So the tests of low rates passed without the update in OfferCall. They now fail without it (StartRateTest linked with Admission.cpp less that line: the low-rate test and the test of stated limits fail) and pass with it (StartRateTest linked alone with the library: 8 test cases, all passed).

--- a/tests/request/StartRateTest.cpp
+++ b/tests/request/StartRateTest.cpp
@@ -57,7 +57,10 @@
         Apply(OfferCall(
           state_, { nextId_++, Importance::kNormal, { "a" }, 1, now_, now_ + callTime_ }, now_));
       }
-      Apply(DropLateCalls(state_, now_));
+      // As in the guard, nothing updates the state while no call waits or ends.
+      if (state_.queued_ > 0) {
+        Apply(DropLateCalls(state_, now_));
+      }
     }
   }
 
