--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -2,6 +2,7 @@
 #include "peridotquay/process/Guard.h"
 
 #include "peridotquay/process/Events.h"
+#include "peridotquay/request/RouteChoice.h"
 
 #include <nlohmann/json.hpp>
 
@@ -143,7 +144,8 @@
     Refuse(number, ErrorCode::kDraining, 0);
     return;
   }
-  if (aCall.service_ != settings_.service_) {
+  // Another target may be in an allowed region, so the caller's host goes on choosing.
+  if (aCall.service_ != settings_.service_ || IsRegionExcluded(aCall)) {
     Refuse(number, ErrorCode::kNoTarget, 0);
     return;
   }
@@ -377,6 +379,11 @@
   const Call& call = guardedCall.call_;
   switch (aResult.requestStatus_) {
     case TargetRequestStatus::kNotSent:
+      // It may have restarted; its next heartbeat comes after it accepts connections.
+      if (target_ && guardedCall.targetId_ == target_->id_) {
+        AssumeCold(admission_.startRate_, loop_.Now());
+        LogColdLimit(std::nullopt);
+      }
       Finish(aCallNumber,
              ExecutionResult::kTargetRefused,
              RefusedAnswer(call, ErrorCode::kTargetUnreachable, 0));
@@ -445,7 +452,7 @@
                { "queued", std::to_string(admission_.queued_) } });
   }
   if (notice.coldRemaining_) {
-    RecordCold(admission_.startRate_, *notice.coldRemaining_, loop_.Now());
+    RecordCold(admission_.startRate_, *notice.coldRemaining_, loop_.Now(), aGuardedCall.startedAt_);
     LogColdLimit(notice.coldRemaining_);
   }
   if (notice.leaving_ && target_ && onTargetLeaving_) {
@@ -587,7 +594,7 @@
     return;
   }
   aAnswer.inFlight_ = admission_.running_;
-  aAnswer.limit_ = EffectiveLimit(admission_);
+  aAnswer.limit_ = EffectiveLimit(admission_, loop_.Now());
   aAnswer.queued_ = static_cast<std::uint32_t>(admission_.queued_);
   aAnswer.level_ = CurrentAdmissionLevel(admission_, loop_.Now());
   if (aAnswer.level_.admittedFraction_ >= 1) {
@@ -604,7 +611,7 @@
   }
   return LoadReport{ admission_.running_,
                      static_cast<std::uint32_t>(admission_.queued_),
-                     EffectiveLimit(admission_),
+                     EffectiveLimit(admission_, loop_.Now()),
                      workPercent_ };
 }
 
@@ -752,6 +759,36 @@
               coldStart == config_->coldStarts_.end() ? 0 : coldStart->second.perSecond_,
               loop_.Now());
   LogColdLimit(std::nullopt);
+  SetExcluded();
+}
+
+void Guard::SetExcluded()
+{
+  // The baseline that the product is compared with knows no regions.
+  if (settings_.naive_) {
+    return;
+  }
+  excludedRoutes_.clear();
+  excludedAccounts_.clear();
+  for (const Route& route : config_->routes_) {
+    if (!AllowsRegion(&route.allowedRegions_, settings_.region_)) {
+      excludedRoutes_.insert(route.id_);
+    }
+  }
+  for (const auto& [account, entry] : config_->clientAccounts_) {
+    if (!AllowsRegion(&entry.allowedRegions_, settings_.region_)) {
+      excludedAccounts_.insert(account);
+    }
+  }
+  if (!excludedRoutes_.empty() || !excludedAccounts_.empty()) {
+    RefuseWaiting(ErrorCode::kNoTarget,
+                  [this](const Call& aCall) { return IsRegionExcluded(aCall); });
+  }
+}
+
+bool Guard::IsRegionExcluded(const Call& aCall) const
+{
+  return excludedRoutes_.contains(aCall.route_) || excludedAccounts_.contains(aCall.clientAccount_);
 }
 
 void Guard::SetTargetStatesWorkDuration(bool aStates)
@@ -822,15 +859,15 @@
   LogColdLimit(aTarget.coldRemaining_);
   SetSlots(aTarget.slots_);
   if (IsTargetLeaving()) {
-    RefuseWaiting(ErrorCode::kDraining);
+    RefuseWaiting(ErrorCode::kDraining, [](const Call& /*aCall*/) { return true; });
   }
 }
 
-void Guard::RefuseWaiting(ErrorCode aCode)
+void Guard::RefuseWaiting(ErrorCode aCode, const std::function<bool(const Call&)>& aIsRefused)
 {
   std::vector<std::uint64_t> waiting;
   for (const auto& [number, guardedCall] : calls_) {
-    if (guardedCall.targetRequest_ == 0) {
+    if (guardedCall.targetRequest_ == 0 && aIsRefused(guardedCall.call_)) {
       waiting.push_back(number);
     }
   }
@@ -922,12 +959,12 @@
 
 double Guard::ColdPerSecond() const
 {
-  return peridotquay::ColdPerSecond(admission_.startRate_).value_or(0);
+  return peridotquay::ColdPerSecond(admission_.startRate_, loop_.Now()).value_or(0);
 }
 
 void Guard::LogColdLimit(const std::optional<Duration>& aRemaining)
 {
-  const auto current = peridotquay::ColdPerSecond(admission_.startRate_);
+  const auto current = peridotquay::ColdPerSecond(admission_.startRate_, loop_.Now());
   if (current.has_value() == hasLoggedCold_) {
     return;
   }
