Use exact counts of targets that state no duration of work

Cause: in mode 'stated', a report without a duration of work was dropped although its service was distributed by load; the target's calls became the mean at each refresh, which also erased the calls that this host had just sent. A target replaced in the same host process kept the load of the previous one, because the host's incarnation doesn't change.

Change: a stated duration decides only whether a service is distributed by load; then each report with a limit counts, at 100 % if it states no duration. Calls of this host at a target without a report are kept and decay with the duration of work. The load belongs to Target::instance_. bench/even_load_trials gets the scene 'refusing'.

--- a/bench/even_load_trials.cpp
+++ b/bench/even_load_trials.cpp
@@ -64,13 +64,17 @@
   kSteady,
   kBurst,       ///< One data centre sends three times its load for 4 s.
   kSlowQuarter, ///< A quarter of the targets works at a third of its speed for the second half.
-  kFalseSpeed   ///< A tenth of the targets states a fifth of its duration of work.
+  kFalseSpeed,  ///< A tenth of the targets states a fifth of its duration of work.
+  kRefusing     ///< A quarter of the targets refuses 55 % of its calls at once.
 };
 
 const std::vector<std::pair<std::string, Scene>> kScenes{ { "steady", Scene::kSteady },
                                                           { "burst", Scene::kBurst },
                                                           { "slow-quarter", Scene::kSlowQuarter },
-                                                          { "false-speed", Scene::kFalseSpeed } };
+                                                          { "false-speed", Scene::kFalseSpeed },
+                                                          { "refusing", Scene::kRefusing } };
+
+constexpr double kRefusedFraction = 0.55;
 
 struct Options
 {
@@ -91,6 +95,7 @@
   TimePoint sentAt_{};
   TimePoint queuedAt_{};
   bool handedOn_ = false;
+  std::vector<HostId> refusedBy_;
 };
 
 struct SimTarget
@@ -108,6 +113,7 @@
   kAtGuard,
   kEnd,
   kAnswer,
+  kRefusal,
   kReport,
   kReported
 };
@@ -231,7 +237,7 @@
              static_cast<std::uint32_t>(percent) };
   }
 
-  std::size_t Choose(std::size_t aHost)
+  std::size_t Choose(std::size_t aHost, const std::vector<HostId>& aExclude = {})
   {
     const std::size_t count = targets_.size();
     const auto load = [this](std::size_t aTarget) {
@@ -257,7 +263,7 @@
     }
     const auto target = options_.variant_ == Variant::kNaive
                           ? ChooseNaiveTarget(naive_[aHost], view_, kService)
-                          : ChooseTarget(hosts_[aHost], view_, kService, {}, now_);
+                          : ChooseTarget(hosts_[aHost], view_, kService, aExclude, now_);
     return static_cast<std::size_t>(std::stoul(target->host_.value_.substr(5)));
   }
 
@@ -268,8 +274,9 @@
         OnArrival(aEvent.number_ == 1);
         break;
       case Kind::kAtGuard:
-        calls_[aEvent.number_].queuedAt_ =
-          calls_[aEvent.number_].handedOn_ ? calls_[aEvent.number_].queuedAt_ : now_;
+        if (calls_[aEvent.number_].queuedAt_ == TimePoint{}) {
+          calls_[aEvent.number_].queuedAt_ = now_;
+        }
         OnGuard(aEvent.number_);
         break;
       case Kind::kEnd:
@@ -287,6 +294,9 @@
                         &aEvent.report_);
         break;
       }
+      case Kind::kRefusal:
+        OnRefusal(aEvent);
+        break;
       case Kind::kReport:
         Schedule(now_ + FromSeconds(options_.staleness_ / 2),
                  Kind::kReported,
@@ -328,15 +338,45 @@
       StartCentral();
       return;
     }
+    Send(number);
+  }
+
+  void Send(std::uint32_t aNumber)
+  {
+    const SimCall& call = calls_[aNumber];
+    ++attempts_;
     RecordCallSent(hosts_[call.host_], view_.targets_.at(kService)[call.target_], now_);
     farCalls_ += OneWay(call.host_, call.target_) == kOneWayFar ? 1 : 0;
-    Schedule(now_ + OneWay(call.host_, call.target_), Kind::kAtGuard, number);
+    Schedule(now_ + OneWay(call.host_, call.target_), Kind::kAtGuard, aNumber);
+  }
+
+  void OnRefusal(const SimEvent& aEvent)
+  {
+    SimCall& call = calls_[aEvent.number_];
+    RecordCallEnded(hosts_[call.host_],
+                    view_.targets_.at(kService)[call.target_],
+                    AttemptResult::kRefused,
+                    now_ - call.sentAt_,
+                    static_cast<double>(aEvent.report_.running_ + aEvent.report_.queued_) / kSlots,
+                    now_,
+                    &aEvent.report_);
+    call.refusedBy_.push_back({ HostName(call.target_) });
+    call.target_ = Choose(call.host_, call.refusedBy_);
+    call.sentAt_ = now_;
+    Send(aEvent.number_);
   }
 
   void OnGuard(std::uint32_t aNumber)
   {
     SimCall& call = calls_[aNumber];
     SimTarget& target = targets_[call.target_];
+    if (options_.scene_ == Scene::kRefusing && call.target_ % 4 == 1 &&
+        RandomFraction(random_) < kRefusedFraction) {
+      ++refusals_;
+      Schedule(
+        now_ + OneWay(call.host_, call.target_), Kind::kRefusal, aNumber, Report(call.target_));
+      return;
+    }
     if (target.running_ < kSlots) {
       StartCall(aNumber);
       return;
@@ -457,7 +497,7 @@
     for (const double wait : waits_) {
       mean += wait / static_cast<double>(waits_.size());
     }
-    std::printf("%.2f | %.0f | %.0f | %.0f | %.1f | %.1f | %.1f | %.1f |\n",
+    std::printf("%.2f | %.0f | %.0f | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f |\n",
                 highest * static_cast<double>(targets_.size()) / sum,
                 quantile(0.5),
                 quantile(0.99),
@@ -465,7 +505,8 @@
                 100.0 * uneven_ / std::max(1, samples_),
                 100.0 * idle_ / std::max(1, samples_),
                 100.0 * farCalls_ / static_cast<double>(calls_.size()),
-                100.0 * handedOn_ / static_cast<double>(calls_.size()));
+                100.0 * handedOn_ / static_cast<double>(calls_.size()),
+                100.0 * refusals_ / std::max(1, attempts_));
     std::fflush(stdout);
   }
 
@@ -490,6 +531,8 @@
   int idle_ = 0;
   int farCalls_ = 0;
   int handedOn_ = 0;
+  int attempts_ = 0;
+  int refusals_ = 0;
 };
 
 /// Measures the processor time of one choice with its records, where calls are aGap apart.
@@ -553,7 +596,8 @@
   std::printf(
     "| scene | variant | hosts | load | age s | max/mean | wait p50 ms | p99 ms | mean ms | "
     "queue beside 10 %% free, %% of time | queue beside idle, %% | other region %% | "
-    "handed on %% |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    "handed on %% | refused attempts %% "
+    "|\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
   for (const auto& [sceneName, scene] : kScenes) {
     for (const auto& [variantName, variant] : kVariants) {
       if ((given.contains("--scene") && given["--scene"] != sceneName) ||
--- a/peridotquay/request/LoadEstimate.cpp
+++ b/peridotquay/request/LoadEstimate.cpp
@@ -131,6 +131,7 @@
 void AddSentCall(TargetLoadEstimate& aEstimate, TimePoint aNow)
 {
   aEstimate.calls_ += 1;
+  aEstimate.ownCalls_ += 1;
   aEstimate.recentSends_.at(aEstimate.nextSend_) = aNow;
   aEstimate.nextSend_ =
     static_cast<std::uint32_t>((aEstimate.nextSend_ + 1) % aEstimate.recentSends_.size());
@@ -187,11 +188,15 @@
     const bool isBusy =
       ReportedCalls(report) > reported[target.group_].Utilisation() * target.slots_;
     target.workSeconds_ = usualWork * (isBusy ? std::max(100.0, percent) : percent) / 100;
+    target.estimate_->ownCalls_ *= std::exp(-ToSeconds(sinceRefresh) / target.workSeconds_);
     Advance(*target.estimate_, target.slots_, target.workSeconds_, aNow);
     known.Add(target);
     ages += ToSeconds(aNow - target.estimate_->measuredAt_);
     ++knownCount;
   }
+  // Part of the calls that other hosts send.
+  const double otherHosts =
+    aHosts <= 1 ? 0 : static_cast<double>(aHosts - 1) / static_cast<double>(aHosts);
   const double meanSlots = knownCount == 0 ? 1 : known.slots_ / static_cast<double>(knownCount);
   for (ServiceTarget& target : aLoad.targets_) {
     if (isKnown(target)) {
@@ -199,7 +204,10 @@
     }
     target.slots_ = target.announcedSlots_ > 0 ? target.announcedSlots_ : meanSlots;
     target.workSeconds_ = usualWork;
-    target.estimate_->calls_ = known.Utilisation() * target.slots_;
+    target.estimate_->ownCalls_ *= std::exp(-ToSeconds(sinceRefresh) / usualWork);
+    // Without a report, other hosts are assumed to load it as the mean; own calls are known.
+    target.estimate_->calls_ =
+      otherHosts * known.Utilisation() * target.slots_ + target.estimate_->ownCalls_;
     target.estimate_->advancedAt_ = aNow;
   }
 
@@ -234,8 +242,6 @@
     cumulative.emplace_back((cumulative.empty() ? 0 : cumulative.back().first) + target.share_, i);
   }
   // Calls that end equal calls that begin, over the time in which the load changes little.
-  const double otherHosts =
-    aHosts <= 1 ? 0 : static_cast<double>(aHosts - 1) / static_cast<double>(aHosts);
   for (ServiceTarget& target : aLoad.targets_) {
     const LoadSum& group = groups[target.group_];
     target.estimate_->inflow_ *=
--- a/peridotquay/request/LoadEstimate.h
+++ b/peridotquay/request/LoadEstimate.h
@@ -47,6 +47,7 @@
   TimePoint advancedAt_{}; ///< Time for which calls_ holds.
   double calls_ = 0;       ///< Expected calls running and queued.
   double inflow_ = 0;      ///< Calls a second that other hosts are expected to send.
+  double ownCalls_ = 0;    ///< Calls of this host that are expected to be still there.
   std::array<TimePoint, 4> recentSends_{}; ///< When this host sent its last calls.
   std::uint32_t nextSend_ = 0;             ///< Position in recentSends_ of the next call.
 };
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -353,12 +353,13 @@
 /// Draws of a target by its share before a call falls back to the choice among all targets.
 constexpr int kMaxDraws = 6;
 
-/// Whether a report of the target counts for its service.
-bool IsReportUsed(const RoutingState& aState, const LoadReport& aReport)
+/// Whether a report of a target counts for its service. Once one target of a service stated its
+/// duration of work, the counts of all its targets are used.
+bool IsReportUsed(const RoutingState& aState, const ServiceId& aService, const LoadReport& aReport)
 {
   switch (aState.settings_.evenLoad_) {
     case FeatureMode::kStated:
-      return aReport.workPercent_ > 0;
+      return aReport.limit_ > 0 && (aReport.workPercent_ > 0 || aState.loads_.contains(aService));
     case FeatureMode::kAlways:
       return aReport.limit_ > 0;
     case FeatureMode::kOff:
@@ -367,6 +368,16 @@
   return false;
 }
 
+/// Discards the load of another target of the same host process, which keeps its incarnation when
+/// its target is replaced.
+void ResetLoadOfOther(TargetStats& aStats, const Target& aTarget)
+{
+  if (aStats.loadInstance_ != aTarget.instance_) {
+    aStats.loadInstance_ = aTarget.instance_;
+    aStats.load_ = {};
+  }
+}
+
 /// Connects the table to the view and to the stats of the targets.
 void BuildTable(RoutingState& aState, ServiceTable& aTable, const std::vector<Target>& aTargets)
 {
@@ -383,6 +394,7 @@
       stats = {};
       stats.incarnation_ = target.incarnation_;
     }
+    ResetLoadOfOther(stats, target);
     const auto group = std::find_if(groups.begin(), groups.end(), [&](const DataCentreId* aGroup) {
       return *aGroup == target.dataCentre_;
     });
@@ -481,7 +493,7 @@
                  const LoadReport& aReport,
                  TimePoint aMeasuredAt)
 {
-  if (IsReportUsed(aState, aReport)) {
+  if (IsReportUsed(aState, aService, aReport)) {
     ApplyLoadReport(aStats.load_, aReport, aMeasuredAt);
     aState.loads_.try_emplace(aService);
   }
@@ -576,6 +588,7 @@
     stats.incarnation_ = aTarget.incarnation_;
   }
   ++stats.inFlight_;
+  ResetLoadOfOther(stats, aTarget);
   AddSentCall(stats.load_, aNow);
 }
 
@@ -596,7 +609,7 @@
     stats->reportedLoad_ = aLoad;
     stats->reportedAt_ = aNow;
   }
-  if (aReport != nullptr) {
+  if (aReport != nullptr && stats->loadInstance_ == aTarget.instance_) {
     ApplyReport(aState, aTarget.service_, *stats, *aReport, aNow);
     const auto table = aState.loads_.find(aTarget.service_);
     if (aResult == AttemptResult::kAnswered && table != aState.loads_.end()) {
@@ -651,7 +664,7 @@
                       const LoadReport& aReport,
                       TimePoint aMeasuredAt)
 {
-  if (!IsReportUsed(aState, aReport)) {
+  if (aState.settings_.evenLoad_ == FeatureMode::kOff || aReport.limit_ == 0) {
     return;
   }
   const auto known = aState.stats_.find(aHost);
@@ -665,6 +678,7 @@
     for (const Target& target : targets) {
       if (target.host_ == aHost && target.incarnation_ == aIncarnation) {
         if (TargetStats* stats = FindOrCreateStats(aState, target)) {
+          ResetLoadOfOther(*stats, target);
           ApplyReport(aState, service, *stats, aReport, aMeasuredAt);
         }
         return;
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace peridotquay {
@@ -56,6 +57,7 @@
   TimePoint refusedUntil_{};
   Incarnation incarnation_ = 0; ///< A later incarnation resets these stats.
   TargetLoadEstimate load_;     ///< Used only for services of RoutingState::loads_.
+  std::string loadInstance_;    ///< Target::instance_ to which load_ belongs.
 };
 
 struct RoutingState;
--- a/tests/request/LoadEstimateTest.cpp
+++ b/tests/request/LoadEstimateTest.cpp
@@ -99,6 +99,73 @@
   CHECK(estimate.calls_ == 14);
 }
 
+// Load: a service of which some targets state no duration of work. Guards against exact counts of
+// those targets that are dropped, so that a full target gets as many calls as the others.
+TEST_CASE("reports without a duration of work count once the service states one", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 4; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+    view.hosts_[view.targets_[kService].back().host_] = {};
+  }
+  for (int i = 0; i < 4; ++i) {
+    const LoadReport report{ i == 1 ? 100U : 20U, i == 1 ? 50U : 0U, 100, i == 0 ? 100U : 0U };
+    RecordLoadReport(state, view, { "h" + std::to_string(i) }, 1, report, kNow);
+  }
+  int chosen = 0;
+  for (int i = 0; i < 200; ++i) {
+    chosen += ChooseTarget(state, view, kService, {}, kNow)->host_.value_ == "h1" ? 1 : 0;
+  }
+  CHECK(IsLoadEven(state, kService));
+  CHECK(chosen < 10);
+  CHECK(state.stats_.at({ "h1" }).load_.calls_ == 150);
+  CHECK(state.loads_.at(kService).load_.targets_[1].workSeconds_ ==
+        state.loads_.at(kService).load_.targets_[0].workSeconds_);
+}
+
+// Load: a target without reports. Guards against own calls that the assumed mean hides, so that
+// this host sends it more than its share.
+TEST_CASE("own calls count at a target without a report", "[load]")
+{
+  Table table;
+  table.Add(4, 0, 50);
+  table.estimates_[0] = {};
+  RefreshShares({}, table.load_, 2, kNow);
+  const double before = table.estimates_[0].calls_;
+  for (int i = 0; i < 60; ++i) {
+    AddSentCall(table.estimates_[0], kNow);
+  }
+  RefreshShares({}, table.load_, 2, kNow + milliseconds(20));
+  CHECK(table.estimates_[0].calls_ > before + 50);
+  RefreshShares({}, table.load_, 2, kNow + milliseconds(1500));
+  RefreshShares({}, table.load_, 2, kNow + milliseconds(3000));
+  CHECK(table.estimates_[0].calls_ < before + 1);
+}
+
+// Load: a new target takes the place of another one. Guards against its share being decided by the
+// queue of the previous target.
+TEST_CASE("a replaced target doesn't keep the load of the previous one", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 4; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+    view.targets_[kService].back().instance_ = "first-" + std::to_string(i);
+  }
+  RecordLoadReport(state, view, { "h0" }, 1, { 100, 90, 100, 300 }, kNow);
+  RecordLoadReport(state, view, { "h1" }, 1, { 20, 0, 100, 100 }, kNow);
+  (void)ChooseTarget(state, view, kService, {}, kNow + milliseconds(30));
+  CHECK(state.stats_.at({ "h0" }).load_.calls_ > 150);
+  TargetView next = view;
+  next.targets_[kService][0].instance_ = "second-0";
+  RemoveAbsentHosts(state, next);
+  (void)ChooseTarget(state, next, kService, {}, kNow + milliseconds(60));
+  CHECK(state.stats_.at({ "h0" }).load_.calls_ < 30);
+  CHECK(state.stats_.at({ "h0" }).load_.report_.limit_ == 0);
+  CHECK(state.stats_.at({ "h1" }).load_.report_.limit_ == 100);
+}
+
 // Load: targets of different speeds, and one that states a false speed. Guards against slow targets
 // that get as many calls as fast ones, and against a false statement that attracts calls to a busy
 // target.
