Limit the calls that leave a data centre to the free rate of the farther tier

Cause: the integral of the excess grew while no farther tier had targets, so the first farther target got all calls; and the fraction that leaves didn't depend on the size of the farther tier.

Change: without farther slots the integral is 0. The fraction is at most what already leaves plus the farther tier's free rate, up to a full tier or to queues as long as the nearer ones.

--- a/peridotquay/request/LoadEstimate.cpp
+++ b/peridotquay/request/LoadEstimate.cpp
@@ -32,6 +32,10 @@
 /// recovery.
 constexpr double kMinShareFraction = 0.02;
 
+/// Least part of the calls that is assumed to stay near, so that the rate of all calls, which is
+/// derived from those that stay, remains finite.
+constexpr double kMinStaying = 0.1;
+
 double ReportedCalls(const LoadReport& aReport)
 {
   return static_cast<double>(aReport.running_) + aReport.queued_;
@@ -60,7 +64,8 @@
 {
   double slots_ = 0;
   double calls_ = 0;
-  double perSecond_ = 0; ///< Calls that end per second.
+  double perSecond_ = 0;     ///< Calls that end per second.
+  double ratePerSecond_ = 0; ///< Calls that all slots end per second.
   double deficits_ = 0;
 
   void Add(const ServiceTarget& aTarget)
@@ -68,6 +73,7 @@
     slots_ += aTarget.slots_;
     calls_ += aTarget.estimate_->calls_;
     perSecond_ += std::min(aTarget.estimate_->calls_, aTarget.slots_) / aTarget.workSeconds_;
+    ratePerSecond_ += aTarget.allowed_ * aTarget.slots_ / aTarget.workSeconds_;
   }
   double Utilisation() const { return slots_ > 0 ? calls_ / slots_ : 0; }
 };
@@ -85,27 +91,43 @@
 void RefreshLeaving(const LoadEstimateSettings& aSettings,
                     ServiceLoad& aLoad,
                     const std::array<LoadSum, kTierCount>& aTiers,
+                    double aHorizon,
                     Duration aElapsed)
 {
   LoadSum region = aTiers[0];
   region.slots_ += aTiers[1].slots_;
   region.calls_ += aTiers[1].calls_;
+  region.perSecond_ += aTiers[1].perSecond_;
+  const double elapsed = std::min(kMaxStepSeconds, ToSeconds(aElapsed));
   const std::array<const LoadSum*, 2> nearer{ &aTiers[0], &region };
   for (std::size_t i = 0; i < nearer.size(); ++i) {
     const LoadSum& farther = aTiers[i + 1];
+    if (farther.slots_ <= 0) {
+      // An excess that nobody can take must not count later, when farther targets appear.
+      aLoad.leavingIntegral_[i] = 0;
+      aLoad.leaving_[i] = 0;
+      aLoad.leavingMean_[i] = 0;
+      continue;
+    }
     const double bound =
       std::max(aSettings.leaveUtilisation_[i], farther.Utilisation() + aSettings.distancePrice_[i]);
     const double excess = nearer[i]->Utilisation() - bound;
+    // The farther targets take what already leaves and what is free beyond that, up to a full tier
+    // or to queues as long as the nearer ones. Their loads show calls that left only after the
+    // horizon, so the fraction is averaged over it.
+    const double level = std::max(1.0, nearer[i]->Utilisation() - aSettings.distancePrice_[i]);
+    const double freePerSecond = (level - farther.Utilisation()) * farther.ratePerSecond_;
+    double& mean = aLoad.leavingMean_[i];
+    mean += (aLoad.leaving_[i] - mean) * (1 - std::exp(-elapsed / aHorizon));
+    const double sentPerSecond =
+      nearer[i]->perSecond_ / std::max(kMinStaying, 1 - aLoad.leavingMean_[i]);
+    const double limit =
+      sentPerSecond <= 0 ? 1 : std::clamp(mean + freePerSecond / sentPerSecond, 0.0, 1.0);
     // The integral finds the share that a lasting excess needs; the direct part reacts at once.
     aLoad.leavingIntegral_[i] = std::clamp(
-      aLoad.leavingIntegral_[i] +
-        excess * std::min(kMaxStepSeconds, ToSeconds(aElapsed)) / ToSeconds(aSettings.shareTime_),
-      0.0,
-      1.0);
+      aLoad.leavingIntegral_[i] + excess * elapsed / ToSeconds(aSettings.shareTime_), 0.0, limit);
     aLoad.leaving_[i] =
-      farther.slots_ <= 0
-        ? 0
-        : std::clamp(aLoad.leavingIntegral_[i] + aSettings.directShare_ * excess, 0.0, 1.0);
+      std::clamp(aLoad.leavingIntegral_[i] + aSettings.directShare_ * excess, 0.0, limit);
   }
 }
 
@@ -250,7 +272,7 @@
   for (std::size_t tier = 0; tier < kTierCount; ++tier) {
     aLoad.utilisation_.at(tier) = tiers.at(tier).Utilisation();
   }
-  RefreshLeaving(aSettings, aLoad, tiers, sinceRefresh);
+  RefreshLeaving(aSettings, aLoad, tiers, horizon + usualWork, sinceRefresh);
 }
 
 double ExpectedWait(const ServiceTarget& aTarget)
--- a/peridotquay/request/LoadEstimate.h
+++ b/peridotquay/request/LoadEstimate.h
@@ -82,6 +82,7 @@
   /// Fractions of the calls that leave the data centre, and the region.
   std::array<double, 2> leaving_{};
   std::array<double, 2> leavingIntegral_{}; ///< Part of leaving_ that follows past excess.
+  std::array<double, 2> leavingMean_{};     ///< leaving_ averaged over the delay of the reports.
 };
 
 /// Applies a report that was measured at aMeasuredAt. Returns false for one that is older than the
--- a/tests/request/LoadEstimateTest.cpp
+++ b/tests/request/LoadEstimateTest.cpp
@@ -219,6 +219,59 @@
   CHECK(table.load_.leaving_[0] == 0);
 }
 
+// Load: a data centre is overloaded while no other one has targets. Guards against an excess that
+// adds up meanwhile and moves all calls to the first farther target that starts.
+TEST_CASE("an excess that no farther target can take doesn't count later", "[load]")
+{
+  Table table;
+  table.Add(4, 0, 150);
+  TimePoint now = kNow;
+  const auto refresh = [&] {
+    now += milliseconds(20);
+    for (TargetLoadEstimate& estimate : table.estimates_) {
+      ApplyLoadReport(estimate, { estimate.report_.running_, 0, 100, 100 }, now);
+    }
+    RefreshShares({}, table.load_, 79, now);
+  };
+  for (int i = 0; i < 250; ++i) {
+    refresh();
+  }
+  CHECK(table.load_.leaving_[0] == 0);
+  table.Add(4, 1, 0);
+  refresh();
+  CHECK(table.load_.leaving_[0] > 0.25);
+  CHECK(table.load_.leaving_[0] < 0.35);
+}
+
+// Load: a large data centre is overloaded beside a small one. Guards against more calls than the
+// small one can run, which would queue there at once.
+TEST_CASE("a small farther tier gets no more calls than it can run", "[load]")
+{
+  const std::uint32_t small = GENERATE(2U, 10U, 40U);
+  Table table;
+  table.Add(10, 0, 150);
+  table.Add(1, 1, 0);
+  // Calls run for usualWork_: the small target holds what left within this time.
+  const double work = ToSeconds(LoadEstimateSettings{}.usualWork_);
+  const double sentPerSecond = 1000 / work;
+  double held = 0;
+  double highest = 0;
+  TimePoint now = kNow;
+  for (int i = 0; i < 500; ++i) {
+    now += milliseconds(20);
+    for (std::size_t j = 0; j < 10; ++j) {
+      ApplyLoadReport(table.estimates_[j], { 150, 0, 100, 100 }, now);
+    }
+    ApplyLoadReport(table.estimates_[10], { static_cast<std::uint32_t>(held), 0, small, 100 }, now);
+    RefreshShares({}, table.load_, 79, now);
+    const double arrived = table.load_.leaving_[0] * sentPerSecond * 0.02;
+    held += arrived - std::min<double>(held, small) * 0.02 / work;
+    highest = std::max(highest, held);
+  }
+  CHECK(highest < 1.5 * small + 2);
+  CHECK(held > 0.6 * small);
+}
+
 // Guards against another choice at services whose targets don't state their duration of work.
 TEST_CASE("services without a stated duration of work keep their choice", "[load]")
 {
