Weight targets that refuse or start slowly, and refresh shares after an ejection

Cause: a target that refuses runs few calls and so got more of them. Tier sums counted all slots of targets in slow start. The usual duration of work included the wait in queues. An ejection or a jump of the failure fraction took effect at the next refresh only, and each changed view restarted the time since the last refresh.

Change: refusals and outcomes are counted per target with a half-life of 5 s; the slots of a target count with 1 minus the excess of its refusal fraction, at least 0.1. Tier sums are weighted by allowed_. Only answers without a queue are durations of work. refreshDue_ makes the next choice derive the shares.

--- a/peridotquay/request/LoadEstimate.cpp
+++ b/peridotquay/request/LoadEstimate.cpp
@@ -68,12 +68,14 @@
   double ratePerSecond_ = 0; ///< Calls that all slots end per second.
   double deficits_ = 0;
 
-  void Add(const ServiceTarget& aTarget)
+  /// A target counts with the fraction aWeight, because one in slow start can't take the calls
+  /// that its slots suggest.
+  void Add(const ServiceTarget& aTarget, double aWeight)
   {
-    slots_ += aTarget.slots_;
-    calls_ += aTarget.estimate_->calls_;
+    slots_ += aWeight * aTarget.slots_;
+    calls_ += aWeight * aTarget.estimate_->calls_;
     perSecond_ += std::min(aTarget.estimate_->calls_, aTarget.slots_) / aTarget.workSeconds_;
-    ratePerSecond_ += aTarget.allowed_ * aTarget.slots_ / aTarget.workSeconds_;
+    ratePerSecond_ += aWeight * aTarget.slots_ / aTarget.workSeconds_;
   }
   double Utilisation() const { return slots_ > 0 ? calls_ / slots_ : 0; }
 };
@@ -200,7 +202,7 @@
     }
     const LoadReport& report = target.estimate_->report_;
     aLoad.stated_ = aLoad.stated_ || report.workPercent_ > 0;
-    target.slots_ = report.limit_;
+    target.slots_ = target.unrefused_ * report.limit_;
     const double percent =
       report.workPercent_ == 0
         ? 100
@@ -212,7 +214,7 @@
     target.workSeconds_ = usualWork * (isBusy ? std::max(100.0, percent) : percent) / 100;
     target.estimate_->ownCalls_ *= std::exp(-ToSeconds(sinceRefresh) / target.workSeconds_);
     Advance(*target.estimate_, target.slots_, target.workSeconds_, aNow);
-    known.Add(target);
+    known.Add(target, 1);
     ages += ToSeconds(aNow - target.estimate_->measuredAt_);
     ++knownCount;
   }
@@ -224,7 +226,8 @@
     if (isKnown(target)) {
       continue;
     }
-    target.slots_ = target.announcedSlots_ > 0 ? target.announcedSlots_ : meanSlots;
+    target.slots_ =
+      target.unrefused_ * (target.announcedSlots_ > 0 ? target.announcedSlots_ : meanSlots);
     target.workSeconds_ = usualWork;
     target.estimate_->ownCalls_ *= std::exp(-ToSeconds(sinceRefresh) / usualWork);
     // Without a report, other hosts are assumed to load it as the mean; own calls are known.
@@ -237,8 +240,8 @@
   std::array<LoadSum, kTierCount> tiers;
   for (const ServiceTarget& target : aLoad.targets_) {
     if (target.allowed_ > 0) {
-      groups[target.group_].Add(target);
-      tiers.at(target.tier_).Add(target);
+      groups[target.group_].Add(target, target.allowed_);
+      tiers.at(target.tier_).Add(target, target.allowed_);
     }
   }
   const double meanAge = knownCount == 0 ? 0 : ages / static_cast<double>(knownCount);
--- a/peridotquay/request/LoadEstimate.h
+++ b/peridotquay/request/LoadEstimate.h
@@ -62,6 +62,9 @@
   /// Fraction of its share that the target may get now: 0 for one that must not be called, less
   /// than 1 in slow start.
   double allowed_ = 1;
+  /// Fraction of its slots that count. Less than 1 for a target that refuses calls: it runs few
+  /// calls and would attract more.
+  double unrefused_ = 1;
   // Derived by RefreshShares.
   double slots_ = 0;
   double workSeconds_ = 0;
@@ -75,7 +78,8 @@
   std::size_t groupCount_ = 0;
   double usualWorkSeconds_ = 0; ///< Moving average of the duration of work at usual speed.
   TimePoint refreshedAt_{};
-  bool stated_ = false; ///< At least one target stated its duration of work recently.
+  bool refreshDue_ = false; ///< A target may be called more or less than before.
+  bool stated_ = false;     ///< At least one target stated its duration of work recently.
   /// By tier: targets in the order of their position, and the running sum of their shares.
   std::array<std::vector<std::pair<double, std::size_t>>, kTierCount> cumulative_;
   std::array<double, kTierCount> utilisation_{}; ///< Expected calls divided by slots.
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -46,6 +46,13 @@
 /// A reported failure fraction halves in this time, so that an avoided target is tried again.
 constexpr double kFailureHalfLifeSeconds = 2.0;
 
+/// Counts of refused and all attempts halve in this time.
+constexpr double kRefusalHalfLifeSeconds = 5.0;
+
+/// Part of its share that a target gets at least however many calls it refuses, so that its
+/// recovery is seen.
+constexpr double kMinUnrefusedFraction = 0.1;
+
 /// A tier whose latency exceeds this fraction of the objective is skipped if the latency of a
 /// farther tier is below kMuchFasterFraction of it.
 constexpr double kSlowObjectiveFraction = 0.8;
@@ -344,6 +351,32 @@
   aStats.consecutiveFailures_ = aSettings.failuresToEject_ > 0 ? aSettings.failuresToEject_ - 1 : 0;
 }
 
+/// Makes the next choice derive the shares of the service's targets anew.
+void RequestRefresh(RoutingState& aState, const ServiceId& aService)
+{
+  if (const auto table = aState.loads_.find(aService); table != aState.loads_.end()) {
+    table->second.load_.refreshDue_ = true;
+  }
+}
+
+void RecordOutcome(TargetStats& aStats, bool aRefused, TimePoint aNow)
+{
+  const double age = std::max(0.0, ToSeconds(aNow - aStats.outcomesUpdatedAt_));
+  const double weight = std::exp2(-age / kRefusalHalfLifeSeconds);
+  aStats.refusals_ = aStats.refusals_ * weight + (aRefused ? 1 : 0);
+  aStats.outcomes_ = aStats.outcomes_ * weight + 1;
+  aStats.outcomesUpdatedAt_ = aNow;
+}
+
+/// Fraction of the recent attempts at the target that it refused. Nearly 0 with few attempts, so
+/// that a target without recent ones is tried again.
+double RecentRefusalFraction(const TargetStats& aStats, TimePoint aNow)
+{
+  const double age = std::max(0.0, ToSeconds(aNow - aStats.outcomesUpdatedAt_));
+  const double weight = std::exp2(-age / kRefusalHalfLifeSeconds);
+  return aStats.refusals_ * weight / (aStats.outcomes_ * weight + 1);
+}
+
 bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion)
 {
   return aRegions == nullptr || aRegions->empty() ||
@@ -386,7 +419,7 @@
   aTable.owner_ = &aState;
   aTable.stats_.clear();
   aTable.load_.targets_.clear();
-  aTable.load_.refreshedAt_ = {};
+  aTable.load_.refreshDue_ = true;
   std::vector<const DataCentreId*> groups;
   for (const Target& target : aTargets) {
     TargetStats& stats = aState.stats_[target.host_];
@@ -419,11 +452,14 @@
                 TimePoint aNow)
 {
   double minFailureFraction = 1;
+  double minRefusalFraction = 1;
   bool anyEjected = false;
   for (std::size_t i = 0; i < aTargets.size(); ++i) {
     if (Accepts(aTargets[i])) {
       minFailureFraction =
         std::min(minFailureFraction, RecentFailureFraction(aTable.stats_[i], aNow));
+      minRefusalFraction =
+        std::min(minRefusalFraction, RecentRefusalFraction(*aTable.stats_[i], aNow));
       anyEjected = anyEjected || aTable.stats_[i]->ejectedUntil_ > aNow;
     }
   }
@@ -434,6 +470,10 @@
     const bool usable = Accepts(target) && (!anyEjected || !Contains(ejected, target.host_)) &&
                         RecentFailureFraction(aTable.stats_[i], aNow) <=
                           minFailureFraction + kMaxExcessFailureFraction;
+    // Refusals that all targets share have another cause, so only the excess counts.
+    aTable.load_.targets_[i].unrefused_ = std::max(
+      kMinUnrefusedFraction,
+      1 - std::max(0.0, RecentRefusalFraction(*aTable.stats_[i], aNow) - minRefusalFraction));
     aTable.load_.targets_[i].allowed_ =
       usable ? SlowStartFraction(aState.settings_, target, aNow) : 0;
   }
@@ -458,8 +498,8 @@
     BuildTable(aState, table, aTargets);
   }
   const LoadEstimateSettings& settings = aState.settings_.estimate_;
-  if (aNow - table.load_.refreshedAt_ >= settings.refreshInterval_ ||
-      table.load_.refreshedAt_ == TimePoint{}) {
+  if (table.load_.refreshDue_ || aNow - table.load_.refreshedAt_ >= settings.refreshInterval_) {
+    table.load_.refreshDue_ = false;
     SetAllowed(aState, table, aTargets, aNow);
     RefreshShares(settings, table.load_, aView.hosts_.size(), aNow);
   }
@@ -604,7 +644,11 @@
   if (stats == nullptr) {
     return;
   }
+  const TimePoint ejectedUntil = stats->ejectedUntil_;
   stats->inFlight_ -= stats->inFlight_ > 0 ? 1 : 0;
+  if (aResult == AttemptResult::kAnswered || aResult == AttemptResult::kRefused) {
+    RecordOutcome(*stats, aResult == AttemptResult::kRefused, aNow);
+  }
   if (aLoad >= 0) {
     stats->reportedLoad_ = aLoad;
     stats->reportedAt_ = aNow;
@@ -612,7 +656,9 @@
   if (aReport != nullptr && stats->loadInstance_ == aTarget.instance_) {
     ApplyReport(aState, aTarget.service_, *stats, *aReport, aNow);
     const auto table = aState.loads_.find(aTarget.service_);
-    if (aResult == AttemptResult::kAnswered && table != aState.loads_.end()) {
+    // The time of a call that may have waited isn't a duration of work.
+    if (aResult == AttemptResult::kAnswered && aReport->queued_ == 0 &&
+        table != aState.loads_.end()) {
       RecordWork(table->second.load_,
                  ToSeconds(aLatency),
                  aReport->workPercent_ == 0 ? 100 : aReport->workPercent_);
@@ -644,6 +690,9 @@
     case AttemptResult::kCancelled:
       break;
   }
+  if (stats->ejectedUntil_ != ejectedUntil) {
+    RequestRefresh(aState, aTarget.service_);
+  }
 }
 
 void RecordFailureFraction(RoutingState& aState,
@@ -652,6 +701,10 @@
                            TimePoint aNow)
 {
   if (TargetStats* stats = FindOrCreateStats(aState, aTarget)) {
+    // Smaller changes wait for the next refresh, because each refresh costs processor time.
+    if (std::abs(aFraction - stats->failureFraction_) > kMaxExcessFailureFraction / 2) {
+      RequestRefresh(aState, aTarget.service_);
+    }
     stats->failureFraction_ = std::clamp(aFraction, 0.0, 1.0);
     stats->reportedAt_ = aNow;
   }
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -53,6 +53,10 @@
   TimePoint reportedAt_{};  ///< When reportedLoad_ or failureFraction_ was received last.
   /// Fraction of the target's recent answers that failed, from its guard.
   double failureFraction_ = 0;
+  /// Refused and all attempts that ended with an answer or a refusal; both decay with time.
+  double refusals_ = 0;
+  double outcomes_ = 0;
+  TimePoint outcomesUpdatedAt_{}; ///< Time for which refusals_ and outcomes_ hold.
   /// After a refusal the target is avoided until this time if the service has other targets.
   TimePoint refusedUntil_{};
   Incarnation incarnation_ = 0; ///< A later incarnation resets these stats.
--- a/tests/request/LoadEstimateTest.cpp
+++ b/tests/request/LoadEstimateTest.cpp
@@ -272,6 +272,102 @@
   CHECK(held > 0.6 * small);
 }
 
+// Load: a target refuses most of its calls and therefore runs few. Guards against more calls to it
+// than to the others, and against one that gets none after it recovered.
+TEST_CASE("a refusing target gets fewer calls until it recovers", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 4; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+    view.hosts_[view.targets_[kService].back().host_] = {};
+  }
+  TimePoint now = kNow;
+  // Reported calls of the refusing target are as low as its refusals make them.
+  const auto run = [&](bool aRefuses) {
+    int chosen = 0;
+    for (int i = 0; i < 2000; ++i) {
+      now += milliseconds(25);
+      const Target target = *ChooseTarget(state, view, kService, {}, now);
+      const bool first = target.host_.value_ == "h0";
+      const LoadReport report{ first && aRefuses ? 20U : 50U, 0, 100, 100 };
+      chosen += first && i >= 1000 ? 1 : 0;
+      RecordCallSent(state, target, now);
+      RecordCallEnded(state,
+                      target,
+                      first && aRefuses ? AttemptResult::kRefused : AttemptResult::kAnswered,
+                      milliseconds(300),
+                      0.5,
+                      now,
+                      &report);
+    }
+    return chosen;
+  };
+  const int refusing = run(true);
+  const int recovered = run(false);
+  CAPTURE(refusing, recovered);
+  CHECK(refusing < 200);
+  CHECK(refusing > 0);
+  CHECK(recovered > 200);
+}
+
+// Load: targets start beside a full one in a data centre. Guards against their slots, of which they
+// may use few at first, hiding that calls must leave.
+TEST_CASE("targets in slow start hardly count in the utilisation of their tier", "[load]")
+{
+  Table table;
+  table.Add(1, 0, 130);
+  table.Add(9, 0, 0);
+  table.Add(4, 1, 20);
+  for (std::size_t i = 1; i < 10; ++i) {
+    table.load_.targets_[i].allowed_ = 0.02;
+  }
+  RefreshShares({}, table.load_, 79, kNow);
+  CHECK(table.load_.utilisation_[0] > 1);
+  CHECK(table.load_.leaving_[0] > 0);
+}
+
+// Guards against an assumed duration of work that includes the wait in a queue.
+TEST_CASE("answers of a target with a queue don't count as durations of work", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  const Target target = MakeTarget(1);
+  const auto answer = [&](std::uint32_t aQueued, Duration aTime) {
+    const LoadReport report{ 100, aQueued, 100, 100 };
+    RecordCallSent(state, target, kNow);
+    RecordCallEnded(state, target, AttemptResult::kAnswered, aTime, 1, kNow, &report);
+    return state.loads_.at(kService).load_.usualWorkSeconds_;
+  };
+  CHECK(answer(0, milliseconds(200)) == Approx(0.2));
+  CHECK(answer(30, seconds(3)) == Approx(0.2));
+}
+
+// Load: a target becomes unreachable between two refreshes of the shares. Guards against calls to
+// it until the next refresh, and against a changed view that restarts the time since the last one.
+TEST_CASE("an ejection affects the next choice", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 3; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+  }
+  for (int i = 0; i < 3; ++i) {
+    RecordLoadReport(state, view, { "h" + std::to_string(i) }, 1, { 20, 0, 100, 100 }, kNow);
+  }
+  (void)ChooseTarget(state, view, kService, {}, kNow);
+  const Target& lost = view.targets_[kService][0];
+  RecordCallSent(state, lost, kNow);
+  RecordCallEnded(state, lost, AttemptResult::kUnreachable, {}, -1, kNow);
+  for (int i = 0; i < 100; ++i) {
+    CHECK(ChooseTarget(state, view, kService, {}, kNow)->host_ != lost.host_);
+  }
+  TargetView next = view;
+  RemoveAbsentHosts(state, next);
+  CHECK(state.loads_.at(kService).load_.refreshedAt_ == kNow);
+  (void)ChooseTarget(state, next, kService, {}, kNow + milliseconds(5));
+  CHECK(state.loads_.at(kService).load_.refreshedAt_ == kNow + milliseconds(5));
+}
+
 // Guards against another choice at services whose targets don't state their duration of work.
 TEST_CASE("services without a stated duration of work keep their choice", "[load]")
 {
