Keep the choice by load to allowed regions and evacuations

Cause: ChooseByShares ignored the target filter, so for services whose targets state their duration of work a call could go to a region that its route or account excludes, or to an evacuated data centre.

Change: a draw skips targets that MayReach excludes; without another draw the choice among all targets decides.

--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -486,6 +486,7 @@
                              const ServiceId& aService,
                              const std::vector<Target>& aTargets,
                              const std::vector<HostId>& aExclude,
+                             const TargetFilter& aFilter,
                              TimePoint aNow)
 {
   const auto found = aState.loads_.find(aService);
@@ -515,7 +516,8 @@
   for (int draw = 0; draw < kMaxDraws && drawn < settings.comparedTargets_; ++draw) {
     const std::size_t position = DrawTarget(table.load_, tier, aState.random_);
     if (table.stats_[position]->refusedUntil_ > aNow ||
-        (!aExclude.empty() && Contains(aExclude, aTargets[position].host_))) {
+        (!aExclude.empty() && Contains(aExclude, aTargets[position].host_)) ||
+        !MayReach(aFilter, aView, aTargets[position])) {
       continue;
     }
     ++drawn;
@@ -562,7 +564,7 @@
   }
   if (!aState.loads_.empty()) {
     if (const Target* target =
-          ChooseByShares(aState, aView, aService, found->second, aExclude, aNow)) {
+          ChooseByShares(aState, aView, aService, found->second, aExclude, aFilter, aNow)) {
       return *target;
     }
   }
--- a/tests/request/LoadEstimateTest.cpp
+++ b/tests/request/LoadEstimateTest.cpp
@@ -342,6 +342,29 @@
   CHECK(answer(30, seconds(3)) == Approx(0.2));
 }
 
+// Guards against calls in a region that the route doesn't allow, or in an evacuated data centre.
+TEST_CASE("the choice by load keeps to allowed regions and evacuations", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 6; ++i) {
+    const std::string dataCentre = i < 2 ? "north" : i < 4 ? "south" : "far";
+    view.targets_[kService].push_back(MakeTarget(i, dataCentre));
+  }
+  for (int i = 0; i < 6; ++i) {
+    const LoadReport report{ i < 2 ? 200U : 10U, 0, 100, 100 };
+    RecordLoadReport(state, view, { "h" + std::to_string(i) }, 1, report, kNow);
+  }
+  view.evacuated_ = { DataCentreId{ "south" } };
+  const std::vector<RegionId> allowed{ { "r1" } };
+  const TargetFilter filter{ &allowed, nullptr };
+  for (int i = 0; i < 200; ++i) {
+    const auto chosen = ChooseTarget(state, view, kService, {}, kNow, {}, filter);
+    REQUIRE(chosen.has_value());
+    CHECK(chosen->dataCentre_.value_ == "north");
+  }
+}
+
 // Load: a target becomes unreachable between two refreshes of the shares. Guards against calls to
 // it until the next refresh, and against a changed view that restarts the time since the last one.
 TEST_CASE("an ejection affects the next choice", "[load]")
