--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -15,6 +15,10 @@
 // Interval at which waiting calls are checked for missed deadlines.
 constexpr Duration kQueueCheckInterval = milliseconds(10);
 
+/// The duration of work changes many times a second, so an older statement says nothing about it.
+constexpr Duration kMaxWorkStatementAge = seconds(3);
+constexpr std::uint32_t kUsualWorkPercent = 100;
+
 // After this many consecutive polls without a connection the target is announced as draining.
 constexpr std::uint32_t kMaxFailedPolls = 3;
 
@@ -402,6 +406,7 @@
     // An answer of the previous target at this address says nothing about the current one.
     if (!target_ || guardedCall.targetId_ == target_->id_) {
       workPercent_ = load->workPercent_.value_or(0);
+      workStatedAt_ = loop_.Now();
     }
   }
   ApplyNotice(guardedCall, aResult.response_.headers_);
@@ -585,7 +590,7 @@
     aAnswer.level_.admittedFraction_ = 1 + DeeperOverload(runLimits_, loop_.Now());
   }
   aAnswer.failurePercent_ = FailurePercent(failures_, loop_.Now());
-  aAnswer.workPercent_ = workPercent_;
+  aAnswer.workPercent_ = CurrentWorkPercent();
 }
 
 std::optional<LoadReport> Guard::StatedLoad() const
@@ -596,7 +601,13 @@
   return LoadReport{ admission_.running_,
                      static_cast<std::uint32_t>(admission_.queued_),
                      EffectiveLimit(admission_),
-                     workPercent_ };
+                     CurrentWorkPercent() };
+}
+
+std::uint32_t Guard::CurrentWorkPercent() const
+{
+  return workPercent_ > 0 && loop_.Now() - workStatedAt_ > kMaxWorkStatementAge ? kUsualWorkPercent
+                                                                                : workPercent_;
 }
 
 void Guard::ScheduleQueueCheck()
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -159,6 +159,9 @@
   void EndLimitedRun(const GuardedCall& aGuardedCall, RunResult aResult);
   void RecordTargetOutcome(ExecutionResult aExecutionResult, const Answer& aAnswer);
   void FillLoad(Answer& aAnswer);
+
+  /// Stated duration of work; the usual one if the statement is old, 0 if there is none.
+  std::uint32_t CurrentWorkPercent() const;
   void LogEnd(const GuardedCall& aGuardedCall, const Answer& aAnswer);
   void ScheduleQueueCheck();
   void ScheduleSilenceCheck();
@@ -194,6 +197,7 @@
   ContextTable contexts_;
   FailureMeter failures_;         ///< Failures of the current target.
   std::uint32_t workPercent_ = 0; ///< As the current target stated it last; 0 if it stated none.
+  TimePoint workStatedAt_{};      ///< Time of workPercent_.
   std::map<std::uint64_t, GuardedCall> calls_;
   std::uint64_t nextCallNumber_ = 1;
   TargetHealth health_;
--- a/peridotquay/request/RateShare.cpp
+++ b/peridotquay/request/RateShare.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace peridotquay {
@@ -312,8 +313,12 @@
     RateReport report{ host, peer.incarnation_, peer.sequence_, {}, peer.load_ };
     if (report.load_) {
       // The load was measured when the host reported it, not when this host relays it.
-      report.load_->ageMs_ += static_cast<std::uint32_t>(
-        std::chrono::duration_cast<milliseconds>(aNow - peer.lastReceivedAt_).count());
+      const auto held =
+        std::chrono::duration_cast<milliseconds>(aNow - peer.lastReceivedAt_).count();
+      constexpr std::uint64_t kMaxAge = std::numeric_limits<std::uint32_t>::max();
+      report.load_->ageMs_ = static_cast<std::uint32_t>(std::min(
+        kMaxAge,
+        report.load_->ageMs_ + static_cast<std::uint64_t>(std::max<std::int64_t>(0, held))));
     }
     for (const auto& [id, use] : peer.uses_) {
       if (use.changedInReport_ > relayed) {
@@ -402,6 +407,20 @@
   }
 }
 
+/// Keeps the newest load of each host, so that loads that nobody takes don't add up.
+void AddReceivedLoad(RateShareState& aState, const ReceivedLoad& aLoad)
+{
+  const auto known =
+    std::find_if(aState.receivedLoads_.begin(),
+                 aState.receivedLoads_.end(),
+                 [&](const ReceivedLoad& aKnown) { return aKnown.host_ == aLoad.host_; });
+  if (known == aState.receivedLoads_.end()) {
+    aState.receivedLoads_.push_back(aLoad);
+  } else {
+    *known = aLoad;
+  }
+}
+
 /// Applies a report of another host; false if it is late, repeated or from an unknown host.
 bool ApplyRateReport(RateShareState& aState, const RateReport& aReport, TimePoint aNow)
 {
@@ -441,10 +460,11 @@
   aState.lastReceivedAt_ = aNow;
   peer.load_ = aReport.load_;
   if (aReport.load_) {
-    aState.receivedLoads_.push_back({ aReport.host_,
-                                      aReport.incarnation_,
-                                      *aReport.load_,
-                                      aNow - milliseconds(aReport.load_->ageMs_) });
+    AddReceivedLoad(aState,
+                    { aReport.host_,
+                      aReport.incarnation_,
+                      *aReport.load_,
+                      aNow - milliseconds(aReport.load_->ageMs_) });
   }
   // The first report after a start names all use since the start.
   peer.allUsesKnown_ = isNewIncarnation ? aReport.sequence_ <= 1 : peer.allUsesKnown_;
--- a/peridotquay/request/RateShare.h
+++ b/peridotquay/request/RateShare.h
@@ -157,7 +157,8 @@
   std::uint64_t farRelaySearches_ = 0;
   /// Present load of this host's target for its reports; set by the owner.
   std::optional<LoadReport> ownLoad_;
-  std::vector<ReceivedLoad> receivedLoads_; ///< Loads in reports since the last TakeReceivedLoads.
+  std::vector<ReceivedLoad>
+    receivedLoads_; ///< The newest load of each host since TakeReceivedLoads.
 };
 
 /// Reports and the hosts to which they must be sent.
--- a/tests/request/RateShareTest.cpp
+++ b/tests/request/RateShareTest.cpp
@@ -391,6 +391,17 @@
   CHECK(static_cast<double>(added) / 10 / 80 < 40);
 }
 
+// Guards against memory that grows while nobody takes the received loads.
+TEST_CASE("only the newest received load of each host is kept", "[rate]")
+{
+  Fleet fleet(16, 51, 51, 1);
+  for (RateShareState& host : fleet.hosts_) {
+    host.ownLoad_ = LoadReport{ 1, 0, 72, 100 };
+  }
+  fleet.Run(30, seconds(10), 16);
+  CHECK(fleet.hosts_[5].receivedLoads_.size() == 15);
+}
+
 // Guards against a region whose reports never arrive because its first hosts are down permanently.
 TEST_CASE("regions exchange reports although the first hosts of both are down", "[rate]")
 {
