Assert in the tests of the choice by load that good targets are chosen

The property test checked only that a usable target is chosen. It now asserts that ejected, refused and failing targets aren't chosen while another is left, and that the shares were derived. The test of services that keep their choice runs beside a service that states its duration of work.

--- a/tests/request/LoadEstimateTest.cpp
+++ b/tests/request/LoadEstimateTest.cpp
@@ -402,11 +402,16 @@
     for (int i = 0; i < 6; ++i) {
       view.targets_[kService].push_back(MakeTarget(i, i < 3 ? "north" : "far"));
     }
+    view.targets_[{ "other" }].push_back(MakeTarget(9));
+    view.targets_[{ "other" }].back().service_ = { "other" };
     TimePoint now = kNow;
     for (int i = 0; i < 50; ++i) {
       now += milliseconds(*rc::gen::inRange(0, 300));
       const LoadReport report{ *rc::gen::inRange(0U, 200U), 0, 100, 0 };
       RecordLoadReport(stated, view, { "h1" }, 1, report, now);
+      // Another service beside it states its duration of work.
+      RecordLoadReport(stated, view, { "h9" }, 1, { report.running_, 0, 100, 150 }, now);
+      RC_ASSERT(stated.loads_.contains({ "other" }));
       const auto one = ChooseTarget(off, view, kService, {}, now, milliseconds(500));
       const auto two = ChooseTarget(stated, view, kService, {}, now, milliseconds(500));
       RC_ASSERT(one == two);
@@ -461,9 +466,32 @@
         }
         exists = exists || (!isExcluded && target.state_ <= TargetState::kReady);
       }
+      // Whether a target is neither excluded, ejected, failing nor refusing at the moment.
+      const auto isGood = [&](const Target& aTarget) {
+        const auto stats = state.stats_.find(aTarget.host_);
+        return aTarget.state_ <= TargetState::kReady &&
+               std::find(exclude.begin(), exclude.end(), aTarget.host_) == exclude.end() &&
+               (stats == state.stats_.end() || stats->second.incarnation_ != aTarget.incarnation_ ||
+                (stats->second.ejectedUntil_ <= now && stats->second.refusedUntil_ <= now &&
+                 stats->second.failureFraction_ < 0.5));
+      };
+      const auto& all = view.targets_.at(kService);
+      const bool anyGood = std::any_of(all.begin(), all.end(), isGood);
+      const auto ejectedCount = std::count_if(all.begin(), all.end(), [&](const Target& aTarget) {
+        const auto stats = state.stats_.find(aTarget.host_);
+        return stats != state.stats_.end() && stats->second.ejectedUntil_ > now;
+      });
       const auto chosen = ChooseTarget(state, view, kService, exclude, now);
       RC_ASSERT(chosen.has_value() == exists);
+      if (const auto table = state.loads_.find(kService);
+          table != state.loads_.end() && !all.empty()) {
+        RC_ASSERT(table->second.load_.refreshedAt_ + milliseconds(20) > now);
+      }
       if (chosen) {
+        // More ejections than half of the targets aren't all observed.
+        if (anyGood && 2 * ejectedCount <= static_cast<long>(all.size())) {
+          RC_ASSERT(isGood(*chosen));
+        }
         RC_ASSERT(chosen->state_ <= TargetState::kReady);
         RC_ASSERT(std::find(exclude.begin(), exclude.end(), chosen->host_) == exclude.end());
         RecordCallSent(state, *chosen, now);
@@ -477,6 +505,7 @@
                         0.05,
                         now,
                         &report);
+        RecordFailureFraction(state, *chosen, *rc::gen::element(0.0, 0.0, 0.9), now);
       }
     }
   }));
