--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -372,6 +372,9 @@
 /// that a target without recent ones is tried again.
 double RecentRefusalFraction(const TargetStats& aStats, TimePoint aNow)
 {
+  if (aStats.refusals_ <= 0) {
+    return 0;
+  }
   const double age = std::max(0.0, ToSeconds(aNow - aStats.outcomesUpdatedAt_));
   const double weight = std::exp2(-age / kRefusalHalfLifeSeconds);
   return aStats.refusals_ * weight / (aStats.outcomes_ * weight + 1);
