--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -16,6 +16,10 @@
 // Interval at which waiting calls are checked for missed deadlines.
 constexpr Duration kQueueCheckInterval = milliseconds(10);
 
+/// The duration of work changes many times a second, so an older statement says nothing about it.
+constexpr Duration kMaxWorkStatementAge = seconds(3);
+constexpr std::uint32_t kUsualWorkPercent = 100;
+
 // After this many consecutive polls without a connection the target is announced as draining.
 constexpr std::uint32_t kMaxFailedPolls = 3;
 
@@ -234,7 +238,7 @@
 {
   const Call& call = aGuardedCall.call_;
   const TimePoint now = loop_.Now();
-  RefusedRequest request = DescribeRefused(admission_, Waiting(0, aGuardedCall));
+  RefusedRequest request = DescribeRefused(admission_, Waiting(0, aGuardedCall), now);
   request.left_ = aGuardedCall.deadline_ - now;
   request.mayBook_ = aMayBook;
   const Route* route = ConfiguredRoute(call.route_);
@@ -413,6 +417,7 @@
       if (workPercent_ > 0) {
         SetTargetStatesWorkDuration(true);
       }
+      workStatedAt_ = loop_.Now();
     }
   }
   ApplyNotice(guardedCall, aResult.response_.headers_);
@@ -601,7 +606,7 @@
     aAnswer.level_.admittedFraction_ = 1 + DeeperOverload(runLimits_, loop_.Now());
   }
   aAnswer.failurePercent_ = FailurePercent(failures_, loop_.Now());
-  aAnswer.workPercent_ = workPercent_;
+  aAnswer.workPercent_ = CurrentWorkPercent();
 }
 
 std::optional<LoadReport> Guard::StatedLoad() const
@@ -612,7 +617,13 @@
   return LoadReport{ admission_.running_,
                      static_cast<std::uint32_t>(admission_.queued_),
                      EffectiveLimit(admission_, loop_.Now()),
-                     workPercent_ };
+                     CurrentWorkPercent() };
+}
+
+std::uint32_t Guard::CurrentWorkPercent() const
+{
+  return workPercent_ > 0 && loop_.Now() - workStatedAt_ > kMaxWorkStatementAge ? kUsualWorkPercent
+                                                                                : workPercent_;
 }
 
 void Guard::ScheduleQueueCheck()
--- a/peridotquay/request/LoadEstimate.cpp
+++ b/peridotquay/request/LoadEstimate.cpp
@@ -32,6 +32,10 @@
 /// recovery.
 constexpr double kMinShareFraction = 0.02;
 
+/// Least part of the calls that is assumed to stay near, so that the rate of all calls, which is
+/// derived from those that stay, remains finite.
+constexpr double kMinStaying = 0.1;
+
 double ReportedCalls(const LoadReport& aReport)
 {
   return static_cast<double>(aReport.running_) + aReport.queued_;
@@ -60,14 +64,18 @@
 {
   double slots_ = 0;
   double calls_ = 0;
-  double perSecond_ = 0; ///< Calls that end per second.
+  double perSecond_ = 0;     ///< Calls that end per second.
+  double ratePerSecond_ = 0; ///< Calls that all slots end per second.
   double deficits_ = 0;
 
-  void Add(const ServiceTarget& aTarget)
+  /// A target counts with the fraction aWeight, because one in slow start can't take the calls
+  /// that its slots suggest.
+  void Add(const ServiceTarget& aTarget, double aWeight)
   {
-    slots_ += aTarget.slots_;
-    calls_ += aTarget.estimate_->calls_;
+    slots_ += aWeight * aTarget.slots_;
+    calls_ += aWeight * aTarget.estimate_->calls_;
     perSecond_ += std::min(aTarget.estimate_->calls_, aTarget.slots_) / aTarget.workSeconds_;
+    ratePerSecond_ += aWeight * aTarget.slots_ / aTarget.workSeconds_;
   }
   double Utilisation() const { return slots_ > 0 ? calls_ / slots_ : 0; }
 };
@@ -85,27 +93,43 @@
 void RefreshLeaving(const LoadEstimateSettings& aSettings,
                     ServiceLoad& aLoad,
                     const std::array<LoadSum, kTierCount>& aTiers,
+                    double aHorizon,
                     Duration aElapsed)
 {
   LoadSum region = aTiers[0];
   region.slots_ += aTiers[1].slots_;
   region.calls_ += aTiers[1].calls_;
+  region.perSecond_ += aTiers[1].perSecond_;
+  const double elapsed = std::min(kMaxStepSeconds, ToSeconds(aElapsed));
   const std::array<const LoadSum*, 2> nearer{ &aTiers[0], &region };
   for (std::size_t i = 0; i < nearer.size(); ++i) {
     const LoadSum& farther = aTiers[i + 1];
+    if (farther.slots_ <= 0) {
+      // An excess that nobody can take must not count later, when farther targets appear.
+      aLoad.leavingIntegral_[i] = 0;
+      aLoad.leaving_[i] = 0;
+      aLoad.leavingMean_[i] = 0;
+      continue;
+    }
     const double bound =
       std::max(aSettings.leaveUtilisation_[i], farther.Utilisation() + aSettings.distancePrice_[i]);
     const double excess = nearer[i]->Utilisation() - bound;
+    // The farther targets take what already leaves and what is free beyond that, up to a full tier
+    // or to queues as long as the nearer ones. Their loads show calls that left only after the
+    // horizon, so the fraction is averaged over it.
+    const double level = std::max(1.0, nearer[i]->Utilisation() - aSettings.distancePrice_[i]);
+    const double freePerSecond = (level - farther.Utilisation()) * farther.ratePerSecond_;
+    double& mean = aLoad.leavingMean_[i];
+    mean += (aLoad.leaving_[i] - mean) * (1 - std::exp(-elapsed / aHorizon));
+    const double sentPerSecond =
+      nearer[i]->perSecond_ / std::max(kMinStaying, 1 - aLoad.leavingMean_[i]);
+    const double limit =
+      sentPerSecond <= 0 ? 1 : std::clamp(mean + freePerSecond / sentPerSecond, 0.0, 1.0);
     // The integral finds the share that a lasting excess needs; the direct part reacts at once.
     aLoad.leavingIntegral_[i] = std::clamp(
-      aLoad.leavingIntegral_[i] +
-        excess * std::min(kMaxStepSeconds, ToSeconds(aElapsed)) / ToSeconds(aSettings.shareTime_),
-      0.0,
-      1.0);
+      aLoad.leavingIntegral_[i] + excess * elapsed / ToSeconds(aSettings.shareTime_), 0.0, limit);
     aLoad.leaving_[i] =
-      farther.slots_ <= 0
-        ? 0
-        : std::clamp(aLoad.leavingIntegral_[i] + aSettings.directShare_ * excess, 0.0, 1.0);
+      std::clamp(aLoad.leavingIntegral_[i] + aSettings.directShare_ * excess, 0.0, limit);
   }
 }
 
@@ -131,6 +155,7 @@
 void AddSentCall(TargetLoadEstimate& aEstimate, TimePoint aNow)
 {
   aEstimate.calls_ += 1;
+  aEstimate.ownCalls_ += 1;
   aEstimate.recentSends_.at(aEstimate.nextSend_) = aNow;
   aEstimate.nextSend_ =
     static_cast<std::uint32_t>((aEstimate.nextSend_ + 1) % aEstimate.recentSends_.size());
@@ -177,7 +202,7 @@
     }
     const LoadReport& report = target.estimate_->report_;
     aLoad.stated_ = aLoad.stated_ || report.workPercent_ > 0;
-    target.slots_ = report.limit_;
+    target.slots_ = target.unrefused_ * report.limit_;
     const double percent =
       report.workPercent_ == 0
         ? 100
@@ -187,19 +212,27 @@
     const bool isBusy =
       ReportedCalls(report) > reported[target.group_].Utilisation() * target.slots_;
     target.workSeconds_ = usualWork * (isBusy ? std::max(100.0, percent) : percent) / 100;
+    target.estimate_->ownCalls_ *= std::exp(-ToSeconds(sinceRefresh) / target.workSeconds_);
     Advance(*target.estimate_, target.slots_, target.workSeconds_, aNow);
-    known.Add(target);
+    known.Add(target, 1);
     ages += ToSeconds(aNow - target.estimate_->measuredAt_);
     ++knownCount;
   }
+  // Part of the calls that other hosts send.
+  const double otherHosts =
+    aHosts <= 1 ? 0 : static_cast<double>(aHosts - 1) / static_cast<double>(aHosts);
   const double meanSlots = knownCount == 0 ? 1 : known.slots_ / static_cast<double>(knownCount);
   for (ServiceTarget& target : aLoad.targets_) {
     if (isKnown(target)) {
       continue;
     }
-    target.slots_ = target.announcedSlots_ > 0 ? target.announcedSlots_ : meanSlots;
+    target.slots_ =
+      target.unrefused_ * (target.announcedSlots_ > 0 ? target.announcedSlots_ : meanSlots);
     target.workSeconds_ = usualWork;
-    target.estimate_->calls_ = known.Utilisation() * target.slots_;
+    target.estimate_->ownCalls_ *= std::exp(-ToSeconds(sinceRefresh) / usualWork);
+    // Without a report, other hosts are assumed to load it as the mean; own calls are known.
+    target.estimate_->calls_ =
+      otherHosts * known.Utilisation() * target.slots_ + target.estimate_->ownCalls_;
     target.estimate_->advancedAt_ = aNow;
   }
 
@@ -207,8 +240,8 @@
   std::array<LoadSum, kTierCount> tiers;
   for (const ServiceTarget& target : aLoad.targets_) {
     if (target.allowed_ > 0) {
-      groups[target.group_].Add(target);
-      tiers.at(target.tier_).Add(target);
+      groups[target.group_].Add(target, target.allowed_);
+      tiers.at(target.tier_).Add(target, target.allowed_);
     }
   }
   const double meanAge = knownCount == 0 ? 0 : ages / static_cast<double>(knownCount);
@@ -234,8 +267,6 @@
     cumulative.emplace_back((cumulative.empty() ? 0 : cumulative.back().first) + target.share_, i);
   }
   // Calls that end equal calls that begin, over the time in which the load changes little.
-  const double otherHosts =
-    aHosts <= 1 ? 0 : static_cast<double>(aHosts - 1) / static_cast<double>(aHosts);
   for (ServiceTarget& target : aLoad.targets_) {
     const LoadSum& group = groups[target.group_];
     target.estimate_->inflow_ *=
@@ -244,7 +275,7 @@
   for (std::size_t tier = 0; tier < kTierCount; ++tier) {
     aLoad.utilisation_.at(tier) = tiers.at(tier).Utilisation();
   }
-  RefreshLeaving(aSettings, aLoad, tiers, sinceRefresh);
+  RefreshLeaving(aSettings, aLoad, tiers, horizon + usualWork, sinceRefresh);
 }
 
 double ExpectedWait(const ServiceTarget& aTarget)
--- a/peridotquay/request/LoadEstimate.h
+++ b/peridotquay/request/LoadEstimate.h
@@ -47,6 +47,7 @@
   TimePoint advancedAt_{}; ///< Time for which calls_ holds.
   double calls_ = 0;       ///< Expected calls running and queued.
   double inflow_ = 0;      ///< Calls a second that other hosts are expected to send.
+  double ownCalls_ = 0;    ///< Calls of this host that are expected to be still there.
   std::array<TimePoint, 4> recentSends_{}; ///< When this host sent its last calls.
   std::uint32_t nextSend_ = 0;             ///< Position in recentSends_ of the next call.
 };
@@ -61,6 +62,9 @@
   /// Fraction of its share that the target may get now: 0 for one that must not be called, less
   /// than 1 in slow start.
   double allowed_ = 1;
+  /// Fraction of its slots that count. Less than 1 for a target that refuses calls: it runs few
+  /// calls and would attract more.
+  double unrefused_ = 1;
   // Derived by RefreshShares.
   double slots_ = 0;
   double workSeconds_ = 0;
@@ -74,13 +78,15 @@
   std::size_t groupCount_ = 0;
   double usualWorkSeconds_ = 0; ///< Moving average of the duration of work at usual speed.
   TimePoint refreshedAt_{};
-  bool stated_ = false; ///< At least one target stated its duration of work recently.
+  bool refreshDue_ = false; ///< A target may be called more or less than before.
+  bool stated_ = false;     ///< At least one target stated its duration of work recently.
   /// By tier: targets in the order of their position, and the running sum of their shares.
   std::array<std::vector<std::pair<double, std::size_t>>, kTierCount> cumulative_;
   std::array<double, kTierCount> utilisation_{}; ///< Expected calls divided by slots.
   /// Fractions of the calls that leave the data centre, and the region.
   std::array<double, 2> leaving_{};
   std::array<double, 2> leavingIntegral_{}; ///< Part of leaving_ that follows past excess.
+  std::array<double, 2> leavingMean_{};     ///< leaving_ averaged over the delay of the reports.
 };
 
 /// Applies a report that was measured at aMeasuredAt. Returns false for one that is older than the
--- a/peridotquay/request/ReturnSchedule.cpp
+++ b/peridotquay/request/ReturnSchedule.cpp
@@ -77,10 +77,12 @@
   return waited < kMinWaitedTime ? Duration::zero() : waited;
 }
 
-RefusedRequest DescribeRefused(const AdmissionState& aState, const WaitingCall& aCall)
+RefusedRequest DescribeRefused(const AdmissionState& aState,
+                               const WaitingCall& aCall,
+                               TimePoint aNow)
 {
   RefusedRequest request{ aCall.importance_, aCall.clientAccount_ };
-  request.limit_ = EffectiveLimit(aState);
+  request.limit_ = EffectiveLimit(aState, aNow);
   request.slotSeconds_ = SlotSeconds(aState, aCall.route_);
   const auto index = static_cast<std::size_t>(aCall.importance_);
   for (std::size_t i = 0; i < index; ++i) {
--- a/peridotquay/request/ReturnSchedule.h
+++ b/peridotquay/request/ReturnSchedule.h
@@ -103,7 +103,9 @@
 };
 
 /// Describes a call that is refused, or was taken from the queue to be refused.
-RefusedRequest DescribeRefused(const AdmissionState& aState, const WaitingCall& aCall);
+RefusedRequest DescribeRefused(const AdmissionState& aState,
+                               const WaitingCall& aCall,
+                               TimePoint aNow);
 
 /// How the return of a refused request is scheduled.
 struct BookingResult
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -46,6 +46,13 @@
 /// A reported failure fraction halves in this time, so that an avoided target is tried again.
 constexpr double kFailureHalfLifeSeconds = 2.0;
 
+/// Counts of refused and all attempts halve in this time.
+constexpr double kRefusalHalfLifeSeconds = 5.0;
+
+/// Part of its share that a target gets at least however many calls it refuses, so that its
+/// recovery is seen.
+constexpr double kMinUnrefusedFraction = 0.1;
+
 /// A tier whose latency exceeds this fraction of the objective is skipped if the latency of a
 /// farther tier is below kMuchFasterFraction of it.
 constexpr double kSlowObjectiveFraction = 0.8;
@@ -344,15 +351,45 @@
   aStats.consecutiveFailures_ = aSettings.failuresToEject_ > 0 ? aSettings.failuresToEject_ - 1 : 0;
 }
 
+/// Makes the next choice derive the shares of the service's targets anew.
+void RequestRefresh(RoutingState& aState, const ServiceId& aService)
+{
+  if (const auto table = aState.loads_.find(aService); table != aState.loads_.end()) {
+    table->second.load_.refreshDue_ = true;
+  }
+}
+
+void RecordOutcome(TargetStats& aStats, bool aRefused, TimePoint aNow)
+{
+  const double age = std::max(0.0, ToSeconds(aNow - aStats.outcomesUpdatedAt_));
+  const double weight = std::exp2(-age / kRefusalHalfLifeSeconds);
+  aStats.refusals_ = aStats.refusals_ * weight + (aRefused ? 1 : 0);
+  aStats.outcomes_ = aStats.outcomes_ * weight + 1;
+  aStats.outcomesUpdatedAt_ = aNow;
+}
+
+/// Fraction of the recent attempts at the target that it refused. Nearly 0 with few attempts, so
+/// that a target without recent ones is tried again.
+double RecentRefusalFraction(const TargetStats& aStats, TimePoint aNow)
+{
+  if (aStats.refusals_ <= 0) {
+    return 0;
+  }
+  const double age = std::max(0.0, ToSeconds(aNow - aStats.outcomesUpdatedAt_));
+  const double weight = std::exp2(-age / kRefusalHalfLifeSeconds);
+  return aStats.refusals_ * weight / (aStats.outcomes_ * weight + 1);
+}
+
 /// Draws of a target by its share before a call falls back to the choice among all targets.
 constexpr int kMaxDraws = 6;
 
-/// Whether a report of the target counts for its service.
-bool IsReportUsed(const RoutingState& aState, const LoadReport& aReport)
+/// Whether a report of a target counts for its service. Once one target of a service stated its
+/// duration of work, the counts of all its targets are used.
+bool IsReportUsed(const RoutingState& aState, const ServiceId& aService, const LoadReport& aReport)
 {
   switch (aState.settings_.evenLoad_) {
     case FeatureMode::kStated:
-      return aReport.workPercent_ > 0;
+      return aReport.limit_ > 0 && (aReport.workPercent_ > 0 || aState.loads_.contains(aService));
     case FeatureMode::kAlways:
       return aReport.limit_ > 0;
     case FeatureMode::kOff:
@@ -361,6 +398,16 @@
   return false;
 }
 
+/// Discards the load of another target of the same host process, which keeps its incarnation when
+/// its target is replaced.
+void ResetLoadOfOther(TargetStats& aStats, const Target& aTarget)
+{
+  if (aStats.loadInstance_ != aTarget.instance_) {
+    aStats.loadInstance_ = aTarget.instance_;
+    aStats.load_ = {};
+  }
+}
+
 /// Connects the table to the view and to the stats of the targets.
 void BuildTable(RoutingState& aState, ServiceTable& aTable, const std::vector<Target>& aTargets)
 {
@@ -369,7 +416,7 @@
   aTable.owner_ = &aState;
   aTable.stats_.clear();
   aTable.load_.targets_.clear();
-  aTable.load_.refreshedAt_ = {};
+  aTable.load_.refreshDue_ = true;
   std::vector<const DataCentreId*> groups;
   for (const Target& target : aTargets) {
     TargetStats& stats = aState.stats_[target.host_];
@@ -377,6 +424,7 @@
       stats = {};
       stats.incarnation_ = target.incarnation_;
     }
+    ResetLoadOfOther(stats, target);
     const auto group = std::find_if(groups.begin(), groups.end(), [&](const DataCentreId* aGroup) {
       return *aGroup == target.dataCentre_;
     });
@@ -401,11 +449,14 @@
                 TimePoint aNow)
 {
   double minFailureFraction = 1;
+  double minRefusalFraction = 1;
   bool anyEjected = false;
   for (std::size_t i = 0; i < aTargets.size(); ++i) {
     if (Accepts(aTargets[i])) {
       minFailureFraction =
         std::min(minFailureFraction, RecentFailureFraction(aTable.stats_[i], aNow));
+      minRefusalFraction =
+        std::min(minRefusalFraction, RecentRefusalFraction(*aTable.stats_[i], aNow));
       anyEjected = anyEjected || aTable.stats_[i]->ejectedUntil_ > aNow;
     }
   }
@@ -416,6 +467,10 @@
     const bool usable = Accepts(target) && (!anyEjected || !Contains(ejected, target.host_)) &&
                         RecentFailureFraction(aTable.stats_[i], aNow) <=
                           minFailureFraction + kMaxExcessFailureFraction;
+    // Refusals that all targets share have another cause, so only the excess counts.
+    aTable.load_.targets_[i].unrefused_ = std::max(
+      kMinUnrefusedFraction,
+      1 - std::max(0.0, RecentRefusalFraction(*aTable.stats_[i], aNow) - minRefusalFraction));
     aTable.load_.targets_[i].allowed_ =
       usable ? SlowStartFraction(aState.settings_, target, aNow) : 0;
   }
@@ -428,6 +483,7 @@
                              const ServiceId& aService,
                              const std::vector<Target>& aTargets,
                              const std::vector<HostId>& aExclude,
+                             const TargetFilter& aFilter,
                              TimePoint aNow)
 {
   const auto found = aState.loads_.find(aService);
@@ -440,8 +496,8 @@
     BuildTable(aState, table, aTargets);
   }
   const LoadEstimateSettings& settings = aState.settings_.estimate_;
-  if (aNow - table.load_.refreshedAt_ >= settings.refreshInterval_ ||
-      table.load_.refreshedAt_ == TimePoint{}) {
+  if (table.load_.refreshDue_ || aNow - table.load_.refreshedAt_ >= settings.refreshInterval_) {
+    table.load_.refreshDue_ = false;
     SetAllowed(aState, table, aTargets, aNow);
     RefreshShares(settings, table.load_, aView.hosts_.size(), aNow);
   }
@@ -457,7 +513,8 @@
   for (int draw = 0; draw < kMaxDraws && drawn < settings.comparedTargets_; ++draw) {
     const std::size_t position = DrawTarget(table.load_, tier, aState.random_);
     if (table.stats_[position]->refusedUntil_ > aNow ||
-        (!aExclude.empty() && Contains(aExclude, aTargets[position].host_))) {
+        (!aExclude.empty() && Contains(aExclude, aTargets[position].host_)) ||
+        !MayReach(aFilter, aView, aTargets[position])) {
       continue;
     }
     ++drawn;
@@ -475,7 +532,7 @@
                  const LoadReport& aReport,
                  TimePoint aMeasuredAt)
 {
-  if (IsReportUsed(aState, aReport)) {
+  if (IsReportUsed(aState, aService, aReport)) {
     ApplyLoadReport(aStats.load_, aReport, aMeasuredAt);
     aState.loads_.try_emplace(aService);
   }
@@ -512,7 +569,7 @@
   }
   if (!aState.loads_.empty()) {
     if (const Target* target =
-          ChooseByShares(aState, aView, aService, found->second, aExclude, aNow)) {
+          ChooseByShares(aState, aView, aService, found->second, aExclude, aFilter, aNow)) {
       return *target;
     }
   }
@@ -578,6 +635,7 @@
     stats.incarnation_ = aTarget.incarnation_;
   }
   ++stats.inFlight_;
+  ResetLoadOfOther(stats, aTarget);
   AddSentCall(stats.load_, aNow);
 }
 
@@ -593,15 +651,21 @@
   if (stats == nullptr) {
     return;
   }
+  const TimePoint ejectedUntil = stats->ejectedUntil_;
   stats->inFlight_ -= stats->inFlight_ > 0 ? 1 : 0;
+  if (aResult == AttemptResult::kAnswered || aResult == AttemptResult::kRefused) {
+    RecordOutcome(*stats, aResult == AttemptResult::kRefused, aNow);
+  }
   if (aLoad >= 0) {
     stats->reportedLoad_ = aLoad;
     stats->reportedAt_ = aNow;
   }
-  if (aReport != nullptr) {
+  if (aReport != nullptr && stats->loadInstance_ == aTarget.instance_) {
     ApplyReport(aState, aTarget.service_, *stats, *aReport, aNow);
     const auto table = aState.loads_.find(aTarget.service_);
-    if (aResult == AttemptResult::kAnswered && table != aState.loads_.end()) {
+    // The time of a call that may have waited isn't a duration of work.
+    if (aResult == AttemptResult::kAnswered && aReport->queued_ == 0 &&
+        table != aState.loads_.end()) {
       RecordWork(table->second.load_,
                  ToSeconds(aLatency),
                  aReport->workPercent_ == 0 ? 100 : aReport->workPercent_);
@@ -633,6 +697,9 @@
     case AttemptResult::kCancelled:
       break;
   }
+  if (stats->ejectedUntil_ != ejectedUntil) {
+    RequestRefresh(aState, aTarget.service_);
+  }
 }
 
 void RecordFailureFraction(RoutingState& aState,
@@ -641,6 +708,10 @@
                            TimePoint aNow)
 {
   if (TargetStats* stats = FindOrCreateStats(aState, aTarget)) {
+    // Smaller changes wait for the next refresh, because each refresh costs processor time.
+    if (std::abs(aFraction - stats->failureFraction_) > kMaxExcessFailureFraction / 2) {
+      RequestRefresh(aState, aTarget.service_);
+    }
     stats->failureFraction_ = std::clamp(aFraction, 0.0, 1.0);
     stats->reportedAt_ = aNow;
   }
@@ -653,7 +724,7 @@
                       const LoadReport& aReport,
                       TimePoint aMeasuredAt)
 {
-  if (!IsReportUsed(aState, aReport)) {
+  if (aState.settings_.evenLoad_ == FeatureMode::kOff || aReport.limit_ == 0) {
     return;
   }
   const auto known = aState.stats_.find(aHost);
@@ -667,6 +738,7 @@
     for (const Target& target : targets) {
       if (target.host_ == aHost && target.incarnation_ == aIncarnation) {
         if (TargetStats* stats = FindOrCreateStats(aState, target)) {
+          ResetLoadOfOther(*stats, target);
           ApplyReport(aState, service, *stats, aReport, aMeasuredAt);
         }
         return;
--- a/tests/request/LoadEstimateTest.cpp
+++ b/tests/request/LoadEstimateTest.cpp
@@ -99,6 +99,73 @@
   CHECK(estimate.calls_ == 14);
 }
 
+// Load: a service of which some targets state no duration of work. Guards against exact counts of
+// those targets that are dropped, so that a full target gets as many calls as the others.
+TEST_CASE("reports without a duration of work count once the service states one", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 4; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+    view.hosts_[view.targets_[kService].back().host_] = {};
+  }
+  for (int i = 0; i < 4; ++i) {
+    const LoadReport report{ i == 1 ? 100U : 20U, i == 1 ? 50U : 0U, 100, i == 0 ? 100U : 0U };
+    RecordLoadReport(state, view, { "h" + std::to_string(i) }, 1, report, kNow);
+  }
+  int chosen = 0;
+  for (int i = 0; i < 200; ++i) {
+    chosen += ChooseTarget(state, view, kService, {}, kNow)->host_.value_ == "h1" ? 1 : 0;
+  }
+  CHECK(IsLoadEven(state, kService));
+  CHECK(chosen < 10);
+  CHECK(state.stats_.at({ "h1" }).load_.calls_ == 150);
+  CHECK(state.loads_.at(kService).load_.targets_[1].workSeconds_ ==
+        state.loads_.at(kService).load_.targets_[0].workSeconds_);
+}
+
+// Load: a target without reports. Guards against own calls that the assumed mean hides, so that
+// this host sends it more than its share.
+TEST_CASE("own calls count at a target without a report", "[load]")
+{
+  Table table;
+  table.Add(4, 0, 50);
+  table.estimates_[0] = {};
+  RefreshShares({}, table.load_, 2, kNow);
+  const double before = table.estimates_[0].calls_;
+  for (int i = 0; i < 60; ++i) {
+    AddSentCall(table.estimates_[0], kNow);
+  }
+  RefreshShares({}, table.load_, 2, kNow + milliseconds(20));
+  CHECK(table.estimates_[0].calls_ > before + 50);
+  RefreshShares({}, table.load_, 2, kNow + milliseconds(1500));
+  RefreshShares({}, table.load_, 2, kNow + milliseconds(3000));
+  CHECK(table.estimates_[0].calls_ < before + 1);
+}
+
+// Load: a new target takes the place of another one. Guards against its share being decided by the
+// queue of the previous target.
+TEST_CASE("a replaced target doesn't keep the load of the previous one", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 4; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+    view.targets_[kService].back().instance_ = "first-" + std::to_string(i);
+  }
+  RecordLoadReport(state, view, { "h0" }, 1, { 100, 90, 100, 300 }, kNow);
+  RecordLoadReport(state, view, { "h1" }, 1, { 20, 0, 100, 100 }, kNow);
+  (void)ChooseTarget(state, view, kService, {}, kNow + milliseconds(30));
+  CHECK(state.stats_.at({ "h0" }).load_.calls_ > 150);
+  TargetView next = view;
+  next.targets_[kService][0].instance_ = "second-0";
+  RemoveAbsentHosts(state, next);
+  (void)ChooseTarget(state, next, kService, {}, kNow + milliseconds(60));
+  CHECK(state.stats_.at({ "h0" }).load_.calls_ < 30);
+  CHECK(state.stats_.at({ "h0" }).load_.report_.limit_ == 0);
+  CHECK(state.stats_.at({ "h1" }).load_.report_.limit_ == 100);
+}
+
 // Load: targets of different speeds, and one that states a false speed. Guards against slow targets
 // that get as many calls as fast ones, and against a false statement that attracts calls to a busy
 // target.
@@ -152,6 +219,178 @@
   CHECK(table.load_.leaving_[0] == 0);
 }
 
+// Load: a data centre is overloaded while no other one has targets. Guards against an excess that
+// adds up meanwhile and moves all calls to the first farther target that starts.
+TEST_CASE("an excess that no farther target can take doesn't count later", "[load]")
+{
+  Table table;
+  table.Add(4, 0, 150);
+  TimePoint now = kNow;
+  const auto refresh = [&] {
+    now += milliseconds(20);
+    for (TargetLoadEstimate& estimate : table.estimates_) {
+      ApplyLoadReport(estimate, { estimate.report_.running_, 0, 100, 100 }, now);
+    }
+    RefreshShares({}, table.load_, 79, now);
+  };
+  for (int i = 0; i < 250; ++i) {
+    refresh();
+  }
+  CHECK(table.load_.leaving_[0] == 0);
+  table.Add(4, 1, 0);
+  refresh();
+  CHECK(table.load_.leaving_[0] > 0.25);
+  CHECK(table.load_.leaving_[0] < 0.35);
+}
+
+// Load: a large data centre is overloaded beside a small one. Guards against more calls than the
+// small one can run, which would queue there at once.
+TEST_CASE("a small farther tier gets no more calls than it can run", "[load]")
+{
+  const std::uint32_t small = GENERATE(2U, 10U, 40U);
+  Table table;
+  table.Add(10, 0, 150);
+  table.Add(1, 1, 0);
+  // Calls run for usualWork_: the small target holds what left within this time.
+  const double work = ToSeconds(LoadEstimateSettings{}.usualWork_);
+  const double sentPerSecond = 1000 / work;
+  double held = 0;
+  double highest = 0;
+  TimePoint now = kNow;
+  for (int i = 0; i < 500; ++i) {
+    now += milliseconds(20);
+    for (std::size_t j = 0; j < 10; ++j) {
+      ApplyLoadReport(table.estimates_[j], { 150, 0, 100, 100 }, now);
+    }
+    ApplyLoadReport(table.estimates_[10], { static_cast<std::uint32_t>(held), 0, small, 100 }, now);
+    RefreshShares({}, table.load_, 79, now);
+    const double arrived = table.load_.leaving_[0] * sentPerSecond * 0.02;
+    held += arrived - std::min<double>(held, small) * 0.02 / work;
+    highest = std::max(highest, held);
+  }
+  CHECK(highest < 1.5 * small + 2);
+  CHECK(held > 0.6 * small);
+}
+
+// Load: a target refuses most of its calls and therefore runs few. Guards against more calls to it
+// than to the others, and against one that gets none after it recovered.
+TEST_CASE("a refusing target gets fewer calls until it recovers", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 4; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+    view.hosts_[view.targets_[kService].back().host_] = {};
+  }
+  TimePoint now = kNow;
+  // Reported calls of the refusing target are as low as its refusals make them.
+  const auto run = [&](bool aRefuses) {
+    int chosen = 0;
+    for (int i = 0; i < 2000; ++i) {
+      now += milliseconds(25);
+      const Target target = *ChooseTarget(state, view, kService, {}, now);
+      const bool first = target.host_.value_ == "h0";
+      const LoadReport report{ first && aRefuses ? 20U : 50U, 0, 100, 100 };
+      chosen += first && i >= 1000 ? 1 : 0;
+      RecordCallSent(state, target, now);
+      RecordCallEnded(state,
+                      target,
+                      first && aRefuses ? AttemptResult::kRefused : AttemptResult::kAnswered,
+                      milliseconds(300),
+                      0.5,
+                      now,
+                      &report);
+    }
+    return chosen;
+  };
+  const int refusing = run(true);
+  const int recovered = run(false);
+  CAPTURE(refusing, recovered);
+  CHECK(refusing < 200);
+  CHECK(refusing > 0);
+  CHECK(recovered > 200);
+}
+
+// Load: targets start beside a full one in a data centre. Guards against their slots, of which they
+// may use few at first, hiding that calls must leave.
+TEST_CASE("targets in slow start hardly count in the utilisation of their tier", "[load]")
+{
+  Table table;
+  table.Add(1, 0, 130);
+  table.Add(9, 0, 0);
+  table.Add(4, 1, 20);
+  for (std::size_t i = 1; i < 10; ++i) {
+    table.load_.targets_[i].allowed_ = 0.02;
+  }
+  RefreshShares({}, table.load_, 79, kNow);
+  CHECK(table.load_.utilisation_[0] > 1);
+  CHECK(table.load_.leaving_[0] > 0);
+}
+
+// Guards against an assumed duration of work that includes the wait in a queue.
+TEST_CASE("answers of a target with a queue don't count as durations of work", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  const Target target = MakeTarget(1);
+  const auto answer = [&](std::uint32_t aQueued, Duration aTime) {
+    const LoadReport report{ 100, aQueued, 100, 100 };
+    RecordCallSent(state, target, kNow);
+    RecordCallEnded(state, target, AttemptResult::kAnswered, aTime, 1, kNow, &report);
+    return state.loads_.at(kService).load_.usualWorkSeconds_;
+  };
+  CHECK(answer(0, milliseconds(200)) == Approx(0.2));
+  CHECK(answer(30, seconds(3)) == Approx(0.2));
+}
+
+// Guards against calls in a region that the route doesn't allow, or in an evacuated data centre.
+TEST_CASE("the choice by load keeps to allowed regions and evacuations", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 6; ++i) {
+    const std::string dataCentre = i < 2 ? "north" : i < 4 ? "south" : "far";
+    view.targets_[kService].push_back(MakeTarget(i, dataCentre));
+  }
+  for (int i = 0; i < 6; ++i) {
+    const LoadReport report{ i < 2 ? 200U : 10U, 0, 100, 100 };
+    RecordLoadReport(state, view, { "h" + std::to_string(i) }, 1, report, kNow);
+  }
+  view.evacuated_ = { DataCentreId{ "south" } };
+  const std::vector<RegionId> allowed{ { "r1" } };
+  const TargetFilter filter{ &allowed, nullptr };
+  for (int i = 0; i < 200; ++i) {
+    const auto chosen = ChooseTarget(state, view, kService, {}, kNow, {}, filter);
+    REQUIRE(chosen.has_value());
+    CHECK(chosen->dataCentre_.value_ == "north");
+  }
+}
+
+// Load: a target becomes unreachable between two refreshes of the shares. Guards against calls to
+// it until the next refresh, and against a changed view that restarts the time since the last one.
+TEST_CASE("an ejection affects the next choice", "[load]")
+{
+  RoutingState state = MakeState(FeatureMode::kStated);
+  TargetView view;
+  for (int i = 0; i < 3; ++i) {
+    view.targets_[kService].push_back(MakeTarget(i));
+  }
+  for (int i = 0; i < 3; ++i) {
+    RecordLoadReport(state, view, { "h" + std::to_string(i) }, 1, { 20, 0, 100, 100 }, kNow);
+  }
+  (void)ChooseTarget(state, view, kService, {}, kNow);
+  const Target& lost = view.targets_[kService][0];
+  RecordCallSent(state, lost, kNow);
+  RecordCallEnded(state, lost, AttemptResult::kUnreachable, {}, -1, kNow);
+  for (int i = 0; i < 100; ++i) {
+    CHECK(ChooseTarget(state, view, kService, {}, kNow)->host_ != lost.host_);
+  }
+  TargetView next = view;
+  RemoveAbsentHosts(state, next);
+  CHECK(state.loads_.at(kService).load_.refreshedAt_ == kNow);
+  (void)ChooseTarget(state, next, kService, {}, kNow + milliseconds(5));
+  CHECK(state.loads_.at(kService).load_.refreshedAt_ == kNow + milliseconds(5));
+}
+
 // Guards against another choice at services whose targets don't state their duration of work.
 TEST_CASE("services without a stated duration of work keep their choice", "[load]")
 {
@@ -163,11 +402,16 @@
     for (int i = 0; i < 6; ++i) {
       view.targets_[kService].push_back(MakeTarget(i, i < 3 ? "north" : "far"));
     }
+    view.targets_[{ "other" }].push_back(MakeTarget(9));
+    view.targets_[{ "other" }].back().service_ = { "other" };
     TimePoint now = kNow;
     for (int i = 0; i < 50; ++i) {
       now += milliseconds(*rc::gen::inRange(0, 300));
       const LoadReport report{ *rc::gen::inRange(0U, 200U), 0, 100, 0 };
       RecordLoadReport(stated, view, { "h1" }, 1, report, now);
+      // Another service beside it states its duration of work.
+      RecordLoadReport(stated, view, { "h9" }, 1, { report.running_, 0, 100, 150 }, now);
+      RC_ASSERT(stated.loads_.contains({ "other" }));
       const auto one = ChooseTarget(off, view, kService, {}, now, milliseconds(500));
       const auto two = ChooseTarget(stated, view, kService, {}, now, milliseconds(500));
       RC_ASSERT(one == two);
@@ -222,9 +466,32 @@
         }
         exists = exists || (!isExcluded && target.state_ <= TargetState::kReady);
       }
+      // Whether a target is neither excluded, ejected, failing nor refusing at the moment.
+      const auto isGood = [&](const Target& aTarget) {
+        const auto stats = state.stats_.find(aTarget.host_);
+        return aTarget.state_ <= TargetState::kReady &&
+               std::find(exclude.begin(), exclude.end(), aTarget.host_) == exclude.end() &&
+               (stats == state.stats_.end() || stats->second.incarnation_ != aTarget.incarnation_ ||
+                (stats->second.ejectedUntil_ <= now && stats->second.refusedUntil_ <= now &&
+                 stats->second.failureFraction_ < 0.5));
+      };
+      const auto& all = view.targets_.at(kService);
+      const bool anyGood = std::any_of(all.begin(), all.end(), isGood);
+      const auto ejectedCount = std::count_if(all.begin(), all.end(), [&](const Target& aTarget) {
+        const auto stats = state.stats_.find(aTarget.host_);
+        return stats != state.stats_.end() && stats->second.ejectedUntil_ > now;
+      });
       const auto chosen = ChooseTarget(state, view, kService, exclude, now);
       RC_ASSERT(chosen.has_value() == exists);
+      if (const auto table = state.loads_.find(kService);
+          table != state.loads_.end() && !all.empty()) {
+        RC_ASSERT(table->second.load_.refreshedAt_ + milliseconds(20) > now);
+      }
       if (chosen) {
+        // More ejections than half of the targets aren't all observed.
+        if (anyGood && 2 * ejectedCount <= static_cast<long>(all.size())) {
+          RC_ASSERT(isGood(*chosen));
+        }
         RC_ASSERT(chosen->state_ <= TargetState::kReady);
         RC_ASSERT(std::find(exclude.begin(), exclude.end(), chosen->host_) == exclude.end());
         RecordCallSent(state, *chosen, now);
@@ -238,6 +505,7 @@
                         0.05,
                         now,
                         &report);
+        RecordFailureFraction(state, *chosen, *rc::gen::element(0.0, 0.0, 0.9), now);
       }
     }
   }));
--- a/tests/request/ReturnScheduleTest.cpp
+++ b/tests/request/ReturnScheduleTest.cpp
@@ -131,7 +131,7 @@
       const Duration left = aCaller.firstAt_ + seconds(5) - now;
       if (schedules_) {
         RefusedRequest request = DescribeRefused(
-          state, { 0, Importance::kNormal, { aCaller.account_ }, 1, now, now + left, kRoute });
+          state, { 0, Importance::kNormal, { aCaller.account_ }, 1, now, now + left, kRoute }, now);
         request.left_ = left;
         request.spare_ = aCaller.firstAt_ + milliseconds(1350) - now;
         aHintMs = BookReturn(returns, request, now).retryAfterMs_;
