Pass lost documents and host records between hosts after a rollback

Cause: after a rollback, hosts that received the lost writes and hosts that didn't hold different content at the same position of the store, and the feed compared only positions. A withdrawn key stayed valid on hosts that hadn't received its withdrawal, and a departed target counted as ready on hosts that started later.

Change: RowPositions states the operator's version of the document as a trailing field, which is left out in era 0. A document is sent if the other host's version is lower, also by a follower to its source, and a document of a higher version is accepted at an equal or earlier position. It doesn't advance the checked position.

The codec test for too many fields now sends one more, because the number that it sent has become valid.

The failure tests weren't run.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -241,7 +241,8 @@
          aItem.hosts_.version_,
          Trailing{ aItem.config_.era_ },
          Trailing{ aItem.hosts_.era_ },
-         Trailing{ aItem.era_ });
+         Trailing{ aItem.era_ },
+         Trailing{ aItem.documentVersion_ });
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, FeedQuery& aItem)
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -362,6 +362,9 @@
   StorePosition config_;  ///< Position of the configuration row; version 0 for none.
   StorePosition hosts_;   ///< Position up to which all host rows are known.
   std::uint64_t era_ = 0; ///< Highest era of the store that the host knows of.
+  /// Operator's version of the configuration in force, which may be newer than the row at config_;
+  /// 0 for none and in era 0.
+  std::uint64_t documentVersion_ = 0;
   bool operator==(const RowPositions&) const = default;
 };
 
--- a/peridotquay/version/StoreFeed.cpp
+++ b/peridotquay/version/StoreFeed.cpp
@@ -163,6 +163,12 @@
   return FeedQuery{ aState.nonce_, aHeld };
 }
 
+bool NeedsDocument(const RowPositions& aHeld, const RowPositions& aOther)
+{
+  return aOther.config_ > aHeld.config_ ||
+         (aHeld.era_ != 0 && aOther.documentVersion_ > aHeld.documentVersion_);
+}
+
 FeedAnswerResult ApplyFeedAnswer(StoreFeedState& aState,
                                  const FeedAnswer& aAnswer,
                                  const RowPositions& aHeld,
@@ -182,7 +188,7 @@
     return elapsed + milliseconds(static_cast<std::int64_t>(std::min(aMs, kMaxFreshnessAgeMs + 1)));
   };
   const bool storeAnsweredSource = age(aAnswer.answerAgeMs_) <= aState.settings_.maxStoreAnswerAge_;
-  const bool lacksConfig = aAnswer.newest_.config_ > aHeld.config_;
+  const bool lacksConfig = NeedsDocument(aHeld, aAnswer.newest_);
   const bool lacksHosts = aAnswer.newest_.hosts_ > aHeld.hosts_;
   aState.answersWithMissingRows_ =
     lacksConfig || lacksHosts ? aState.answersWithMissingRows_ + 1 : 0;
@@ -213,6 +219,9 @@
       aState.followingSource_ = false;
     }
   }
+  const bool sourceHasNewerRow = aAnswer.newest_.config_ > aHeld.config_;
+  result.sendDocument_ = !sourceHasNewerRow && aAnswer.newest_.era_ != 0 &&
+                         aAnswer.newest_.documentVersion_ < aHeld.documentVersion_;
   // A source that hasn't seen the store go back proves nothing about the store's content since.
   const bool knowsEra = aAnswer.newest_.era_ >= aHeld.era_;
   if (!lacksConfig && knowsEra && aAnswer.freshnessAgeMs_ <= kMaxFreshnessAgeMs) {
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -126,12 +126,18 @@
                                          TimePoint aNow,
                                          Duration aSuspended);
 
+/// Whether a host that holds aHeld needs the document of a host that holds aOther. After a
+/// rollback, hosts may hold different documents at the same position of the store.
+bool NeedsDocument(const RowPositions& aHeld, const RowPositions& aOther);
+
 /// What a host learns from an answer and must do about it.
 struct FeedAnswerResult
 {
   std::optional<TimePoint> freshAt_; ///< When the held configuration was known to be the newest.
   bool readConfig_ = false; ///< Read the configuration: a newer one exists but didn't arrive.
   bool readHosts_ = false;  ///< Read the rows of hosts: newer ones exist but didn't arrive.
+  /// Send the held document to the source, which lacks its operator's version.
+  bool sendDocument_ = false;
   bool operator==(const FeedAnswerResult&) const = default;
 };
 
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -94,7 +94,7 @@
              { { { "h1" }, 7, 3, { { { "parish" }, 12 } }, LoadReport{ 60, 4, 72, 130, 150 } } } },
            RateLevels{ 7, 3, { { { "parish" }, 12 } } },
            FeedQuery{ 4, { { 0, 5 }, { 0, 6 } } },
-           FeedAnswer{ 4, 700, 300, { { 1, 8 }, { 0, 9 }, 2 } },
+           FeedAnswer{ 4, 700, 300, { { 1, 8 }, { 0, 9 }, 2, 12 } },
            FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } }, 3 },
            RequestHandover{
              { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true } };
@@ -154,7 +154,7 @@
   const PeerMessage raised = FeedQuery{ 4, { { 0, 5 }, { 2, 6 } } };
   CHECK(EncodePeerMessage(raised) == pack({ query.index(), { 4, { 5, 6, 0, 2 } } }));
   CHECK(DecodePeerMessage(pack({ query.index(), { 4, { 5 } } })).has_error());
-  CHECK(DecodePeerMessage(pack({ query.index(), { 4, { 5, 6, 0, 2, 2, 2 } } })).has_error());
+  CHECK(DecodePeerMessage(pack({ query.index(), { 4, { 5, 6, 0, 2, 2, 2, 2 } } })).has_error());
 }
 
 // Guards against calls that older hosts reject, and against new hosts that reject theirs: the array
--- a/tests/platform/StoreRollbackTest.cpp
+++ b/tests/platform/StoreRollbackTest.cpp
@@ -166,6 +166,52 @@
   CHECK(accepts("other"));
 }
 
+// Guards against a withdrawn key that stays valid on hosts that hadn't received the withdrawal when
+// the store lost it, and against a document of an earlier era that counts as checked.
+TEST_CASE("a document that the store has lost passes between hosts", "[rollback]")
+{
+  const bool readsFirst = GENERATE(true, false);
+  const bool fromEarlierEra = GENERATE(true, false);
+  standins::UserStore store;
+  store.StateEra(4);
+  store.Put("op", "config", Document(11, "withdrawn"));
+  const TimePoint copied = TimeOfCopy();
+  store.Put("op", "config", Document(12, "k"));
+  Reader informed(store.Port());
+  informed.config_.SetReading(true);
+  REQUIRE(
+    RunUntil(informed.loop_, seconds(3), [&] { return informed.config_.Current() != nullptr; }));
+  const StorePosition lost = informed.config_.RowPosition();
+  store.GoBack(Clock::now() - copied);
+  REQUIRE(
+    RunUntil(informed.loop_, seconds(5), [&] { return informed.config_.RowPosition().era_ == 5; }));
+  Reader other(store.Port());
+  const auto inForce = [&] {
+    return other.config_.Current() ? other.config_.Current()->version_ : 0;
+  };
+  if (readsFirst) {
+    other.config_.SetReading(true);
+    REQUIRE(RunUntil(other.loop_, seconds(3), [&] { return inForce() == 11; }));
+    CHECK(other.config_.RowPosition() == informed.config_.RowPosition());
+    // From the earlier era, or at the equal position of the new one.
+    const StorePosition position = fromEarlierEra ? lost : informed.config_.RowPosition();
+    other.config_.ApplyFeedRow({ "", informed.config_.Document(), position, false });
+  } else {
+    other.store_.RaiseEra(5);
+    other.config_.ApplyFeedRow({ "", informed.config_.Document(), lost, false });
+    other.config_.SetReading(true);
+    REQUIRE(
+      RunUntil(other.loop_, seconds(5), [&] { return other.config_.RowPosition().era_ == 5; }));
+  }
+  CHECK(inForce() == 12);
+  CHECK(other.config_.RowPosition() == informed.config_.RowPosition());
+  CHECK(other.config_.Document() == Document(12, "k"));
+  // The copy's document doesn't replace it again.
+  other.config_.ApplyFeedRow(
+    { "", Document(11, "withdrawn"), informed.config_.RowPosition(), false });
+  CHECK(inForce() == 12);
+}
+
 // Guards against a departed target that an older record brings back, a host that is lost with its
 // row, and an own row that nobody writes again.
 TEST_CASE("host records keep their own order when the store goes back", "[rollback]")
@@ -220,6 +266,48 @@
   CHECK(records.contains("a"));
 }
 
+// Guards against a departed target that a host without the newer record takes as ready, because the
+// copy's row was passed on in place of the held record. Its owner ended and doesn't write it again.
+TEST_CASE("a record that the store has lost passes to a host that starts later", "[rollback]")
+{
+  const std::string table(kHostTable);
+  standins::UserStore store;
+  store.StateEra(0);
+  store.Put(table, "a", Record("a", 1, TargetState::kReady));
+  const TimePoint copied = TimeOfCopy();
+  store.Put(table, "a", Record("a", 2, TargetState::kLeft));
+  Reader reader(store.Port());
+  reader.hosts_.SetReading(true);
+  REQUIRE(RunUntil(reader.loop_, seconds(3), [&] { return reader.hosts_.Records().size() == 1; }));
+  store.GoBack(Clock::now() - copied);
+  reader.config_.CheckFreshnessNow();
+  REQUIRE(
+    RunUntil(reader.loop_, seconds(5), [&] { return reader.hosts_.KnownPosition().era_ == 1; }));
+  Reader later(store.Port());
+  const auto state = [&] { return later.hosts_.Records().at("a").record_.targetState_; };
+  SECTION("the feed's complete set comes first")
+  {
+    later.hosts_.ApplyFeedRows(reader.hosts_.RowsAfter({}));
+    later.hosts_.SetReading(true);
+    REQUIRE(RunUntil(later.loop_, seconds(3), [&] { return later.hosts_.HasRead(); }));
+  }
+  SECTION("the read comes first")
+  {
+    later.hosts_.SetReading(true);
+    REQUIRE(RunUntil(later.loop_, seconds(3), [&] { return later.hosts_.HasRead(); }));
+    CHECK(state() == TargetState::kReady);
+    CHECK(later.hosts_.KnownPosition() == reader.hosts_.KnownPosition());
+    later.hosts_.ApplyFeedRows(reader.hosts_.KeptRecords());
+  }
+  CHECK(state() == TargetState::kLeft);
+  CHECK(later.hosts_.KnownPosition() == reader.hosts_.KnownPosition());
+  CHECK(later.hosts_.RowsAfter({}).rows_ == reader.hosts_.RowsAfter({}).rows_);
+  // A newer row of the store ends it.
+  store.Put(table, "a", Record("a", 3, TargetState::kReady));
+  CHECK(RunUntil(later.loop_, seconds(4), [&] { return state() == TargetState::kReady; }));
+  CHECK(later.hosts_.KeptRecords().rows_.empty());
+}
+
 // Guards against a loop of reads of all rows while the store answers every watch with 410.
 TEST_CASE("a 410 leads to one read of all rows", "[rollback]")
 {
--- a/tests/version/StoreFeedTest.cpp
+++ b/tests/version/StoreFeedTest.cpp
@@ -351,3 +351,25 @@
     follower.ReceiveAnswer(follower.NextQuery(), 10, { { 0, 40 }, { 0, 70 }, 0 });
   CHECK(earlier == FeedAnswerResult{});
 }
+
+// Guards against hosts that keep different documents at one position of the store after a rollback:
+// equal positions alone moved nothing, and the older document counted as fresh.
+TEST_CASE("documents at an equal position are compared by the operator's version", "[feed]")
+{
+  const RowPositions older{ { 1, 30 }, { 1, 50 }, 1, 11 };
+  const RowPositions newer{ { 1, 30 }, { 1, 50 }, 1, 12 };
+  CHECK(NeedsDocument(older, newer));
+  CHECK_FALSE(NeedsDocument(newer, older));
+  CHECK_FALSE(NeedsDocument(newer, newer));
+  Follower follower;
+  follower.held_ = older;
+  const FeedAnswerResult lacking = follower.ReceiveAnswer(follower.NextQuery(), 10, newer);
+  CHECK_FALSE(lacking.freshAt_);
+  CHECK_FALSE(lacking.sendDocument_);
+  follower.held_ = newer;
+  const FeedAnswerResult ahead = follower.ReceiveAnswer(follower.NextQuery(), 10, older);
+  CHECK(ahead.freshAt_);
+  CHECK(ahead.sendDocument_);
+  // In a store that states no era, positions alone decide.
+  CHECK_FALSE(NeedsDocument(kHeld, kHeld));
+}
