--- a/tests/platform/StoreRollbackTest.cpp
+++ b/tests/platform/StoreRollbackTest.cpp
@@ -308,25 +308,38 @@
   CHECK(later.hosts_.KeptRecords().rows_.empty());
 }
 
-// Guards against a loop of reads of all rows while the store answers every watch with 410.
-TEST_CASE("a 410 leads to one read of all rows", "[rollback]")
+// Guards against a loop of reads of all rows while the store answers watches with 410, and against
+// a watch that is repeated from a position that the store has refused.
+TEST_CASE("each 410 leads to one read, and the next watch starts from it", "[rollback]")
 {
   EventLoop loop;
   std::size_t reads = 0;
-  std::size_t watches = 0;
+  std::vector<std::string> watches;
   auto server =
     Value(HttpServer::Listen(loop, {}, [&](const std::shared_ptr<HttpExchange>& aExchange) {
-      const bool isWatch = aExchange->request_.path_.starts_with("/-/rows-feed?");
-      ++(isWatch ? watches : reads);
-      aExchange->Respond(isWatch ? HttpResponse{ 410, {}, "", std::nullopt }
-                                 : JsonResponse(200, R"({"rows":[],"ver":5})"));
+      const std::string path(aExchange->request_.path_);
+      if (path.starts_with("/-/rows-feed?")) {
+        watches.push_back(path);
+        if (watches.size() <= 2) {
+          aExchange->Respond({ 410, {}, "", std::nullopt });
+        } else {
+          aExchange->Respond(JsonResponse(200, R"({"rows":[],"ver":8})"));
+        }
+        return;
+      }
+      ++reads;
+      aExchange->Respond(
+        JsonResponse(200, R"({"rows":[],"ver":)" + std::to_string(5 + reads) + "}"));
     }));
   StoreClient store(loop, { "127.0.0.1", server->Port() });
   HostWatch hosts(
     loop, store, 2, "own", { [] {}, [](const StoreRow&) {}, [](const StorePosition&) {} });
   hosts.SetReading(true);
-  RunFor(loop, seconds(7));
+  REQUIRE(RunUntil(loop, seconds(8), [&] { return watches.size() == 2; }));
+  RunFor(loop, seconds(4));
   CHECK(reads == 2);
-  CHECK(watches >= 3);
-  CHECK(watches <= 12);
+  CHECK(watches.size() == 2);
+  REQUIRE(RunUntil(loop, seconds(10), [&] { return watches.size() >= 4; }));
+  CHECK(reads == 3);
+  CHECK(watches[2].find("after=8&") != std::string::npos);
 }
