--- a/tests/platform/StoreRollbackTest.cpp
+++ b/tests/platform/StoreRollbackTest.cpp
@@ -343,3 +343,22 @@
   CHECK(reads == 3);
   CHECK(watches[2].find("after=8&") != std::string::npos);
 }
+
+// Guards against a read in flight that delays the reads of a new era until it times out.
+TEST_CASE("reads in flight are abandoned when the era rises", "[rollback]")
+{
+  EventLoop loop;
+  std::vector<std::shared_ptr<HttpExchange>> unanswered;
+  auto server =
+    Value(HttpServer::Listen(loop, {}, [&](const std::shared_ptr<HttpExchange>& aExchange) {
+      unanswered.push_back(aExchange);
+    }));
+  StoreClient store(loop, { "127.0.0.1", server->Port() });
+  HostWatch hosts(
+    loop, store, 2, "own", { [] {}, [](const StoreRow&) {}, [](const StorePosition&) {} });
+  store.SetEraHandler([&](const StoreEra&) { hosts.OnEraRaised(); });
+  hosts.SetReading(true);
+  REQUIRE(RunUntil(loop, seconds(1), [&] { return unanswered.size() == 1; }));
+  store.RaiseEra(1);
+  CHECK(RunUntil(loop, milliseconds(700), [&] { return unanswered.size() == 2; }));
+}
