--- a/peridotquay/request/StartRate.h
+++ b/peridotquay/request/StartRate.h
@@ -25,8 +25,8 @@
   /// That number doubles each time this passes without an answer, so that a slow target isn't idle.
   Duration firstCallsDoubling_ = milliseconds(250);
   /// Fraction of the rate that a cold target tolerates which the guard uses. With burst_, at most
-  /// 1.125 times that rate plus 1 start in any second. A target tolerates 1.5 times the rate plus 8,
-  /// because calls may be delayed on their way and arrive together.
+  /// 1.125 times that rate plus 1 start in any second. A target tolerates 1.5 times the rate plus
+  /// 8, because calls may be delayed on their way and arrive together.
   double coldRateFraction_ = 0.9;
   bool operator==(const StartRateSettings&) const = default;
 };
