--- a/peridotquay/process/ControlPlane.h
+++ b/peridotquay/process/ControlPlane.h
@@ -4,12 +4,15 @@
 
 #include "peridotquay/connection/PeerMessage.h"
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/RateShare.h"
 #include "peridotquay/version/Config.h"
 #include "peridotquay/version/TargetView.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace peridotquay {
 
@@ -35,6 +38,11 @@
   /// Sets the state of the local target, on platforms where the target reports it to the control
   /// plane. Unlike the others, it must be called on the socket thread.
   std::function<void(const LocalTarget&)> setTarget_;
+  /// Returns the load of the local target if it states its duration of work. Must be called on the
+  /// socket thread.
+  std::function<std::optional<LoadReport>()> statedLoad_;
+  /// Passes on loads of other hosts' targets. Must be called on the socket thread.
+  std::function<void(const std::vector<ReceivedLoad>&)> deliverLoads_;
   /// Event loop of the socket thread, for a control plane that runs on it.
   EventLoop* loop_ = nullptr;
 };
@@ -50,6 +58,9 @@
   bool delegate_ = false;    ///< This node is a delegate of its data centre.
   bool shareLeader_ = false; ///< This node holds the lease to grant tokens.
   bool platformReachable_ = false;
+  /// How often the platform's store went back to an older copy; 0 where it doesn't state that.
+  std::uint64_t storeEra_ = 0;
+  std::vector<std::string> evacuated_; ///< Data centres whose targets get no new requests.
   /// Lowest version in force at the hosts of the data centre; set on delegates only.
   Version minDataCentreVersion_ = 0;
 };
--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -42,6 +42,7 @@
 {
   routing_.dataCentre_ = aSettings.dataCentre_;
   routing_.region_ = aSettings.region_;
+  routing_.settings_.evenLoad_ = aSettings.evenLoad_;
   routing_.random_ = aSettings.randomSeed_ != 0
                        ? aSettings.randomSeed_
                        : static_cast<std::uint64_t>(Clock::now().time_since_epoch().count()) | 1U;
@@ -63,14 +64,24 @@
   guard_.onContextClosed_ = nullptr;
 }
 
+const Route* Dispatcher::FindRequestRoute(const HttpRequest& aRequest) const
+{
+  return config_->routesByHost_ ? FindHostRoute(*config_,
+                                                FindHeader(aRequest.headers_, "Host").value_or(""),
+                                                WithoutQuery(aRequest.path_))
+                                : FindRoute(*config_, WithoutQuery(aRequest.path_));
+}
+
+bool Dispatcher::MayOverlap(const HttpRequest& aRequest) const
+{
+  const Route* route = config_ ? FindRequestRoute(aRequest) : nullptr;
+  return route != nullptr && route->repeatable_;
+}
+
 bool Dispatcher::FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const
 {
   aCall.config_ = config_;
-  aCall.route_ = config_->routesByHost_
-                   ? FindHostRoute(*config_,
-                                   FindHeader(aRequest.headers_, "Host").value_or(""),
-                                   WithoutQuery(aRequest.path_))
-                   : FindRoute(*config_, WithoutQuery(aRequest.path_));
+  aCall.route_ = FindRequestRoute(aRequest);
   if (aCall.route_ == nullptr) {
     return false;
   }
@@ -153,7 +164,8 @@
     if (!value || *value == 0) {
       return malformed;
     }
-    aCall.deadline_ = std::min(aCall.deadline_, now + milliseconds(*value));
+    aCall.statedDeadline_ = milliseconds(*value);
+    aCall.deadline_ = std::min(aCall.deadline_, now + aCall.statedDeadline_);
   }
   aCall.budget_.left_ = aCall.route_->maxRetries_;
   if (!dialect_.hasContexts_) {
@@ -220,6 +232,7 @@
   if (!FindCallRoute(request, *call)) {
     refusal = Refusal{ ErrorCode::kNoRoute };
   }
+  aExchange->mayOverlap_ = call->route_ != nullptr && call->route_->repeatable_;
   if (!refusal) {
     refusal = Authenticate(request, *call);
   }
@@ -238,6 +251,7 @@
   if (!call->route_->split_.empty()) {
     call->call_.service_ = ChooseService(*call->route_);
   }
+  SetWaitedTime(*call);
   if (!dialect_.hasContexts_ && call->call_.clientAccount_.value_.empty()) {
     // Without contexts, a request on an open route is a deeper call. Its failure would waste the
     // work of the request that it serves.
@@ -364,6 +378,24 @@
     });
 }
 
+// Older hosts reject a call with a waited time, so it is set only where targets state the duration
+// of their work: this host's own, or those of the called service. A deeper call has the deadline of
+// its request, which says nothing about its own.
+void Dispatcher::SetWaitedTime(ActiveCall& aCall)
+{
+  const bool isUsed = settings_.roomScheduling_ != FeatureMode::kOff &&
+                      (guard_.SchedulesCapacity() || IsLoadEven(routing_, aCall.call_.service_));
+  if (!isUsed || aCall.call_.clientAccount_.value_.empty()) {
+    return;
+  }
+  const Duration waited = WaitedTime(statedDeadlines_,
+                                     { aCall.call_.route_, aCall.call_.clientAccount_ },
+                                     aCall.statedDeadline_,
+                                     aCall.arrivedAt_);
+  aCall.call_.waitedMs_ = static_cast<std::uint32_t>(waited / milliseconds(1));
+  metrics_.Add(Counter::kReturningRequests, aCall.call_.waitedMs_ > 0 ? 1 : 0);
+}
+
 void Dispatcher::IssueIds(const std::shared_ptr<HttpExchange>& aExchange)
 {
   const HttpRequest& request = aExchange->request_;
@@ -608,6 +640,18 @@
   return targets_.get();
 }
 
+void Dispatcher::OnLoads(const std::vector<ReceivedLoad>& aLoads)
+{
+  if (!targets_ || settings_.naive_) {
+    return;
+  }
+  metrics_.Add(Counter::kLoadReports, aLoads.size());
+  for (const ReceivedLoad& load : aLoads) {
+    RecordLoadReport(
+      routing_, *targets_, load.host_, load.incarnation_, load.report_, load.measuredAt_);
+  }
+}
+
 std::string Dispatcher::Explain(std::string_view aPath, std::string_view aAccount)
 {
   // The query and the records of other hosts may hold any bytes.
@@ -645,6 +689,24 @@
     json["tokens"] = now < tokens->second.expiresAt_ ? tokens->second.tokens_ : 0;
     json["over_rate"] = now < tokens->second.refusedUntil_;
   }
+  json["even_load"] = IsLoadEven(routing_, route->service_);
+  if (json["even_load"]) {
+    const ServiceLoad& load = routing_.loads_.at(route->service_).load_;
+    json["utilisation"] = load.utilisation_;
+    json["leaving_data_centre"] = load.leaving_[0];
+    json["leaving_region"] = load.leaving_[1];
+  }
+  const TargetFilter filter = FilterFor(*config_, *route, account);
+  json["allowed_regions"] = nlohmann::json::object();
+  for (const auto& [name, regions] :
+       { std::pair("route", filter.routeRegions_), std::pair("account", filter.accountRegions_) }) {
+    if (regions != nullptr && !regions->empty()) {
+      for (const RegionId& region : *regions) {
+        json["allowed_regions"][name].push_back(region.value_);
+      }
+    }
+  }
+  bool mayReachAny = false;
   json["targets"] = nlohmann::json::array();
   if (targets_ && targets_->targets_.contains(route->service_)) {
     for (const Target& target : targets_->targets_.at(route->service_)) {
@@ -653,13 +715,26 @@
       };
       nlohmann::json entry = { { "host", target.host_.value_ },
                                { "data_centre", target.dataCentre_.value_ },
+                               { "region", target.region_.value_ },
+                               { "evacuated", targets_->evacuated_.contains(target.dataCentre_) },
+                               { "may_reach", MayReach(filter, *targets_, target) },
                                { "state", kStates.at(static_cast<std::size_t>(target.state_)) } };
+      mayReachAny = mayReachAny || MayReach(filter, *targets_, target);
       const auto stats = routing_.stats_.find(target.host_);
       if (stats != routing_.stats_.end()) {
         entry["in_flight"] = stats->second.inFlight_;
         entry["latency_ms"] = stats->second.latencySeconds_ * 1000;
         entry["reported_load"] = stats->second.reportedLoad_;
         entry["ejected"] = now < stats->second.ejectedUntil_;
+        const TargetLoadEstimate& load = stats->second.load_;
+        if (load.measuredAt_ != TimePoint{}) {
+          entry["report_age_ms"] =
+            std::chrono::duration_cast<milliseconds>(now - load.measuredAt_).count();
+          entry["work_percent"] = load.report_.workPercent_;
+          entry["reported_calls"] = load.report_.running_ + load.report_.queued_;
+          entry["expected_calls"] = load.calls_;
+          entry["limit"] = load.report_.limit_;
+        }
       }
       const auto level = admissionLevels_.find(target.host_);
       if (level != admissionLevels_.end() &&
@@ -680,7 +755,7 @@
     decision = ErrorName(ErrorCode::kConfigurationNotFresh);
   } else if (!route->open_ && !allowed) {
     decision = ErrorName(ErrorCode::kRouteNotAllowed);
-  } else if (json["targets"].empty()) {
+  } else if (!mayReachAny) {
     decision = ErrorName(ErrorCode::kNoTarget);
   }
   json["decision"] = decision;
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -15,7 +15,9 @@
 #include "peridotquay/process/Settings.h"
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/NaivePolicy.h"
+#include "peridotquay/request/RateShare.h"
 #include "peridotquay/request/RetryBudget.h"
+#include "peridotquay/request/ReturnSchedule.h"
 #include "peridotquay/request/RouteChoice.h"
 #include "peridotquay/request/TokenCache.h"
 #include "peridotquay/version/Config.h"
@@ -26,6 +28,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -54,6 +57,9 @@
 
   /// Handles a request from a caller.
   void OnCallerRequest(const std::shared_ptr<HttpExchange>& aExchange);
+  /// Whether a caller's request may run at the same time as others of its connection: its route is
+  /// known and repeatable. Needs only the head of the request.
+  bool MayOverlap(const HttpRequest& aRequest) const;
   /// Handles a deeper call of the local target.
   void OnOutboundRequest(const std::shared_ptr<HttpExchange>& aExchange);
   /// Handles a caller's request that another host forwarded because this host issued its id.
@@ -71,6 +77,8 @@
   /// Sets the configuration in force; an older version is ignored.
   void SetConfig(std::shared_ptr<const Config> aConfig);
   void SetTargets(std::shared_ptr<const TargetView> aTargets);
+  /// Records loads of targets that their hosts reported.
+  void OnLoads(const std::vector<ReceivedLoad>& aLoads);
   /// Sets the time at which the configuration was last known to be the latest.
   void SetFreshness(TimePoint aFreshAsOf);
   /// Adds granted tokens, which were requested at aRequestedAt, and resumes calls that wait for
@@ -111,6 +119,8 @@
     std::weak_ptr<HttpExchange> exchange_; ///< Empty for a call that another host forwarded.
     TimePoint arrivedAt_{};
     TimePoint deadline_{};
+    /// Value of the deadline header, also where the route's own deadline is shorter; 0 without one.
+    Duration statedDeadline_{};
     std::uint64_t deadlineTimer_ = 0;
     RetryBudget budget_;
     std::vector<HostId> excludedHosts_; ///< Hosts that refused or failed this call.
@@ -155,9 +165,13 @@
   bool MayRefuseForGood() const;
   const ServiceId& ChooseService(const Route& aRoute);
   std::optional<Refusal> ReadCallHeaders(const HttpRequest& aRequest, ActiveCall& aCall) const;
+  /// Null if no route matches. config_ must be set.
+  const Route* FindRequestRoute(const HttpRequest& aRequest) const;
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool MayServeRunningCall(const HttpRequest& aRequest) const;
   void RegisterCall(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
+  /// Sets the time for which the caller of a request has waited, over earlier attempts.
+  void SetWaitedTime(ActiveCall& aCall);
   void IssueIds(const std::shared_ptr<HttpExchange>& aExchange);
   void ApplyRateLimit(const CallPointer& aCall);
   void WaitForTokens(const CallPointer& aCall, Duration aWait, bool aExtendAfterStall);
@@ -176,10 +190,20 @@
   /// its admission level.
   std::optional<Target> SelectTarget(const CallPointer& aCall, bool& aShedUpstream);
   void StartAttempt(const CallPointer& aCall);
+  /// The targets that the lists of allowed regions of the route and of the account leave.
+  static TargetFilter FilterFor(const Config& aConfig,
+                                const Route& aRoute,
+                                const ClientAccountId& aAccount);
+  /// Those of the call's configuration and of the one in force now.
+  TargetFilter FilterFor(const ActiveCall& aCall) const;
+  /// Whether allowed regions and evacuated data centres exclude all targets of the call's service.
+  bool ExcludesAllTargets(const ActiveCall& aCall) const;
   /// Whether the target stated that it leaves.
   bool IsLeaving(const Target& aTarget) const;
   Duration AnswerReserve(const Target& aTarget) const;
   void SendAttempt(const CallPointer& aCall, const Target& aTarget);
+  /// Counts an attempt whose target was chosen by load, and logs when that begins or ceases.
+  void RecordChoice(const ServiceId& aService, const Target& aTarget);
   void EndAttempt(const CallPointer& aCall, AttemptResult aResult, const Answer* aAnswer);
   void OnAttemptAnswer(const CallPointer& aCall, Answer aAnswer);
   void QueryCallStatus(const CallPointer& aCall);
@@ -221,6 +245,8 @@
   TimePoint freshAsOf_{};
   Duration suspendedTimeAtFreshness_{}; ///< SuspendedTime() when freshAsOf_ was set.
   RoutingState routing_;
+  std::set<ServiceId> evenServices_; ///< Services whose last call was distributed by load.
+  StatedDeadlines statedDeadlines_;
   TokenCache tokens_;
   NaiveState naive_;
   /// By host of the guard; only hosts in targets_.
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -48,9 +48,10 @@
   }
   const TimePoint now = loop_.Now();
   std::vector<HostId> excluded = aCall->excludedHosts_;
+  const TargetFilter filter = FilterFor(*aCall);
   while (true) {
-    auto target =
-      ChooseTarget(routing_, *targets_, service, excluded, now, aCall->route_->latencyObjective_);
+    auto target = ChooseTarget(
+      routing_, *targets_, service, excluded, now, aCall->route_->latencyObjective_, filter);
     if (!target || std::find(excluded.begin(), excluded.end(), target->host_) != excluded.end()) {
       return std::nullopt;
     }
@@ -68,6 +69,51 @@
   }
 }
 
+TargetFilter Dispatcher::FilterFor(const Config& aConfig,
+                                   const Route& aRoute,
+                                   const ClientAccountId& aAccount)
+{
+  const auto account = aConfig.clientAccounts_.find(aAccount);
+  return { &aRoute.allowedRegions_,
+           account == aConfig.clientAccounts_.end() ? nullptr : &account->second.allowedRegions_ };
+}
+
+TargetFilter Dispatcher::FilterFor(const ActiveCall& aCall) const
+{
+  const ClientAccountId& account = aCall.call_.clientAccount_;
+  TargetFilter filter = FilterFor(*aCall.config_, *aCall.route_, account);
+  if (!config_ || config_ == aCall.config_) {
+    return filter;
+  }
+  const auto route =
+    std::find_if(config_->routes_.begin(), config_->routes_.end(), [&](const Route& aRoute) {
+      return aRoute.id_ == aCall.route_->id_;
+    });
+  if (route != config_->routes_.end()) {
+    filter.currentRouteRegions_ = &route->allowedRegions_;
+  }
+  const auto entry = config_->clientAccounts_.find(account);
+  if (entry != config_->clientAccounts_.end()) {
+    filter.currentAccountRegions_ = &entry->second.allowedRegions_;
+  }
+  return filter;
+}
+
+bool Dispatcher::ExcludesAllTargets(const ActiveCall& aCall) const
+{
+  if (!targets_ || settings_.naive_) {
+    return false;
+  }
+  const auto found = targets_->targets_.find(aCall.call_.service_);
+  if (found == targets_->targets_.end() || found->second.empty()) {
+    return false;
+  }
+  const TargetFilter filter = FilterFor(aCall);
+  return std::none_of(found->second.begin(), found->second.end(), [&](const Target& aTarget) {
+    return MayReach(filter, *targets_, aTarget);
+  });
+}
+
 bool Dispatcher::IsLeaving(const Target& aTarget) const
 {
   const auto entry = leavingTargets_.find(aTarget.host_);
@@ -84,6 +130,8 @@
   }
   if (shedUpstream) {
     metrics_.Add(Counter::kRefusedUpstream);
+  } else if (ExcludesAllTargets(*aCall)) {
+    metrics_.Add(Counter::kRefusedRegion);
   }
   Refuse(aCall, shedUpstream ? ErrorCode::kShed : ErrorCode::kNoTarget, kShedRetryAfterMs);
 }
@@ -117,7 +165,8 @@
   call.call_.deadlineMs_ = static_cast<std::uint32_t>(std::max<std::int64_t>(1, leftMs));
   attempts_[call.attemptCallId_] = aCall;
   if (!settings_.naive_) {
-    RecordCallSent(routing_, aTarget);
+    RecordCallSent(routing_, aTarget, now);
+    RecordChoice(call.call_.service_, aTarget);
   }
   if (aTarget.host_ != settings_.host_) {
     hub_.SendCall(aTarget.peer_, call.attemptCallId_, call.call_);
@@ -129,6 +178,28 @@
     [this](Answer aAnswer) { OnAnswer(std::move(aAnswer), 0); });
 }
 
+void Dispatcher::RecordChoice(const ServiceId& aService, const Target& aTarget)
+{
+  if (routing_.loads_.empty() && evenServices_.empty()) {
+    return;
+  }
+  const bool even = IsLoadEven(routing_, aService);
+  if (even) {
+    metrics_.Add(Counter::kAttemptsByLoad);
+    metrics_.Add(Counter::kAttemptsByLoadFar, aTarget.dataCentre_ == settings_.dataCentre_ ? 0 : 1);
+  }
+  if (even == evenServices_.contains(aService)) {
+    return;
+  }
+  if (even) {
+    evenServices_.insert(aService);
+  } else {
+    evenServices_.erase(aService);
+  }
+  LogEvent(Event::kDistributionChanged,
+           { { "service", aService.value_ }, { "by_load", even ? "true" : "false" } });
+}
+
 void Dispatcher::OnAnswer(Answer aAnswer, std::uint64_t aLink)
 {
   const auto entry = attempts_.find(aAnswer.callId_);
@@ -162,12 +233,17 @@
     return;
   }
   const TimePoint now = loop_.Now();
+  const LoadReport report =
+    aAnswer == nullptr
+      ? LoadReport{}
+      : LoadReport{ aAnswer->inFlight_, aAnswer->queued_, aAnswer->limit_, aAnswer->workPercent_ };
   RecordCallEnded(routing_,
                   call.target_,
                   aResult,
                   now - call.sentAt_,
                   aAnswer == nullptr ? -1 : ReportedLoadFraction(*aAnswer),
-                  now);
+                  now,
+                  report.limit_ == 0 ? nullptr : &report);
   if (aAnswer != nullptr && aAnswer->limit_ != 0) {
     RecordFailureFraction(routing_, call.target_, aAnswer->failurePercent_ / 100.0, now);
     const auto [level, isNew] = admissionLevels_.try_emplace(call.target_.host_);
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -37,6 +37,10 @@
   X(2007, CallRepeated, kInfo) \
   X(2008, RunsLimited, kInfo) \
   X(2009, TargetRateStated, kInfo) \
+  X(2010, CapacityScheduling, kInfo) \
+  X(2011, ReturnScheduled, kInfo) \
+  X(2012, TargetCold, kInfo) \
+  X(2020, DistributionChanged, kInfo) \
   X(3001, MemberJoined, kInfo) \
   X(3002, MemberSuspected, kWarning) \
   X(3003, MemberDead, kWarning) \
@@ -50,6 +54,8 @@
   X(3011, HeartbeatRejected, kWarning) \
   X(3012, HostRecordRejected, kWarning) \
   X(3013, HostLost, kWarning) \
+  X(3014, DataCentreEvacuated, kWarning) \
+  X(3015, DataCentreReturned, kInfo) \
   X(4001, VersionInForce, kInfo) \
   X(4002, VersionRejected, kError) \
   X(4003, FreshnessLost, kWarning) \
@@ -59,6 +65,7 @@
   X(4007, StoreReadAlone, kInfo) \
   X(4008, StoreFeedFollowed, kInfo) \
   X(4009, StoreSourceChanged, kInfo) \
+  X(4010, StoreWentBack, kWarning) \
   X(5001, ShareLeaseTaken, kInfo) \
   X(5002, ShareLeaseLost, kWarning) \
   X(6001, PeerConnected, kInfo) \
@@ -67,6 +74,7 @@
   X(6004, PeerConnectionSilent, kWarning) \
   X(6005, RequestAbandoned, kInfo) \
   X(6006, RequestUnanswered, kWarning) \
+  X(6007, RequestNotBegun, kInfo) \
   X(6010, MessageMemoryFull, kWarning)
 // clang-format on
 
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -2,6 +2,7 @@
 #include "peridotquay/process/Guard.h"
 
 #include "peridotquay/process/Events.h"
+#include "peridotquay/request/RouteChoice.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,6 +16,10 @@
 // Interval at which waiting calls are checked for missed deadlines.
 constexpr Duration kQueueCheckInterval = milliseconds(10);
 
+/// The duration of work changes many times a second, so an older statement says nothing about it.
+constexpr Duration kMaxWorkStatementAge = seconds(3);
+constexpr std::uint32_t kUsualWorkPercent = 100;
+
 // After this many consecutive polls without a connection the target is announced as draining.
 constexpr std::uint32_t kMaxFailedPolls = 3;
 
@@ -32,6 +37,9 @@
 // is served.
 constexpr double kRequestShare = 0.25;
 
+// Part of the usual time of a run that is left for it when a caller is told to return.
+constexpr double kRunTimeMargin = 1.5;
+
 // Timeout of these two probes.
 constexpr Duration kProbeTimeout = milliseconds(250);
 
@@ -46,6 +54,11 @@
   return answer;
 }
 
+std::string WholeMs(Duration aDuration)
+{
+  return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
+}
+
 Answer UnknownAnswer(const Call& aCall, ErrorCode aCode)
 {
   Answer answer;
@@ -113,6 +126,7 @@
   admission_.settings_.maxLimit_ =
     std::min(admission_.settings_.maxLimit_, aSettings.maxTargetConnections_);
   admission_.startRate_.isProven_ = dialect_.notice_ == nullptr;
+  SetTargetStatesWorkDuration(false);
 }
 
 Guard::~Guard() = default;
@@ -134,7 +148,8 @@
     Refuse(number, ErrorCode::kDraining, 0);
     return;
   }
-  if (aCall.service_ != settings_.service_) {
+  // Another target may be in an allowed region, so the caller's host goes on choosing.
+  if (aCall.service_ != settings_.service_ || IsRegionExcluded(aCall)) {
     Refuse(number, ErrorCode::kNoTarget, 0);
     return;
   }
@@ -155,22 +170,11 @@
     Start(number);
     return;
   }
-  if (IsRequest(aCall) && !BeginLimitedRun(number, guardedCall)) {
+  if (IsRequest(aCall) &&
+      (!UseBookingOrRefuse(number, guardedCall) || !BeginLimitedRun(number, guardedCall))) {
     return;
   }
-  WaitingCall waiting;
-  waiting.id_ = number;
-  waiting.importance_ = aCall.importance_;
-  waiting.clientAccount_ = aCall.clientAccount_;
-  waiting.route_ = aCall.route_;
-  if (config_) {
-    const auto account = config_->clientAccounts_.find(aCall.clientAccount_);
-    waiting.weight_ =
-      account == config_->clientAccounts_.end() ? 1 : account->second.ratePerSecond_;
-  }
-  waiting.arrivedAt_ = now;
-  waiting.deadline_ = guardedCall.deadline_;
-  Apply(OfferCall(admission_, waiting, now));
+  Apply(OfferCall(admission_, Waiting(number, guardedCall), now));
   ScheduleQueueCheck();
 }
 
@@ -179,22 +183,110 @@
   return dialect_.hasContexts_ ? aCall.depth_ == 0 : !aCall.clientAccount_.value_.empty();
 }
 
+WaitingCall Guard::Waiting(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall) const
+{
+  const Call& call = aGuardedCall.call_;
+  WaitingCall waiting;
+  waiting.id_ = aCallNumber;
+  waiting.importance_ = call.importance_;
+  waiting.clientAccount_ = call.clientAccount_;
+  waiting.weight_ = AccountWeight(call.clientAccount_);
+  waiting.arrivedAt_ = aGuardedCall.arrivedAt_;
+  waiting.deadline_ = aGuardedCall.deadline_;
+  waiting.route_ = call.route_;
+  waiting.waited_ = milliseconds(call.waitedMs_);
+  return waiting;
+}
+
+const Route* Guard::ConfiguredRoute(const RouteId& aRoute) const
+{
+  if (!config_) {
+    return nullptr;
+  }
+  const auto found = std::find_if(config_->routes_.begin(),
+                                  config_->routes_.end(),
+                                  [&](const Route& aOther) { return aOther.id_ == aRoute; });
+  return found == config_->routes_.end() ? nullptr : &*found;
+}
+
+double Guard::AccountWeight(const ClientAccountId& aAccount) const
+{
+  if (!config_) {
+    return 1;
+  }
+  const auto account = config_->clientAccounts_.find(aAccount);
+  return account == config_->clientAccounts_.end() ? 1 : account->second.ratePerSecond_;
+}
+
+bool Guard::UseBookingOrRefuse(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall)
+{
+  const Call& call = aGuardedCall.call_;
+  const TimePoint now = loop_.Now();
+  if (!SchedulesCapacity() ||
+      (call.waitedMs_ > 0 && UseBooking(returns_, call.clientAccount_, call.importance_, now)) ||
+      !IsCapacityKept(returns_, admission_, call.importance_, call.clientAccount_, now)) {
+    return true;
+  }
+  metrics_.Add(Counter::kRefusedForReturns);
+  // Without a queue there is no shortage beyond the kept capacity, for which a return would be
+  // booked in its turn.
+  RefuseForCapacity(aCallNumber, ErrorCode::kShed, 0, admission_.queued_ > 0);
+  return false;
+}
+
+std::uint32_t Guard::ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode, bool aMayBook)
+{
+  const Call& call = aGuardedCall.call_;
+  const TimePoint now = loop_.Now();
+  RefusedRequest request = DescribeRefused(admission_, Waiting(0, aGuardedCall), now);
+  request.left_ = aGuardedCall.deadline_ - now;
+  request.mayBook_ = aMayBook;
+  const Route* route = ConfiguredRoute(call.route_);
+  if (route != nullptr && route->latencyObjective_ > Duration::zero()) {
+    const auto margin = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kRunTimeMargin * request.slotSeconds_));
+    request.spare_ = route->latencyObjective_ - milliseconds(call.waitedMs_) -
+                     (now - aGuardedCall.arrivedAt_) - margin;
+  }
+  const std::size_t booked = returns_.booked_.size();
+  const BookingResult result = BookReturn(returns_, request, now);
+  std::uint64_t skipped = 0;
+  if (returnThrottle_.Allow(now, skipped)) {
+    LogEvent(Event::kReturnScheduled,
+             { { "account", call.clientAccount_.value_ },
+               { "route", call.route_.value_ },
+               { "reason", std::string(ErrorName(aCode)) },
+               { "waited_ms", std::to_string(call.waitedMs_) },
+               { "ahead_ms",
+                 std::to_string(static_cast<std::uint64_t>(1000 * request.aheadSeconds_ /
+                                                           std::max(1.0, request.limit_))) },
+               { "booked", std::to_string(booked) },
+               { "is_booked", result.isBooked_ ? "true" : "false" },
+               { "used", std::to_string(returns_.usedFraction_) },
+               { "retry_after_ms", std::to_string(result.retryAfterMs_) },
+               { "skipped", std::to_string(skipped) } });
+  }
+  return result.retryAfterMs_;
+}
+
 bool Guard::BeginLimitedRun(std::uint64_t aCallNumber, GuardedCall& aGuardedCall)
 {
   const RouteId& route = aGuardedCall.call_.route_;
   const TimePoint now = loop_.Now();
-  if (TryBeginRun(runLimits_, route, now)) {
+  const Call& call = aGuardedCall.call_;
+  if (TryBeginRun(runLimits_, route, now, call.clientAccount_, call.waitedMs_ > 0)) {
     aGuardedCall.isLimitedRun_ = true;
     return true;
   }
-  Duration objective{};
-  if (config_) {
-    const auto found = std::find_if(config_->routes_.begin(),
-                                    config_->routes_.end(),
-                                    [&](const Route& aRoute) { return aRoute.id_ == route; });
-    objective = found == config_->routes_.end() ? Duration::zero() : found->latencyObjective_;
+  const Route* configured = ConfiguredRoute(route);
+  const Duration objective =
+    configured == nullptr ? Duration::zero() : configured->latencyObjective_;
+  std::uint32_t retryAfterMs = RunRetryAfterMs(runLimits_, route, objective);
+  if (SchedulesCapacity()) {
+    const auto leftMs = static_cast<double>((aGuardedCall.deadline_ - now) / milliseconds(1));
+    const double third = returns_.settings_.maxLeftFraction_ * std::max(0.0, leftMs);
+    retryAfterMs = std::min(retryAfterMs, static_cast<std::uint32_t>(third));
   }
-  const std::uint32_t retryAfterMs = RunRetryAfterMs(runLimits_, route, objective);
   metrics_.Add(Counter::kRunsRefused);
   std::uint64_t skipped = 0;
   if (runLimitThrottle_.Allow(now, skipped)) {
@@ -227,7 +319,7 @@
 void Guard::Apply(const AdmissionActions& aActions)
 {
   for (const auto& refused : aActions.refuse_) {
-    Refuse(refused.id_, refused.code_, refused.retryAfterMs_);
+    RefuseForCapacity(refused.id_, refused.code_, refused.retryAfterMs_, true);
   }
   for (const std::uint64_t number : aActions.start_) {
     Start(number);
@@ -291,6 +383,11 @@
   const Call& call = guardedCall.call_;
   switch (aResult.requestStatus_) {
     case TargetRequestStatus::kNotSent:
+      // It may have restarted; its next heartbeat comes after it accepts connections.
+      if (target_ && guardedCall.targetId_ == target_->id_) {
+        AssumeCold(admission_.startRate_, loop_.Now());
+        LogColdLimit(std::nullopt);
+      }
       Finish(aCallNumber,
              ExecutionResult::kTargetRefused,
              RefusedAnswer(call, ErrorCode::kTargetUnreachable, 0));
@@ -314,6 +411,14 @@
   metrics_.RecordTime(Stage::kTarget, loop_.Now() - guardedCall.startedAt_);
   if (const auto load = dialect_.load_(aResult.response_)) {
     SetSlots(load->slots_);
+    // An answer of the previous target at this address says nothing about the current one.
+    if (!target_ || guardedCall.targetId_ == target_->id_) {
+      workPercent_ = load->workPercent_.value_or(0);
+      if (workPercent_ > 0) {
+        SetTargetStatesWorkDuration(true);
+      }
+      workStatedAt_ = loop_.Now();
+    }
   }
   ApplyNotice(guardedCall, aResult.response_.headers_);
   if (const auto hint = dialect_.refusal_(aResult.response_)) {
@@ -351,6 +456,10 @@
                { "per_s", current ? std::to_string(*current) : "none" },
                { "queued", std::to_string(admission_.queued_) } });
   }
+  if (notice.coldRemaining_) {
+    RecordCold(admission_.startRate_, *notice.coldRemaining_, loop_.Now(), aGuardedCall.startedAt_);
+    LogColdLimit(notice.coldRemaining_);
+  }
   if (notice.leaving_ && target_ && onTargetLeaving_) {
     onTargetLeaving_(target_->id_);
   }
@@ -376,6 +485,19 @@
               : RefusedAnswer(guardedCall.call_, ErrorCode::kDeadlineExceeded, 0));
 }
 
+void Guard::RefuseForCapacity(std::uint64_t aCallNumber,
+                              ErrorCode aCode,
+                              std::uint32_t aRetryAfterMs,
+                              bool aMayBook)
+{
+  const auto entry = calls_.find(aCallNumber);
+  if (entry != calls_.end() && SchedulesCapacity() && IsRequest(entry->second.call_) &&
+      entry->second.deadline_ > loop_.Now()) {
+    aRetryAfterMs = ScheduleReturn(entry->second, aCode, aMayBook);
+  }
+  Refuse(aCallNumber, aCode, aRetryAfterMs);
+}
+
 void Guard::Refuse(std::uint64_t aCallNumber, ErrorCode aCode, std::uint32_t aRetryAfterMs)
 {
   const auto entry = calls_.find(aCallNumber);
@@ -454,15 +576,13 @@
     return;
   }
   const bool started = aGuardedCall.startedAt_ != TimePoint{};
-  const auto ms = [](Duration aDuration) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
-  };
   LogEvent(
     Event::kCallEnded,
     { { "id", std::string(id) },
       { "target", target_ ? target_->id_ : "" },
-      { "queue_ms", ms((started ? aGuardedCall.startedAt_ : now) - aGuardedCall.arrivedAt_) },
-      { "target_ms", started ? ms(now - aGuardedCall.startedAt_) : "-" },
+      { "waited_ms", std::to_string(aGuardedCall.call_.waitedMs_) },
+      { "queue_ms", WholeMs((started ? aGuardedCall.startedAt_ : now) - aGuardedCall.arrivedAt_) },
+      { "target_ms", started ? WholeMs(now - aGuardedCall.startedAt_) : "-" },
       { "running", std::to_string(aAnswer.inFlight_) },
       { "queued", std::to_string(aAnswer.queued_) },
       { "limit", std::to_string(aAnswer.limit_) },
@@ -479,13 +599,31 @@
     return;
   }
   aAnswer.inFlight_ = admission_.running_;
-  aAnswer.limit_ = EffectiveLimit(admission_);
+  aAnswer.limit_ = EffectiveLimit(admission_, loop_.Now());
   aAnswer.queued_ = static_cast<std::uint32_t>(admission_.queued_);
   aAnswer.level_ = CurrentAdmissionLevel(admission_, loop_.Now());
   if (aAnswer.level_.admittedFraction_ >= 1) {
     aAnswer.level_.admittedFraction_ = 1 + DeeperOverload(runLimits_, loop_.Now());
   }
   aAnswer.failurePercent_ = FailurePercent(failures_, loop_.Now());
+  aAnswer.workPercent_ = CurrentWorkPercent();
+}
+
+std::optional<LoadReport> Guard::StatedLoad() const
+{
+  if (settings_.naive_ || workPercent_ == 0) {
+    return std::nullopt;
+  }
+  return LoadReport{ admission_.running_,
+                     static_cast<std::uint32_t>(admission_.queued_),
+                     EffectiveLimit(admission_, loop_.Now()),
+                     CurrentWorkPercent() };
+}
+
+std::uint32_t Guard::CurrentWorkPercent() const
+{
+  return workPercent_ > 0 && loop_.Now() - workStatedAt_ > kMaxWorkStatementAge ? kUsualWorkPercent
+                                                                                : workPercent_;
 }
 
 void Guard::ScheduleQueueCheck()
@@ -627,6 +765,75 @@
   config_ = std::move(aConfig);
   admission_.settings_.queueCapacity_ = config_->policy_.queueCapacity_;
   admission_.settings_.queueDeadlineFraction_ = config_->policy_.queueDeadlineFraction_;
+  const auto coldStart = config_->coldStarts_.find(settings_.service_);
+  SetColdRate(admission_.startRate_,
+              coldStart == config_->coldStarts_.end() ? 0 : coldStart->second.perSecond_,
+              loop_.Now());
+  LogColdLimit(std::nullopt);
+  SetExcluded();
+}
+
+void Guard::SetExcluded()
+{
+  // The baseline that the product is compared with knows no regions.
+  if (settings_.naive_) {
+    return;
+  }
+  excludedRoutes_.clear();
+  excludedAccounts_.clear();
+  for (const Route& route : config_->routes_) {
+    if (!AllowsRegion(&route.allowedRegions_, settings_.region_)) {
+      excludedRoutes_.insert(route.id_);
+    }
+  }
+  for (const auto& [account, entry] : config_->clientAccounts_) {
+    if (!AllowsRegion(&entry.allowedRegions_, settings_.region_)) {
+      excludedAccounts_.insert(account);
+    }
+  }
+  if (!excludedRoutes_.empty() || !excludedAccounts_.empty()) {
+    RefuseWaiting(ErrorCode::kNoTarget,
+                  [this](const Call& aCall) { return IsRegionExcluded(aCall); });
+  }
+}
+
+bool Guard::IsRegionExcluded(const Call& aCall) const
+{
+  return excludedRoutes_.contains(aCall.route_) || excludedAccounts_.contains(aCall.clientAccount_);
+}
+
+void Guard::SetTargetStatesWorkDuration(bool aStates)
+{
+  targetStatesWorkDuration_ = aStates;
+  const FeatureMode mode = settings_.roomScheduling_;
+  SetCapacityScheduling(mode == FeatureMode::kAlways ||
+                        (mode == FeatureMode::kStated && targetStatesWorkDuration_));
+}
+
+void Guard::SetCapacityScheduling(bool aIsOn)
+{
+  if (aIsOn == admission_.settings_.capacityScheduling_) {
+    return;
+  }
+  admission_.settings_.capacityScheduling_ = aIsOn;
+  runLimits_.settings_.capacityScheduling_ = aIsOn;
+  // Credit is counted in starts or in seconds, depending on the mode.
+  admission_.lowerClassCredit_ = 0;
+  admission_.lowerClassSeconds_ = {};
+  returns_.booked_.clear();
+  LogEvent(Event::kCapacityScheduling,
+           { { "on", aIsOn ? "true" : "false" },
+             { "stated", targetStatesWorkDuration_ ? "true" : "false" } });
+}
+
+bool Guard::SchedulesCapacity() const
+{
+  return admission_.settings_.capacityScheduling_;
+}
+
+std::size_t Guard::BookedReturns() const
+{
+  return returns_.booked_.size();
 }
 
 void Guard::SetDraining()
@@ -636,32 +843,42 @@
 
 bool Guard::IsTargetLeaving() const
 {
-  return target_ && (target_->state_ == TargetState::kDraining ||
+  return target_ && (target_->isEvacuated_ || target_->state_ == TargetState::kDraining ||
                      target_->state_ == TargetState::kLeft || target_->id_.empty());
 }
 
 void Guard::SetTarget(const LocalTarget& aTarget)
 {
   const bool isNew = !target_ || target_->id_ != aTarget.id_;
+  const bool hasReturned = IsEvacuated() && !aTarget.isEvacuated_;
   target_ = aTarget;
   health_.state_ = aTarget.state_;
   if (isNew) {
     // Open connections lead to the previous target at this address.
     client_.CloseIdleConnections();
     failures_ = {};
-    ResetStartRate(admission_.startRate_);
+    workPercent_ = 0;
+    SetTargetStatesWorkDuration(false);
+    ResetStartRate(admission_.startRate_, loop_.Now());
+  } else if (hasReturned) {
+    // It may have become cold without requests, after its last heartbeat too.
+    AssumeCold(admission_.startRate_, loop_.Now());
+  }
+  if (aTarget.coldRemaining_) {
+    RecordCold(admission_.startRate_, *aTarget.coldRemaining_, loop_.Now());
   }
+  LogColdLimit(aTarget.coldRemaining_);
   SetSlots(aTarget.slots_);
   if (IsTargetLeaving()) {
-    RefuseWaiting(ErrorCode::kDraining);
+    RefuseWaiting(ErrorCode::kDraining, [](const Call& /*aCall*/) { return true; });
   }
 }
 
-void Guard::RefuseWaiting(ErrorCode aCode)
+void Guard::RefuseWaiting(ErrorCode aCode, const std::function<bool(const Call&)>& aIsRefused)
 {
   std::vector<std::uint64_t> waiting;
   for (const auto& [number, guardedCall] : calls_) {
-    if (guardedCall.targetRequest_ == 0) {
+    if (guardedCall.targetRequest_ == 0 && aIsRefused(guardedCall.call_)) {
       waiting.push_back(number);
     }
   }
@@ -751,6 +968,24 @@
   ApplyAnnouncedSlots(admission_, health_.slots_);
 }
 
+double Guard::ColdPerSecond() const
+{
+  return peridotquay::ColdPerSecond(admission_.startRate_, loop_.Now()).value_or(0);
+}
+
+void Guard::LogColdLimit(const std::optional<Duration>& aRemaining)
+{
+  const auto current = peridotquay::ColdPerSecond(admission_.startRate_, loop_.Now());
+  if (current.has_value() == hasLoggedCold_) {
+    return;
+  }
+  hasLoggedCold_ = current.has_value();
+  LogEvent(Event::kTargetCold,
+           { { "target", target_ ? target_->id_ : "" },
+             { "per_s", current ? std::to_string(*current) : "none" },
+             { "remaining_ms", aRemaining ? WholeMs(*aRemaining) : "unknown" } });
+}
+
 CallContext* Guard::Context(std::string_view aToken)
 {
   return FindContext(contexts_, aToken);
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -13,6 +13,7 @@
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/CallContext.h"
 #include "peridotquay/request/FailureMeter.h"
+#include "peridotquay/request/ReturnSchedule.h"
 #include "peridotquay/request/RunLimit.h"
 #include "peridotquay/version/Config.h"
 #include "peridotquay/version/TargetView.h"
@@ -22,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace peridotquay {
@@ -42,6 +44,10 @@
   std::string id_; ///< Incarnation of the target; empty if none is known.
   TargetState state_ = TargetState::kCold;
   std::uint32_t slots_ = 0;
+  /// Its data centre is evacuated: it receives no calls, those that run finish.
+  bool isEvacuated_ = false;
+  /// Time for which it stays cold, if a report that has just arrived states it.
+  std::optional<Duration> coldRemaining_;
   bool operator==(const LocalTarget&) const = default;
 };
 
@@ -73,6 +79,13 @@
   void Abort();
 
   void SetConfig(std::shared_ptr<const Config> aConfig);
+  /// Tells whether the target states the duration of its work. The setting room_scheduling decides
+  /// whether insufficient capacity is then scheduled.
+  void SetTargetStatesWorkDuration(bool aStates);
+  /// Whether insufficient capacity is scheduled.
+  bool SchedulesCapacity() const;
+  /// Number of refused requests whose callers are expected back.
+  std::size_t BookedReturns() const;
   /// Starts the drain: new calls are refused with kDraining.
   void SetDraining();
   /// Applies the announced state of the target. While the target drains or is gone, all calls are
@@ -90,7 +103,14 @@
   std::size_t ActiveCalls() const;
   const AdmissionState& Admission() const;
   const TargetHealth& Health() const;
+  /// Whether the local target receives no calls because its data centre is evacuated.
+  bool IsEvacuated() const { return target_ && target_->isEvacuated_; }
+  /// Calls a second that are started because the target is cold or may be; 0 for no limit.
+  double ColdPerSecond() const;
   std::size_t TargetConnections() const;
+  /// Load of the target for the hosts that choose targets; empty if the target doesn't state its
+  /// duration of work.
+  std::optional<LoadReport> StatedLoad() const;
 
   /// Called with the id of a target that states in an answer that it leaves.
   std::function<void(const std::string&)> onTargetLeaving_;
@@ -120,6 +140,22 @@
   /// Applies what the target states about itself in the answer to a call.
   void ApplyNotice(const GuardedCall& aGuardedCall, const HeaderList& aHeaders);
   void OnDeadline(std::uint64_t aCallNumber);
+  /// Uses the booking of a returning request. Refuses a request without one while the free capacity
+  /// is kept for returns that are due.
+  bool UseBookingOrRefuse(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall);
+  /// Schedules the return of a refused request and returns the hint for its caller.
+  std::uint32_t ScheduleReturn(const GuardedCall& aGuardedCall, ErrorCode aCode, bool aMayBook);
+  /// Refuses a call for lack of capacity at this guard. aRetryAfterMs is used where insufficient
+  /// capacity isn't scheduled.
+  void RefuseForCapacity(std::uint64_t aCallNumber,
+                         ErrorCode aCode,
+                         std::uint32_t aRetryAfterMs,
+                         bool aMayBook);
+  WaitingCall Waiting(std::uint64_t aCallNumber, const GuardedCall& aGuardedCall) const;
+  /// The route as configured; null if it isn't.
+  const Route* ConfiguredRoute(const RouteId& aRoute) const;
+  /// Weight of an account in fair sharing: its rate.
+  double AccountWeight(const ClientAccountId& aAccount) const;
   void Refuse(std::uint64_t aCallNumber, ErrorCode aCode, std::uint32_t aRetryAfterMs);
   /// Ends a started call: frees its slot, closes its context and passes the answer on.
   void Finish(std::uint64_t aCallNumber, ExecutionResult aExecutionResult, Answer aAnswer);
@@ -130,6 +166,9 @@
   void EndLimitedRun(const GuardedCall& aGuardedCall, RunResult aResult);
   void RecordTargetOutcome(ExecutionResult aExecutionResult, const Answer& aAnswer);
   void FillLoad(Answer& aAnswer);
+
+  /// Stated duration of work; the usual one if the statement is old, 0 if there is none.
+  std::uint32_t CurrentWorkPercent() const;
   void LogEnd(const GuardedCall& aGuardedCall, const Answer& aAnswer);
   void ScheduleQueueCheck();
   void ScheduleSilenceCheck();
@@ -140,8 +179,17 @@
   HttpRequest TargetRequest(const GuardedCall& aGuardedCall) const;
   void ReadLoad(const TargetResult& aResult);
   void SetSlots(std::uint32_t aSlots);
-  void RefuseWaiting(ErrorCode aCode);
+  /// Logs the beginning and the end of the limit for a cold target. aRemaining: what was stated
+  /// just now about how long it stays cold, if anything.
+  void LogColdLimit(const std::optional<Duration>& aRemaining);
+  void RefuseWaiting(ErrorCode aCode, const std::function<bool(const Call&)>& aIsRefused);
+  /// Whether the allowed regions of its route or account exclude the region of this guard.
+  bool IsRegionExcluded(const Call& aCall) const;
+  /// Applies the allowed regions of the configuration in force.
+  void SetExcluded();
   bool IsTargetLeaving() const;
+  /// Switches the scheduling of insufficient capacity on or off in all states that it concerns.
+  void SetCapacityScheduling(bool aIsOn);
 
   EventLoop& loop_;
   const NodeSettings& settings_;
@@ -155,15 +203,24 @@
   AdmissionState admission_;
   std::shared_ptr<ByteBudget> budget_; ///< For the bodies of calls; null for no limit.
   RunLimitState runLimits_;
+  ReturnSchedule returns_;
+  LogThrottle returnThrottle_;
   ContextTable contexts_;
-  FailureMeter failures_; ///< Failures of the current target.
+  FailureMeter failures_;         ///< Failures of the current target.
+  std::uint32_t workPercent_ = 0; ///< As the current target stated it last; 0 if it stated none.
+  TimePoint workStatedAt_{};      ///< Time of workPercent_.
   std::map<std::uint64_t, GuardedCall> calls_;
   std::uint64_t nextCallNumber_ = 1;
   TargetHealth health_;
+  /// Routes and accounts whose allowed regions exclude the region of this guard.
+  std::set<RouteId> excludedRoutes_;
+  std::set<ClientAccountId> excludedAccounts_;
+  bool hasLoggedCold_ = false; ///< The last TargetCold event stated a limit.
   LogThrottle refusalThrottle_;
   LogThrottle runLimitThrottle_;
   RequestLogState requestLog_;
   bool draining_ = false;
+  bool targetStatesWorkDuration_ = false;
   bool queueCheckScheduled_ = false;
   bool silenceCheckScheduled_ = false;
   bool probing_ = false;
--- a/peridotquay/process/HttpDialect.h
+++ b/peridotquay/process/HttpDialect.h
@@ -30,6 +30,9 @@
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
   std::uint32_t slots_ = 0;
+  /// Present duration of work on the target's machine in percent of the usual one; empty if the
+  /// target doesn't state it.
+  std::optional<std::uint32_t> workPercent_;
   bool operator==(const TargetLoad&) const = default;
 };
 
@@ -38,6 +41,7 @@
 {
   std::optional<double> maxPerSecond_; ///< Requests a second that it takes from all hosts together.
   bool leaving_ = false;               ///< It takes no new requests and ends soon.
+  std::optional<Duration> coldRemaining_{}; ///< Time for which it stays cold; empty if not stated.
   bool operator==(const TargetNotice&) const = default;
 };
 
--- a/peridotquay/process/Metrics.h
+++ b/peridotquay/process/Metrics.h
@@ -26,6 +26,7 @@
   kRefusedRate,        ///< Requests refused because the client account is over its rate.
   kRefusedStaleConfig, ///< Requests refused because the configuration isn't known to be fresh.
   kRefusedUpstream,    ///< Calls refused without an attempt, because of guards' admission levels.
+  kRefusedRegion,      ///< Requests refused because allowed regions or evacuations leave no target.
   kRefusedDraining,    ///< Requests refused because this node drains.
   kAttempts,           ///< Attempts sent to guards, retries included.
   kRetries,            ///< Attempts after the first of a call.
@@ -43,10 +44,16 @@
   kDuplicatesAnswered,     ///< Repeated requests that got the answer of the first one.
   kRequestsAbandoned,      ///< Requests whose caller ended the connection before the whole answer.
   kRequestsUnanswered, ///< Requests whose connection this process ended before the whole answer.
-  kAnswersCut          ///< Of these two, those of which a part of the answer was sent.
+  kAnswersCut,         ///< Of these two, those of which a part of the answer was sent.
+  kRequestsNotBegun,   ///< Connections closed by an answer while a request waited behind it.
+  kLoadReports,        ///< Loads of other hosts' targets received in rate reports.
+  kAttemptsByLoad,     ///< Attempts whose target was chosen by the reported loads.
+  kAttemptsByLoadFar,  ///< Of these, attempts to another data centre.
+  kReturningRequests,  ///< Requests whose callers came back after a refusal.
+  kRefusedForReturns   ///< New requests that the guard refused while returns were due.
 };
 
-inline constexpr std::size_t kCounterCount = 28;
+inline constexpr std::size_t kCounterCount = 35;
 
 /// Stages of a request whose durations are recorded.
 enum class Stage : std::uint8_t
--- a/peridotquay/process/Settings.h
+++ b/peridotquay/process/Settings.h
@@ -3,6 +3,7 @@
 
 #include "peridotquay/process/Error.h"
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/FeatureMode.h"
 #include "peridotquay/version/Ids.h"
 
 #include <cstdint>
@@ -29,6 +30,7 @@
   std::string logDirectory_;                  ///< If empty, logs go to standard error.
   std::uint32_t maxTargetConnections_ = 400;  ///< Simultaneous connections to the local target.
   std::uint32_t maxCallerConnections_ = 4096; ///< Simultaneous connections of callers.
+  std::uint32_t pipelinedRequests_ = 8;       ///< Simultaneous requests of a caller's connection.
   /// Maximum size of a request or answer body. A body is sent in one frame of at most 1 MiB.
   std::size_t maxBodyBytes_ = std::size_t{ 768 } * 1024;
   std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
@@ -45,6 +47,9 @@
   /// Runs the baseline that the product is compared with: round robin, three retries at every hop,
   /// a token bucket for each process, no load shedding.
   bool naive_ = false;
+  FeatureMode evenLoad_ = FeatureMode::kStated; ///< Services whose calls are distributed by load.
+  /// Scheduling of insufficient capacity. It needs a target that states the duration of its work.
+  FeatureMode roomScheduling_ = FeatureMode::kStated;
   bool operator==(const NodeSettings&) const = default;
 };
 
--- a/peridotquay/request/Admission.cpp
+++ b/peridotquay/request/Admission.cpp
@@ -98,6 +98,14 @@
 /// Minimum fraction of a closed class that is sent as probes.
 constexpr double kMinProbeFraction = 0.01;
 
+/// Share of the slot time that a class of requests leaves to less important requests, with
+/// capacityScheduling_. It only prevents starvation: at the share of 0.25 that requests have beside
+/// critical calls, the most urgent requests lost a quarter of the capacity to less urgent ones.
+constexpr double kLowerRequestShare = 0.05;
+
+/// Slot time of a call before the first one has ended. All calls then count the same.
+constexpr double kUnknownSlotSeconds = 0.01;
+
 /// Bounds of the retry hint.
 constexpr double kMinRetryAfterMs = 10;
 constexpr double kMaxRetryAfterMs = 5000;
@@ -154,9 +162,9 @@
 }
 
 /// Time that one more call of the class would wait because of the target's stated rate.
-double RateWaitSeconds(const AdmissionState& aState, Importance aImportance)
+double RateWaitSeconds(const AdmissionState& aState, Importance aImportance, TimePoint aNow)
 {
-  const auto rate = AllowedPerSecond(aState.startRate_);
+  const auto rate = AllowedPerSecond(aState.startRate_, aNow);
   if (!rate) {
     return 0;
   }
@@ -171,7 +179,7 @@
 {
   const double waiting = static_cast<double>(aState.queued_) + 1;
   const double slotSeconds = waiting * ExpectedServiceSeconds(aState, aNow) / aState.limit_;
-  const double waitMs = 1000 * std::max(slotSeconds, RateWaitSeconds(aState, aImportance));
+  const double waitMs = 1000 * std::max(slotSeconds, RateWaitSeconds(aState, aImportance, aNow));
   return static_cast<std::uint32_t>(std::clamp(waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
 }
 
@@ -225,6 +233,13 @@
   aActions.start_.push_back(aCall.id_);
 }
 
+/// Position in the order of an account's calls. A caller that states a wrong waited time changes
+/// its position among the calls of its own account only.
+TimePoint Position(const WaitingCall& aCall)
+{
+  return aCall.arrivedAt_ - aCall.waited_;
+}
+
 void Enqueue(AdmissionState& aState, const WaitingCall& aCall)
 {
   ClassQueue& queue = aState.queues_[Index(aCall.importance_)];
@@ -233,7 +248,15 @@
     // An account that was idle starts at the current virtual time: idle time earns no credit.
     account.finishTag_ = std::max(account.finishTag_, queue.virtualTime_);
   }
-  account.calls_.push_back(aCall);
+  auto& calls = account.calls_;
+  auto at = calls.end();
+  if (aState.settings_.capacityScheduling_) {
+    at = std::upper_bound(
+      calls.begin(), calls.end(), aCall, [](const WaitingCall& aOne, const WaitingCall& aOther) {
+        return Position(aOne) < Position(aOther);
+      });
+  }
+  calls.insert(at, aCall);
   ++queue.size_;
   ++aState.queued_;
 }
@@ -264,10 +287,75 @@
   return next;
 }
 
+/// Slot time that the next call of a queue that isn't empty is expected to take. Unlike the times
+/// that decide whether a call is late, it doesn't decay: only its ratio to that of other calls
+/// counts, and a class that rarely starts would otherwise seem to cost nothing.
+double NextSlotSeconds(const AdmissionState& aState, ClassQueue& aQueue)
+{
+  const double seconds = SlotSeconds(aState, NextAccount(aQueue)->second.calls_.front().route_);
+  return seconds > 0 ? seconds : kUnknownSlotSeconds;
+}
+
+/// Share of the slot time that a class leaves to the classes below it while calls of both wait.
+double ShareBelow(const AdmissionState& aState, std::size_t aClass)
+{
+  return aClass == Index(Importance::kCritical) ? aState.settings_.lowerClassShare_
+                                                : kLowerRequestShare;
+}
+
+/// The first class from aFrom on that has waiting calls; the number of classes if there is none.
+std::size_t NextWaitingClass(const AdmissionState& aState, std::size_t aFrom)
+{
+  while (aFrom < aState.queues_.size() && aState.queues_[aFrom].size_ == 0) {
+    ++aFrom;
+  }
+  return aFrom;
+}
+
+/// As NextQueue, with shares of the slot time. Each class that waits leaves its ShareBelow to the
+/// classes below it, which divide it in the same way, so that none is starved.
+ClassQueue* NextQueueBySlotTime(AdmissionState& aState)
+{
+  auto& queues = aState.queues_;
+  std::size_t current = NextWaitingClass(aState, 0);
+  if (current == queues.size()) {
+    return nullptr;
+  }
+  std::size_t lower = NextWaitingClass(aState, current + 1);
+  while (lower < queues.size()) {
+    // The start of a lower call earns the share of its own time too: the share is one of all time.
+    const double missing =
+      (1 - ShareBelow(aState, current)) * NextSlotSeconds(aState, queues[lower]);
+    if (aState.lowerClassSeconds_[current] < missing) {
+      break;
+    }
+    current = lower;
+    lower = NextWaitingClass(aState, current + 1);
+  }
+  return &queues[current];
+}
+
+/// Charges the slot time of a start at every boundary between classes above which calls wait. The
+/// started call must still be counted in the size of its queue.
+void ChargeSlotTime(AdmissionState& aState, std::size_t aClass, double aSeconds)
+{
+  for (std::size_t above = 0; above < aClass; ++above) {
+    if (aState.queues_[above].size_ > 0) {
+      aState.lowerClassSeconds_[above] -= (1 - ShareBelow(aState, above)) * aSeconds;
+    }
+  }
+  if (NextWaitingClass(aState, aClass + 1) < aState.queues_.size()) {
+    aState.lowerClassSeconds_[aClass] += ShareBelow(aState, aClass) * aSeconds;
+  }
+}
+
 /// The queue whose next call starts: the most important one that isn't empty, but for the share of
 /// the lower classes. Null if all are empty.
 ClassQueue* NextQueue(AdmissionState& aState)
 {
+  if (aState.settings_.capacityScheduling_) {
+    return NextQueueBySlotTime(aState);
+  }
   const auto isWaiting = [](const ClassQueue& aQueue) { return aQueue.size_ > 0; };
   auto& queues = aState.queues_;
   const auto first = std::find_if(queues.begin(), queues.end(), isWaiting);
@@ -295,12 +383,16 @@
   ClassQueue::AccountQueue& account = NextAccount(aQueue)->second;
   const WaitingCall call = account.calls_.front();
   account.calls_.pop_front();
-  // A dropped call doesn't use the target, so its account isn't charged for it.
+  // A dropped call doesn't use the target, so its account and its class aren't charged for it.
   if (MustDrop(aState, call, aNow)) {
     RefuseCall(aState, aActions, call, ErrorCode::kDeadlineExceeded, aNow);
   } else {
     aQueue.virtualTime_ = account.finishTag_;
     account.finishTag_ += 1 / Weight(call);
+    if (aState.settings_.capacityScheduling_) {
+      const double seconds = SlotSeconds(aState, call.route_);
+      ChargeSlotTime(aState, Index(call.importance_), seconds > 0 ? seconds : kUnknownSlotSeconds);
+    }
     StartCall(aState, aActions, call, aNow);
   }
   RecordRemovedCalls(aState, aQueue, 1);
@@ -320,6 +412,7 @@
 
 /// Selects the call to refuse from a full queue and the new call aCall, and removes it if it waits:
 /// in the least important class, the latest call of the account with the most calls for its weight.
+/// With capacityScheduling_ that is the last one in the account's order.
 WaitingCall RemoveCallToShed(AdmissionState& aState, const WaitingCall& aCall)
 {
   std::size_t leastImportant = aState.queues_.size() - 1;
@@ -333,8 +426,8 @@
   const bool isNewCallCandidate = leastImportant == Index(aCall.importance_);
   auto victim = queue.accounts_.end();
   double maxExcess = 0;
+  const auto own = queue.accounts_.find(aCall.clientAccount_);
   if (isNewCallCandidate) {
-    const auto own = queue.accounts_.find(aCall.clientAccount_);
     const std::size_t calls = own == queue.accounts_.end() ? 0 : own->second.calls_.size();
     maxExcess = (static_cast<double>(calls) + 1) / Weight(aCall);
   }
@@ -350,7 +443,13 @@
     }
   }
   if (victim == queue.accounts_.end()) {
-    return aCall;
+    const bool isBeforeOwn = aState.settings_.capacityScheduling_ && isNewCallCandidate &&
+                             own != queue.accounts_.end() && !own->second.calls_.empty() &&
+                             Position(aCall) < Position(own->second.calls_.back());
+    if (!isBeforeOwn) {
+      return aCall;
+    }
+    victim = own;
   }
   WaitingCall call = victim->second.calls_.back();
   victim->second.calls_.pop_back();
@@ -626,10 +725,18 @@
 
 } // namespace
 
+double SlotSeconds(const AdmissionState& aState, const RouteId& aRoute)
+{
+  const auto route = aState.routes_.find(aRoute);
+  return route == aState.routes_.end() ? aState.serviceSeconds_ : route->second.seconds_;
+}
+
 AdmissionActions OfferCall(AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow)
 {
   AdmissionActions actions;
   UpdateAdmissionLevel(aState, aNow);
+  // A call that is refused starts nothing, so nothing else would update the rate until a call ends.
+  UpdateStartRate(aState.startRate_, aNow);
   aState.offered_[Index(aCall.importance_)] += 1;
   if (IsTooLate(aState, aCall, aNow)) {
     RefuseCall(aState, actions, aCall, ErrorCode::kDeadlineExceeded, aNow);
@@ -637,7 +744,7 @@
   }
   const double maxRateWait =
     aState.settings_.maxRateWaitFraction_ * ToSeconds(aCall.deadline_ - aNow);
-  if (RateWaitSeconds(aState, aCall.importance_) > maxRateWait) {
+  if (RateWaitSeconds(aState, aCall.importance_, aNow) > maxRateWait) {
     RefuseCall(aState, actions, aCall, ErrorCode::kShed, aNow);
     return actions;
   }
@@ -727,9 +834,9 @@
   SetLimit(aState, isNew && !aState.slotsContradicted_ ? aSlots : aState.limit_);
 }
 
-std::uint32_t EffectiveLimit(const AdmissionState& aState)
+std::uint32_t EffectiveLimit(const AdmissionState& aState, TimePoint aNow)
 {
-  const auto rate = AllowedPerSecond(aState.startRate_);
+  const auto rate = AllowedPerSecond(aState.startRate_, aNow);
   // By Little's law, calls at this rate occupy that many slots.
   const double atRate = rate ? *rate * aState.serviceSeconds_ : aState.limit_;
   return static_cast<std::uint32_t>(std::max(1.0, std::min(aState.limit_, atRate)));
--- a/peridotquay/request/Admission.h
+++ b/peridotquay/request/Admission.h
@@ -28,8 +28,11 @@
   std::uint32_t maxLimit_ = 1000;
   std::uint32_t queueCapacity_ = 1024; ///< Waiting calls of all classes.
   double queueDeadlineFraction_ = 0.5; ///< Fraction of its remaining time that a call may wait.
-  /// Part of the starts that waiting calls below `critical` get while critical ones wait too.
+  /// Part of the starts that waiting calls below `critical` get while critical ones wait too. With
+  /// capacityScheduling_, it is a part of the slot time.
   double lowerClassShare_ = 0;
+  /// Whether the target states how long its work takes at present, so that its capacity is known.
+  bool capacityScheduling_ = false;
   /// Part of its remaining time that a call may wait at a target that states a rate. Other targets
   /// of its service may have room.
   double maxRateWaitFraction_ = 0.15;
@@ -48,10 +51,15 @@
   TimePoint arrivedAt_{};
   TimePoint deadline_{};
   RouteId route_{}; ///< Service times are averaged by route.
+  /// Time for which the caller had waited before; orders the calls of an account with
+  /// AdmissionSettings::capacityScheduling_.
+  Duration waited_{};
   bool operator==(const WaitingCall&) const = default;
 };
 
-/// Queue of one importance class: a FIFO per client account, served by weighted fair queueing.
+/// Queue of one importance class: a FIFO per client account, served by weighted fair queueing. With
+/// AdmissionSettings::capacityScheduling_ the calls of an account are in the order of their arrival
+/// minus the time that their callers had waited before.
 struct ClassQueue
 {
   struct AccountQueue
@@ -121,8 +129,11 @@
   std::array<ClassQueue, kImportanceClassCount> queues_;
   std::size_t queued_ = 0;      ///< Invariant: sum of queues_ sizes.
   double lowerClassCredit_ = 0; ///< Starts that the lower classes have earned, below 1 + the share.
-  double serviceSeconds_ = 0;   ///< Moving average of the service times of all routes.
-  TimePoint lastSampleAt_{};    ///< Time of the latest sample in serviceSeconds_.
+  /// Seconds of slot time that the classes below each one have earned by its starts. Used with
+  /// capacityScheduling_ only.
+  std::array<double, kImportanceClassCount - 1> lowerClassSeconds_{};
+  double serviceSeconds_ = 0; ///< Moving average of the service times of all routes.
+  TimePoint lastSampleAt_{};  ///< Time of the latest sample in serviceSeconds_.
   std::map<RouteId, RouteServiceTime> routes_; ///< At most kMaxServiceRoutes.
   double floorSeconds_ = 0;      ///< Lowest mean service time of a window; rises after trials.
   TimePoint floorConfirmedAt_{}; ///< When the floor was last confirmed or raised by a trial.
@@ -156,6 +167,9 @@
   bool operator==(const AdmissionActions&) const = default;
 };
 
+/// Average slot time of a call of the route, without decay; 0 before the first one ended.
+double SlotSeconds(const AdmissionState& aState, const RouteId& aRoute);
+
 /// Starts, queues or refuses a call. If the queue is full, a less important waiting call may be
 /// refused in its place.
 AdmissionActions OfferCall(AdmissionState& aState, const WaitingCall& aCall, TimePoint aNow);
@@ -210,7 +224,7 @@
 
 /// Calls that the target can run at once under its concurrency limit and its stated rate; at
 /// least 1. Sent to callers with each answer.
-std::uint32_t EffectiveLimit(const AdmissionState& aState);
+std::uint32_t EffectiveLimit(const AdmissionState& aState, TimePoint aNow);
 
 /// The least important class that the guard currently admits; sent to callers with each answer.
 AdmissionLevel CurrentAdmissionLevel(AdmissionState& aState, TimePoint aNow);
--- a/peridotquay/request/RouteChoice.cpp
+++ b/peridotquay/request/RouteChoice.cpp
@@ -1,4 +1,5 @@
-// Power of two choices among the nearest usable targets.
+// Power of two choices among the nearest usable targets, or among all targets in proportion to the
+// shares of LoadEstimate.h where targets state their duration of work.
 #include "peridotquay/request/RouteChoice.h"
 
 #include "peridotquay/request/Random.h"
@@ -45,6 +46,13 @@
 /// A reported failure fraction halves in this time, so that an avoided target is tried again.
 constexpr double kFailureHalfLifeSeconds = 2.0;
 
+/// Counts of refused and all attempts halve in this time.
+constexpr double kRefusalHalfLifeSeconds = 5.0;
+
+/// Part of its share that a target gets at least however many calls it refuses, so that its
+/// recovery is seen.
+constexpr double kMinUnrefusedFraction = 0.1;
+
 /// A tier whose latency exceeds this fraction of the objective is skipped if the latency of a
 /// farther tier is below kMuchFasterFraction of it.
 constexpr double kSlowObjectiveFraction = 0.8;
@@ -343,24 +351,233 @@
   aStats.consecutiveFailures_ = aSettings.failuresToEject_ > 0 ? aSettings.failuresToEject_ - 1 : 0;
 }
 
+/// Makes the next choice derive the shares of the service's targets anew.
+void RequestRefresh(RoutingState& aState, const ServiceId& aService)
+{
+  if (const auto table = aState.loads_.find(aService); table != aState.loads_.end()) {
+    table->second.load_.refreshDue_ = true;
+  }
+}
+
+void RecordOutcome(TargetStats& aStats, bool aRefused, TimePoint aNow)
+{
+  const double age = std::max(0.0, ToSeconds(aNow - aStats.outcomesUpdatedAt_));
+  const double weight = std::exp2(-age / kRefusalHalfLifeSeconds);
+  aStats.refusals_ = aStats.refusals_ * weight + (aRefused ? 1 : 0);
+  aStats.outcomes_ = aStats.outcomes_ * weight + 1;
+  aStats.outcomesUpdatedAt_ = aNow;
+}
+
+/// Fraction of the recent attempts at the target that it refused. Nearly 0 with few attempts, so
+/// that a target without recent ones is tried again.
+double RecentRefusalFraction(const TargetStats& aStats, TimePoint aNow)
+{
+  if (aStats.refusals_ <= 0) {
+    return 0;
+  }
+  const double age = std::max(0.0, ToSeconds(aNow - aStats.outcomesUpdatedAt_));
+  const double weight = std::exp2(-age / kRefusalHalfLifeSeconds);
+  return aStats.refusals_ * weight / (aStats.outcomes_ * weight + 1);
+}
+
+/// Draws of a target by its share before a call falls back to the choice among all targets.
+constexpr int kMaxDraws = 6;
+
+/// Whether a report of a target counts for its service. Once one target of a service stated its
+/// duration of work, the counts of all its targets are used.
+bool IsReportUsed(const RoutingState& aState, const ServiceId& aService, const LoadReport& aReport)
+{
+  switch (aState.settings_.evenLoad_) {
+    case FeatureMode::kStated:
+      return aReport.limit_ > 0 && (aReport.workPercent_ > 0 || aState.loads_.contains(aService));
+    case FeatureMode::kAlways:
+      return aReport.limit_ > 0;
+    case FeatureMode::kOff:
+      break;
+  }
+  return false;
+}
+
+/// Discards the load of another target of the same host process, which keeps its incarnation when
+/// its target is replaced.
+void ResetLoadOfOther(TargetStats& aStats, const Target& aTarget)
+{
+  if (aStats.loadInstance_ != aTarget.instance_) {
+    aStats.loadInstance_ = aTarget.instance_;
+    aStats.load_ = {};
+  }
+}
+
+/// Connects the table to the view and to the stats of the targets.
+void BuildTable(RoutingState& aState, ServiceTable& aTable, const std::vector<Target>& aTargets)
+{
+  aTable.firstTarget_ = aTargets.data();
+  aTable.targetCount_ = aTargets.size();
+  aTable.owner_ = &aState;
+  aTable.stats_.clear();
+  aTable.load_.targets_.clear();
+  aTable.load_.refreshDue_ = true;
+  std::vector<const DataCentreId*> groups;
+  for (const Target& target : aTargets) {
+    TargetStats& stats = aState.stats_[target.host_];
+    if (stats.incarnation_ != target.incarnation_) {
+      stats = {};
+      stats.incarnation_ = target.incarnation_;
+    }
+    ResetLoadOfOther(stats, target);
+    const auto group = std::find_if(groups.begin(), groups.end(), [&](const DataCentreId* aGroup) {
+      return *aGroup == target.dataCentre_;
+    });
+    ServiceTarget entry;
+    entry.estimate_ = &stats.load_;
+    entry.tier_ = Tier(aState, target);
+    entry.group_ = static_cast<std::size_t>(group - groups.begin());
+    entry.announcedSlots_ = target.slots_;
+    if (group == groups.end()) {
+      groups.push_back(&target.dataCentre_);
+    }
+    aTable.load_.targets_.push_back(entry);
+    aTable.stats_.push_back(&stats);
+  }
+  aTable.load_.groupCount_ = groups.size();
+}
+
+/// Sets which fraction of its share each target may get.
+void SetAllowed(const RoutingState& aState,
+                ServiceTable& aTable,
+                const std::vector<Target>& aTargets,
+                TimePoint aNow)
+{
+  double minFailureFraction = 1;
+  double minRefusalFraction = 1;
+  bool anyEjected = false;
+  for (std::size_t i = 0; i < aTargets.size(); ++i) {
+    if (Accepts(aTargets[i])) {
+      minFailureFraction =
+        std::min(minFailureFraction, RecentFailureFraction(aTable.stats_[i], aNow));
+      minRefusalFraction =
+        std::min(minRefusalFraction, RecentRefusalFraction(*aTable.stats_[i], aNow));
+      anyEjected = anyEjected || aTable.stats_[i]->ejectedUntil_ > aNow;
+    }
+  }
+  const std::vector<HostId> ejected =
+    anyEjected ? EjectedHosts(aState, aTargets, aNow) : std::vector<HostId>{};
+  for (std::size_t i = 0; i < aTargets.size(); ++i) {
+    const Target& target = aTargets[i];
+    const bool usable = Accepts(target) && (!anyEjected || !Contains(ejected, target.host_)) &&
+                        RecentFailureFraction(aTable.stats_[i], aNow) <=
+                          minFailureFraction + kMaxExcessFailureFraction;
+    // Refusals that all targets share have another cause, so only the excess counts.
+    aTable.load_.targets_[i].unrefused_ = std::max(
+      kMinUnrefusedFraction,
+      1 - std::max(0.0, RecentRefusalFraction(*aTable.stats_[i], aNow) - minRefusalFraction));
+    aTable.load_.targets_[i].allowed_ =
+      usable ? SlowStartFraction(aState.settings_, target, aNow) : 0;
+  }
+}
+
+/// Chooses the better of two targets that are drawn by their shares; null if the service isn't
+/// distributed by load, or no draw hits a target that this call may use.
+const Target* ChooseByShares(RoutingState& aState,
+                             const TargetView& aView,
+                             const ServiceId& aService,
+                             const std::vector<Target>& aTargets,
+                             const std::vector<HostId>& aExclude,
+                             const TargetFilter& aFilter,
+                             TimePoint aNow)
+{
+  const auto found = aState.loads_.find(aService);
+  if (found == aState.loads_.end() || aState.settings_.evenLoad_ == FeatureMode::kOff) {
+    return nullptr;
+  }
+  ServiceTable& table = found->second;
+  if (table.firstTarget_ != aTargets.data() || table.targetCount_ != aTargets.size() ||
+      table.owner_ != &aState) {
+    BuildTable(aState, table, aTargets);
+  }
+  const LoadEstimateSettings& settings = aState.settings_.estimate_;
+  if (table.load_.refreshDue_ || aNow - table.load_.refreshedAt_ >= settings.refreshInterval_) {
+    table.load_.refreshDue_ = false;
+    SetAllowed(aState, table, aTargets, aNow);
+    RefreshShares(settings, table.load_, aView.hosts_.size(), aNow);
+  }
+  if (!table.load_.stated_ && aState.settings_.evenLoad_ == FeatureMode::kStated) {
+    return nullptr;
+  }
+  const std::size_t tier = DrawTier(table.load_, aState.random_);
+  if (tier == kTierCount) {
+    return nullptr;
+  }
+  std::optional<std::size_t> best;
+  std::uint32_t drawn = 0;
+  for (int draw = 0; draw < kMaxDraws && drawn < settings.comparedTargets_; ++draw) {
+    const std::size_t position = DrawTarget(table.load_, tier, aState.random_);
+    if (table.stats_[position]->refusedUntil_ > aNow ||
+        (!aExclude.empty() && Contains(aExclude, aTargets[position].host_)) ||
+        !MayReach(aFilter, aView, aTargets[position])) {
+      continue;
+    }
+    ++drawn;
+    if (!best ||
+        ExpectedWait(table.load_.targets_[position]) < ExpectedWait(table.load_.targets_[*best])) {
+      best = position;
+    }
+  }
+  return best ? &aTargets[*best] : nullptr;
+}
+
+void ApplyReport(RoutingState& aState,
+                 const ServiceId& aService,
+                 TargetStats& aStats,
+                 const LoadReport& aReport,
+                 TimePoint aMeasuredAt)
+{
+  if (IsReportUsed(aState, aService, aReport)) {
+    ApplyLoadReport(aStats.load_, aReport, aMeasuredAt);
+    aState.loads_.try_emplace(aService);
+  }
+}
+
 } // namespace
 
+bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion)
+{
+  return aRegions == nullptr || aRegions->empty() ||
+         std::find(aRegions->begin(), aRegions->end(), aRegion) != aRegions->end();
+}
+
+bool MayReach(const TargetFilter& aFilter, const TargetView& aView, const Target& aTarget)
+{
+  return !aView.evacuated_.contains(aTarget.dataCentre_) &&
+         AllowsRegion(aFilter.routeRegions_, aTarget.region_) &&
+         AllowsRegion(aFilter.accountRegions_, aTarget.region_) &&
+         AllowsRegion(aFilter.currentRouteRegions_, aTarget.region_) &&
+         AllowsRegion(aFilter.currentAccountRegions_, aTarget.region_);
+}
+
 std::optional<Target> ChooseTarget(RoutingState& aState,
                                    const TargetView& aView,
                                    const ServiceId& aService,
                                    const std::vector<HostId>& aExclude,
                                    TimePoint aNow,
-                                   Duration aObjective)
+                                   Duration aObjective,
+                                   const TargetFilter& aFilter)
 {
   const auto found = aView.targets_.find(aService);
   if (found == aView.targets_.end()) {
     return std::nullopt;
   }
+  if (!aState.loads_.empty()) {
+    if (const Target* target =
+          ChooseByShares(aState, aView, aService, found->second, aExclude, aFilter, aNow)) {
+      return *target;
+    }
+  }
   const std::vector<HostId> ejected = EjectedHosts(aState, found->second, aNow);
 
   double minFailureFraction = 1;
   for (const Target& target : found->second) {
-    if (Accepts(target)) {
+    if (Accepts(target) && MayReach(aFilter, aView, target)) {
       minFailureFraction =
         std::min(minFailureFraction, RecentFailureFraction(FindStats(aState, target), aNow));
     }
@@ -373,7 +590,7 @@
   Candidates failing;
   Candidates ejectedTargets;
   for (const Target& target : found->second) {
-    if (!Accepts(target) || Contains(aExclude, target.host_)) {
+    if (!Accepts(target) || Contains(aExclude, target.host_) || !MayReach(aFilter, aView, target)) {
       continue;
     }
     const TargetStats* stats = FindStats(aState, target);
@@ -408,7 +625,7 @@
   return std::nullopt;
 }
 
-void RecordCallSent(RoutingState& aState, const Target& aTarget)
+void RecordCallSent(RoutingState& aState, const Target& aTarget, TimePoint aNow)
 {
   // Calls are sent to the newest incarnation, which is a lower one if the host's clock was set
   // back.
@@ -418,6 +635,8 @@
     stats.incarnation_ = aTarget.incarnation_;
   }
   ++stats.inFlight_;
+  ResetLoadOfOther(stats, aTarget);
+  AddSentCall(stats.load_, aNow);
 }
 
 void RecordCallEnded(RoutingState& aState,
@@ -425,17 +644,33 @@
                      AttemptResult aResult,
                      Duration aLatency,
                      double aLoad,
-                     TimePoint aNow)
+                     TimePoint aNow,
+                     const LoadReport* aReport)
 {
   TargetStats* stats = FindOrCreateStats(aState, aTarget);
   if (stats == nullptr) {
     return;
   }
+  const TimePoint ejectedUntil = stats->ejectedUntil_;
   stats->inFlight_ -= stats->inFlight_ > 0 ? 1 : 0;
+  if (aResult == AttemptResult::kAnswered || aResult == AttemptResult::kRefused) {
+    RecordOutcome(*stats, aResult == AttemptResult::kRefused, aNow);
+  }
   if (aLoad >= 0) {
     stats->reportedLoad_ = aLoad;
     stats->reportedAt_ = aNow;
   }
+  if (aReport != nullptr && stats->loadInstance_ == aTarget.instance_) {
+    ApplyReport(aState, aTarget.service_, *stats, *aReport, aNow);
+    const auto table = aState.loads_.find(aTarget.service_);
+    // The time of a call that may have waited isn't a duration of work.
+    if (aResult == AttemptResult::kAnswered && aReport->queued_ == 0 &&
+        table != aState.loads_.end()) {
+      RecordWork(table->second.load_,
+                 ToSeconds(aLatency),
+                 aReport->workPercent_ == 0 ? 100 : aReport->workPercent_);
+    }
+  }
   switch (aResult) {
     case AttemptResult::kAnswered:
       RecordLatency(*stats, aLatency, aNow);
@@ -462,6 +697,9 @@
     case AttemptResult::kCancelled:
       break;
   }
+  if (stats->ejectedUntil_ != ejectedUntil) {
+    RequestRefresh(aState, aTarget.service_);
+  }
 }
 
 void RecordFailureFraction(RoutingState& aState,
@@ -470,13 +708,60 @@
                            TimePoint aNow)
 {
   if (TargetStats* stats = FindOrCreateStats(aState, aTarget)) {
+    // Smaller changes wait for the next refresh, because each refresh costs processor time.
+    if (std::abs(aFraction - stats->failureFraction_) > kMaxExcessFailureFraction / 2) {
+      RequestRefresh(aState, aTarget.service_);
+    }
     stats->failureFraction_ = std::clamp(aFraction, 0.0, 1.0);
     stats->reportedAt_ = aNow;
   }
 }
 
+void RecordLoadReport(RoutingState& aState,
+                      const TargetView& aView,
+                      const HostId& aHost,
+                      Incarnation aIncarnation,
+                      const LoadReport& aReport,
+                      TimePoint aMeasuredAt)
+{
+  if (aState.settings_.evenLoad_ == FeatureMode::kOff || aReport.limit_ == 0) {
+    return;
+  }
+  const auto known = aState.stats_.find(aHost);
+  if (known != aState.stats_.end() && known->second.incarnation_ == aIncarnation &&
+      known->second.load_.measuredAt_ != TimePoint{}) {
+    ApplyLoadReport(known->second.load_, aReport, aMeasuredAt);
+    return;
+  }
+  // The first report: the view tells to which service the target belongs.
+  for (const auto& [service, targets] : aView.targets_) {
+    for (const Target& target : targets) {
+      if (target.host_ == aHost && target.incarnation_ == aIncarnation) {
+        if (TargetStats* stats = FindOrCreateStats(aState, target)) {
+          ResetLoadOfOther(*stats, target);
+          ApplyReport(aState, service, *stats, aReport, aMeasuredAt);
+        }
+        return;
+      }
+    }
+  }
+}
+
+bool IsLoadEven(const RoutingState& aState, const ServiceId& aService)
+{
+  const auto table = aState.loads_.find(aService);
+  return table != aState.loads_.end() && aState.settings_.evenLoad_ != FeatureMode::kOff &&
+         (table->second.load_.stated_ || aState.settings_.evenLoad_ == FeatureMode::kAlways);
+}
+
 void RemoveAbsentHosts(RoutingState& aState, const TargetView& aView)
 {
+  std::erase_if(aState.loads_,
+                [&aView](const auto& aEntry) { return !aView.targets_.contains(aEntry.first); });
+  // The targets and the stats to which the tables refer may be gone.
+  for (auto& [service, table] : aState.loads_) {
+    table.firstTarget_ = nullptr;
+  }
   std::erase_if(aState.stats_, [&aView](const auto& aEntry) {
     if (aEntry.second.inFlight_ > 0) {
       return false;
--- a/peridotquay/request/RouteChoice.h
+++ b/peridotquay/request/RouteChoice.h
@@ -3,12 +3,15 @@
 #pragma once
 
 #include "peridotquay/process/Time.h"
+#include "peridotquay/request/FeatureMode.h"
+#include "peridotquay/request/LoadEstimate.h"
 #include "peridotquay/version/Ids.h"
 #include "peridotquay/version/TargetView.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace peridotquay {
@@ -32,6 +35,8 @@
   double slackFractionWithinRegion_ = 0;
   double slackFractionBetweenRegions_ = 0;
   double maxSpillLoad_ = 3.0; ///< Load from which calls go elsewhere regardless of their slack.
+  FeatureMode evenLoad_ = FeatureMode::kStated;
+  LoadEstimateSettings estimate_;
   bool operator==(const RoutingSettings&) const = default;
 };
 
@@ -48,9 +53,28 @@
   TimePoint reportedAt_{};  ///< When reportedLoad_ or failureFraction_ was received last.
   /// Fraction of the target's recent answers that failed, from its guard.
   double failureFraction_ = 0;
+  /// Refused and all attempts that ended with an answer or a refusal; both decay with time.
+  double refusals_ = 0;
+  double outcomes_ = 0;
+  TimePoint outcomesUpdatedAt_{}; ///< Time for which refusals_ and outcomes_ hold.
   /// After a refusal the target is avoided until this time if the service has other targets.
   TimePoint refusedUntil_{};
   Incarnation incarnation_ = 0; ///< A later incarnation resets these stats.
+  TargetLoadEstimate load_;     ///< Used only for services of RoutingState::loads_.
+  std::string loadInstance_;    ///< Target::instance_ to which load_ belongs.
+};
+
+struct RoutingState;
+
+/// Loads of the targets of one service, and the view and stats to which its positions refer.
+struct ServiceTable
+{
+  ServiceLoad load_;
+  std::vector<TargetStats*> stats_; ///< Parallel to load_.targets_; owned by RoutingState::stats_.
+  // The table is built again when one of these differs.
+  const Target* firstTarget_ = nullptr;
+  std::size_t targetCount_ = 0;
+  const RoutingState* owner_ = nullptr;
 };
 
 /// Routing state of one node. Changed only through the functions below.
@@ -61,18 +85,39 @@
   RegionId region_;
   std::map<HostId, TargetStats> stats_;
   std::uint64_t random_ = 1; ///< State of the random generator; seeded by the owner.
+  /// Services of which a load was reported that counts by RoutingSettings::evenLoad_.
+  std::map<ServiceId, ServiceTable> loads_;
 };
 
+/// Excludes targets that a call may not reach, whatever their load. The strings and lists that it
+/// refers to must outlive it.
+struct TargetFilter
+{
+  const std::vector<RegionId>* routeRegions_ = nullptr;   ///< Null or empty allows all regions.
+  const std::vector<RegionId>* accountRegions_ = nullptr; ///< Null or empty allows all regions.
+  /// Lists of the configuration in force now, for a call that began under an earlier one.
+  const std::vector<RegionId>* currentRouteRegions_ = nullptr;
+  const std::vector<RegionId>* currentAccountRegions_ = nullptr;
+};
+
+/// Whether a list of allowed regions contains the region. Null or empty allows all regions.
+bool AllowsRegion(const std::vector<RegionId>* aRegions, const RegionId& aRegion);
+
+/// Whether a call may be sent to the target: the filter allows its region, and its data centre
+/// isn't evacuated.
+bool MayReach(const TargetFilter& aFilter, const TargetView& aView, const Target& aTarget);
+
 /// Chooses a target of the service, or none if no target is usable. aExclude holds the hosts that
 /// this call already tried. aObjective is the call's latency objective, 0 for none: it
 /// decides how long a call may queue at a near target, and lets a much faster target replace a near
-/// one that is too slow.
+/// one that is too slow. Targets that aFilter excludes are never chosen.
 std::optional<Target> ChooseTarget(RoutingState& aState,
                                    const TargetView& aView,
                                    const ServiceId& aService,
                                    const std::vector<HostId>& aExclude,
                                    TimePoint aNow,
-                                   Duration aObjective = {});
+                                   Duration aObjective = {},
+                                   const TargetFilter& aFilter = {});
 
 /// How an attempt to call a target ended, as seen by the caller's node.
 enum class AttemptResult : std::uint8_t
@@ -86,16 +131,28 @@
 };
 
 /// Records that a call was sent to the target.
-void RecordCallSent(RoutingState& aState, const Target& aTarget);
+void RecordCallSent(RoutingState& aState, const Target& aTarget, TimePoint aNow = {});
 
 /// Records how a call to the target ended. aLoad is the load that the guard reported with the
-/// answer, negative if it reported none.
+/// answer, negative if it reported none. aReport is the same in full, null if there is none.
 void RecordCallEnded(RoutingState& aState,
                      const Target& aTarget,
                      AttemptResult aResult,
                      Duration aLatency,
                      double aLoad,
-                     TimePoint aNow);
+                     TimePoint aNow,
+                     const LoadReport* aReport = nullptr);
+
+/// Records a load that a target's guard reported to all hosts, measured at aMeasuredAt.
+void RecordLoadReport(RoutingState& aState,
+                      const TargetView& aView,
+                      const HostId& aHost,
+                      Incarnation aIncarnation,
+                      const LoadReport& aReport,
+                      TimePoint aMeasuredAt);
+
+/// Whether calls to the service are distributed by the estimated loads of its targets.
+bool IsLoadEven(const RoutingState& aState, const ServiceId& aService);
 
 /// Records the fraction of a target's recent answers that failed, as its guard reported it.
 void RecordFailureFraction(RoutingState& aState,
--- a/peridotquay/version/StoreFeed.h
+++ b/peridotquay/version/StoreFeed.h
@@ -122,23 +122,29 @@
 /// it started.
 std::optional<FeedQuery> CollectDueQuery(StoreFeedState& aState,
                                          const FeedCandidates& aCandidates,
-                                         const RowVersions& aHeld,
+                                         const RowPositions& aHeld,
                                          TimePoint aNow,
                                          Duration aSuspended);
 
+/// Whether a host that holds aHeld needs the document of a host that holds aOther. After a
+/// rollback, hosts may hold different documents at the same position of the store.
+bool NeedsDocument(const RowPositions& aHeld, const RowPositions& aOther);
+
 /// What a host learns from an answer and must do about it.
 struct FeedAnswerResult
 {
   std::optional<TimePoint> freshAt_; ///< When the held configuration was known to be the newest.
   bool readConfig_ = false; ///< Read the configuration: a newer one exists but didn't arrive.
   bool readHosts_ = false;  ///< Read the rows of hosts: newer ones exist but didn't arrive.
+  /// Send the held document to the source, which lacks its operator's version.
+  bool sendDocument_ = false;
   bool operator==(const FeedAnswerResult&) const = default;
 };
 
 /// Applies an answer to the last query. An answer to an earlier query has no effect.
 FeedAnswerResult ApplyFeedAnswer(StoreFeedState& aState,
                                  const FeedAnswer& aAnswer,
-                                 const RowVersions& aHeld,
+                                 const RowPositions& aHeld,
                                  TimePoint aNow,
                                  Duration aSuspended);
 
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -4,6 +4,7 @@
 #include "peridotquay/connection/FrameReader.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -57,7 +58,9 @@
            10,
            50,
            3,
-           { Importance::kHigh, 0.5 } };
+           { Importance::kHigh, 0.5 },
+           12,
+           250 };
 }
 
 // One message of each type.
@@ -86,11 +89,13 @@
            ShareRequest{ 1, { "acc" }, 2, 0.5, 10 },
            ShareGrant{ 1, { "acc" }, 3, 10, 1000, 0 },
            DataCentreSummary{ { "dc1" }, 2, 100, true, { SampleMember() } },
-           RateReports{ { "h2" }, { { { "h1" }, 7, 3, { { { "parish" }, 12 } } } } },
+           RateReports{
+             { "h2" },
+             { { { "h1" }, 7, 3, { { { "parish" }, 12 } }, LoadReport{ 60, 4, 72, 130, 150 } } } },
            RateLevels{ 7, 3, { { { "parish" }, 12 } } },
-           FeedQuery{ 4, { 5, 6 } },
-           FeedAnswer{ 4, 700, 300, { 8, 9 } },
-           FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } } },
+           FeedQuery{ 4, { { 0, 5 }, { 0, 6 } } },
+           FeedAnswer{ 4, 700, 300, { { 1, 8 }, { 0, 9 }, 2, 12 } },
+           FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } }, 3 },
            RequestHandover{
              { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true } };
 }
@@ -108,6 +113,65 @@
   }
 }
 
+// Guards against hosts of different versions that reject each other's messages: a message whose
+// added fields have their default values has the form that older hosts send and read.
+TEST_CASE("added fields are optional at the end of a message", "[codec]")
+{
+  Answer answer = SampleAnswer();
+  const std::string stated = EncodePeerMessage(answer);
+  answer.workPercent_ = 0;
+  const std::string old = EncodePeerMessage(answer);
+  CHECK(static_cast<unsigned char>(old[2]) == 0x9e);
+  CHECK(stated.size() - old.size() == 2);
+  CHECK(std::get<Answer>(DecodePeerMessage(old).assume_value()) == answer);
+
+  RateReport report{ { "h1" }, 7, 3, { { { "parish" }, 12 } }, LoadReport{ 60, 4, 72, 130, 0 } };
+  const std::string own = EncodePeerMessage(RateReports{ { "h2" }, { report } });
+  report.load_->ageMs_ = 150;
+  const std::string relayed = EncodePeerMessage(RateReports{ { "h2" }, { report } });
+  report.load_.reset();
+  const std::string without = EncodePeerMessage(RateReports{ { "h2" }, { report } });
+  CHECK(own.size() - without.size() == 6);
+  CHECK(relayed.size() - without.size() == 8);
+  const auto decoded = DecodePeerMessage(without);
+  REQUIRE(decoded.has_value());
+  CHECK(std::get<RateReports>(decoded.assume_value()).reports_.front() == report);
+}
+
+// Guards against hosts of two releases that reject each other's messages: a new field must be
+// accepted if it is missing, and must not be sent while it has its default value.
+TEST_CASE("a trailing field may be missing and isn't sent while it has its default value",
+          "[codec]")
+{
+  const auto pack = [](const nlohmann::json& aJson) {
+    const auto bytes = nlohmann::json::to_msgpack(aJson);
+    return std::string(bytes.begin(), bytes.end());
+  };
+  const PeerMessage query = FeedQuery{ 4, { { 0, 5 }, { 0, 6 } } };
+  const std::string earlier = pack({ query.index(), { 4, { 5, 6 } } });
+  CHECK(EncodePeerMessage(query) == earlier);
+  CHECK(DecodePeerMessage(earlier).assume_value() == query);
+  const PeerMessage raised = FeedQuery{ 4, { { 0, 5 }, { 2, 6 } } };
+  CHECK(EncodePeerMessage(raised) == pack({ query.index(), { 4, { 5, 6, 0, 2 } } }));
+  CHECK(DecodePeerMessage(pack({ query.index(), { 4, { 5 } } })).has_error());
+  CHECK(DecodePeerMessage(pack({ query.index(), { 4, { 5, 6, 0, 2, 2, 2, 2 } } })).has_error());
+}
+
+// Guards against calls that older hosts reject, and against new hosts that reject theirs: the array
+// of a call without waited time has the 13 fields that older hosts know.
+TEST_CASE("the waited time of a call is sent only if there is one", "[codec]")
+{
+  Call call = SampleCall();
+  const std::string without = EncodePeerMessage(call);
+  CHECK(without[2] == static_cast<char>(0x9D));
+  CHECK(std::get<Call>(DecodePeerMessage(without).assume_value()).waitedMs_ == 0);
+  call.waitedMs_ = 700;
+  const std::string with = EncodePeerMessage(call);
+  CHECK(with[2] == static_cast<char>(0x9E));
+  CHECK(std::get<Call>(DecodePeerMessage(with).assume_value()).waitedMs_ == 700);
+  CHECK(DecodePeerMessage(without + with.substr(with.size() - 3)).has_error());
+}
+
 // Guards against a malformed body that crashes the process or makes it read outside the frame.
 TEST_CASE("decoding a mutated body returns an error or a valid message and never throws", "[codec]")
 {
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -217,6 +217,15 @@
   HostRecord unknown = SampleRecord();
   unknown.targetId_.clear();
   CHECK(Value(DecodeRecord(EncodeRecord(unknown))) == unknown);
+  // Records of hosts that write no revision come before those of the same process with one.
+  HostRecord revised = SampleRecord();
+  revised.revision_ = 3;
+  CHECK(Value(DecodeRecord(EncodeRecord(revised))) == revised);
+  CHECK(IsEarlier(SampleRecord(), revised));
+  CHECK_FALSE(IsEarlier(revised, revised));
+  HostRecord restarted = SampleRecord();
+  ++restarted.incarnation_;
+  CHECK(IsEarlier(revised, restarted));
 }
 
 // Guards against an odd record of another writer that ends the process or names a host to connect
@@ -279,7 +288,7 @@
     CHECK(ParseLeaveStart("{\"born\":" + value + "}") == 0);
     CHECK(DecodeConfig(R"({"version":"r1","routes":{"a":)" + value + "}}", Policy{}).has_error());
     const auto rows = ParseRows(R"({"rows":[{"key":"a","ver":)" + value + "}]}");
-    CHECK((rows.has_error() || rows.assume_value().rows_.front().version_ == 0));
+    CHECK((rows.has_error() || rows.assume_value().rows_.front().position_.version_ == 0));
   }
 }
 
@@ -287,11 +296,11 @@
 TEST_CASE("the target view has only targets that are known and haven't left", "[platform]")
 {
   std::map<std::string, HostEntry> records;
-  records["side-1"] = { SampleRecord(), 1, {} };
-  records["side-2"] = { SampleRecord(), 1, {} };
+  records["side-1"] = { SampleRecord(), { 0, 1 }, {} };
+  records["side-2"] = { SampleRecord(), { 0, 1 }, {} };
   records["side-2"].record_.host_ = { "side-2" };
   records["side-2"].record_.targetState_ = TargetState::kLeft;
-  records["side-3"] = { SampleRecord(), 1, {} };
+  records["side-3"] = { SampleRecord(), { 0, 1 }, {} };
   records["side-3"].record_.host_ = { "side-3" };
   records["side-3"].record_.targetId_.clear();
   const TargetView view = BuildTargetView(records);
@@ -304,11 +313,11 @@
 TEST_CASE("store rows are decoded with their versions", "[platform]")
 {
   const StoreRows rows = Value(ParseRows(kRows));
-  CHECK(rows.version_ == 530);
+  CHECK(rows.position_ == StorePosition{ 0, 530 });
   CHECK(rows.hasMore_);
   REQUIRE(rows.rows_.size() == 2);
-  CHECK(rows.rows_[0] == StoreRow{ "a", "node-1", 412, false });
-  CHECK(rows.rows_[1] == StoreRow{ "b", "", 413, true });
+  CHECK(rows.rows_[0] == StoreRow{ "a", "node-1", { 0, 412 }, false });
+  CHECK(rows.rows_[1] == StoreRow{ "b", "", { 0, 413 }, true });
 }
 
 // Guards against wrong padding, which would add or drop bytes of a row's value.
@@ -370,3 +379,38 @@
   }
   CHECK(rejectedCount > 1000);
 }
+
+// Guards against allowed regions that are lost or ignored because they are malformed, and against a
+// document without the new fields that no longer decodes as before.
+TEST_CASE("allowed regions and cold starts of a document are decoded", "[platform]")
+{
+  const auto plain = Value(DecodeConfig(kDocument, Policy{}));
+  CHECK(plain->coldStarts_.empty());
+  CHECK(plain->routes_.front().allowedRegions_.empty());
+  CHECK(plain->clientAccounts_.at({ "t1" }).allowedRegions_.empty());
+
+  auto json = nlohmann::json::parse(kDocument);
+  json["routes"]["a"]["allowed_regions"] = { "r1", "r2" };
+  json["tenants"]["t1"]["allowed_regions"] = { "r2" };
+  json["tenants"]["t2"]["allowed_regions"] = nlohmann::json::array();
+  json["services"]["s1"]["cold_start_s"] = 7.5;
+  json["services"]["s1"]["cold_per_s"] = 12;
+  json["services"]["s2"]["cold_per_s"] = 0;
+  const auto config = Value(DecodeConfig(json.dump(), Policy{}));
+  const Route* route = FindHostRoute(*config, "h.example", "/x/1");
+  REQUIRE(route != nullptr);
+  CHECK(route->allowedRegions_ == std::vector<RegionId>{ { "r1" }, { "r2" } });
+  CHECK(config->clientAccounts_.at({ "t1" }).allowedRegions_ == std::vector<RegionId>{ { "r2" } });
+  CHECK(config->clientAccounts_.at({ "t2" }).allowedRegions_.empty());
+  CHECK(config->coldStarts_ ==
+        std::map<ServiceId, ColdStart>{ { { "s1" }, { milliseconds(7500), 12 } } });
+
+  for (const nlohmann::json& malformed : { nlohmann::json("r1"), nlohmann::json({ "r1", 2 }) }) {
+    auto broken = json;
+    broken["routes"]["a"]["allowed_regions"] = malformed;
+    CHECK(DecodeConfig(broken.dump(), Policy{}).has_error());
+    broken = json;
+    broken["tenants"]["t1"]["allowed_regions"] = malformed;
+    CHECK(DecodeConfig(broken.dump(), Policy{}).has_error());
+  }
+}
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -33,7 +33,9 @@
 drain_timeout_ms = 2500
 seed = 7
 naive = true
+even_load = "always"
 host_memory_mb = 300
+pipelined_requests = 4
 )";
 
 /// Returns the error of the valid settings with the first aFrom replaced by aTo.
@@ -76,6 +78,7 @@
   expected.logDirectory_ = "/tmp";
   expected.maxTargetConnections_ = 200;
   expected.maxCallerConnections_ = 100;
+  expected.pipelinedRequests_ = 4;
   expected.maxBodyBytes_ = 1000;
   expected.maxHeaderBytes_ = 2000;
   expected.hostMemoryMb_ = 300;
@@ -83,6 +86,7 @@
   expected.drainTimeout_ = milliseconds(2500);
   expected.randomSeed_ = 7;
   expected.naive_ = true;
+  expected.evenLoad_ = FeatureMode::kAlways;
   CHECK(settings == expected);
   CHECK(Failure(ParseNodeSettings("/nonexistent/x.toml")).code_ == ErrorCode::kFileUnreadable);
 }
@@ -100,7 +104,14 @@
     FailureWith("\"127.0.0.1:8004\"", "\"localhost:80\""), ErrorCode::kOutOfRange, "target", 9);
   CheckError(FailureWith(":9002", ":0"), ErrorCode::kOutOfRange, "seeds", 10);
   CheckError(FailureWith(":8003", ":8000"), ErrorCode::kContradiction, "admin", 8);
+  const std::string mode = "room_scheduling = ";
+  CheckError(
+    FailureWith("naive = true", mode + "\"on\""), ErrorCode::kOutOfRange, "room_scheduling", 21);
+  CheckError(
+    FailureWith("naive = true", mode + "true"), ErrorCode::kWrongType, "room_scheduling", 21);
   CheckError(FailureWith("naive = true", "naive = "), ErrorCode::kSyntax, "TOML", 21);
+  CheckError(FailureWith("\"always\"", "\"on\""), ErrorCode::kOutOfRange, "even_load", 22);
+  CheckError(FailureWith("\"always\"", "true"), ErrorCode::kWrongType, "even_load", 22);
   CHECK(FailureWith("region = \"r1\"\n", "").code_ == ErrorCode::kMissingSetting);
   CHECK(FailureWith("= 1500", "= 9").allowed_ == "10 to 600000");
 }
--- a/tests/request/AdmissionTest.cpp
+++ b/tests/request/AdmissionTest.cpp
@@ -677,3 +677,87 @@
     CHECK(started[Importance::kCritical] == Approx((1 - share) * 400).margin(2));
   }
 }
+
+// Guards against long calls of a lower class that take most of the slots because their share counts
+// starts: a history list takes 16 times as long as the receipt reads that wait behind it.
+TEST_CASE("lower classes keep their share of the slot time", "[admission]")
+{
+  const auto slotSeconds = [](bool aBySlotTime, const std::vector<Importance>& aClasses) {
+    AdmissionState state;
+    state.settings_.adaptive_ = false;
+    state.settings_.lowerClassShare_ = 0.25;
+    state.settings_.capacityScheduling_ = aBySlotTime;
+    state.limit_ = 1;
+    std::map<std::uint64_t, Importance> classes;
+    std::map<Importance, double> seconds;
+    std::uint64_t id = 0;
+    std::uint64_t running = 0;
+    TimePoint now = kStart;
+    for (int i = 0; i < 4000; ++i) {
+      AdmissionActions actions;
+      const auto offer = [&](Importance aImportance) {
+        WaitingCall call = MakeCall(++id, "a", now, aImportance, 1, std::chrono::hours(10));
+        call.route_ = { aImportance == Importance::kCritical ? "receipts" : "history" };
+        classes[id] = aImportance;
+        const AdmissionActions offered = OfferCall(state, call, now);
+        actions.start_.insert(actions.start_.end(), offered.start_.begin(), offered.start_.end());
+      };
+      for (const Importance importance : aClasses) {
+        while (state.queues_[static_cast<std::size_t>(importance)].size_ < 2) {
+          offer(importance);
+        }
+      }
+      if (running != 0) {
+        const Importance ended = classes.at(running);
+        const bool isCritical = ended == Importance::kCritical;
+        const Duration time = milliseconds(isCritical ? 55 : 880);
+        now += time;
+        seconds[ended] += ToSeconds(time);
+        const RouteId route{ isCritical ? "receipts" : "history" };
+        actions = FinishCall(state, ExecutionResult::kAnswered, time, now, route);
+      }
+      running = actions.start_.empty() ? 0 : actions.start_.front();
+    }
+    const double all = ToSeconds(now - kStart);
+    for (auto& entry : seconds) {
+      entry.second /= all;
+    }
+    return seconds;
+  };
+  const std::vector<Importance> two{ Importance::kCritical, Importance::kLow };
+  CHECK(slotSeconds(true, two)[Importance::kLow] == Approx(0.25).margin(0.01));
+  CHECK(slotSeconds(false, two)[Importance::kLow] > 0.8);
+  // No class below a waiting one is starved.
+  auto three = slotSeconds(true, { Importance::kCritical, Importance::kNormal, Importance::kLow });
+  CHECK(three[Importance::kNormal] == Approx(0.25 * 0.95).margin(0.01));
+  CHECK(three[Importance::kLow] == Approx(0.25 * 0.05).margin(0.005));
+  // Among requests, the most urgent ones get nearly all of it.
+  auto requests = slotSeconds(true, { Importance::kHigh, Importance::kNormal, Importance::kLow });
+  CHECK(requests[Importance::kHigh] == Approx(0.95).margin(0.01));
+  CHECK(requests[Importance::kLow] > 0.001);
+}
+
+// Guards against calls that are dropped instead of started and still cost or earn their class a
+// part of the slot time.
+TEST_CASE("a dropped call isn't charged to its class", "[admission]")
+{
+  AdmissionState state;
+  state.settings_.adaptive_ = false;
+  state.settings_.lowerClassShare_ = 0.25;
+  state.settings_.capacityScheduling_ = true;
+  state.limit_ = 1;
+  const auto offer = [&](std::uint64_t aId, Importance aImportance, Duration aDeadline) {
+    OfferCall(state, MakeCall(aId, "a", kStart, aImportance, 1, aDeadline), kStart);
+  };
+  offer(1, Importance::kCritical, seconds(100));
+  offer(2, Importance::kCritical, milliseconds(20));
+  offer(3, Importance::kCritical, milliseconds(20));
+  offer(4, Importance::kLow, milliseconds(20));
+  const TimePoint late = kStart + milliseconds(30);
+  const auto actions = FinishCall(state, ExecutionResult::kAnswered, milliseconds(30), late);
+  CHECK(actions.start_.empty());
+  CHECK(actions.refuse_.size() == 3);
+  for (const double credit : state.lowerClassSeconds_) {
+    CHECK(credit == 0);
+  }
+}
