--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,5 +1,5 @@
-// The settings of a machine change: grace_s becomes a fraction. Its process gets SIGHUP, and later
-// it is stopped and started again.
+// An endpoint leaves while the store is down, and its machine acknowledges that. The machine's
+// process is killed and started again. A report that the endpoint sent before arrives late.
 #include "review/lib-2/App.h"
 
 using namespace review;
@@ -8,19 +8,15 @@
 
 std::string Document()
 {
+  const auto route = [](const char* aPrefix, const char* aKind) {
+    return Json{ { "host", "h.example" }, { "prefix", aPrefix },        { "kind", aKind },
+                 { "timeout_ms", 1500 },  { "latency_target_ms", 500 }, { "priority", 1 },
+                 { "service", "s0" },     { "max_attempts", 2 },        { "public", false } };
+  };
   const Json document = {
     { "version", "r1" },
     { "routes",
-      { { "r-read",
-          { { "host", "h.example" },
-            { "prefix", "/read/" },
-            { "kind", "safe" },
-            { "timeout_ms", 1500 },
-            { "latency_target_ms", 500 },
-            { "priority", 1 },
-            { "service", "s0" },
-            { "max_attempts", 2 },
-            { "public", false } } } } },
+      { { "r-read", route("/read/", "safe") }, { "r-write", route("/write/", "unsafe") } } },
     { "services", { { "s0", { { "health_path", "/health" }, { "max_connections", 400 } } } } },
     { "limits",
       { { "max_header_bytes", 16384 },
@@ -46,7 +42,9 @@
   }
   const std::string folder = aArguments[2];
   const char* trouble = std::getenv("TROUBLE");
-  const bool isFraction = trouble == nullptr || std::string(trouble) != "0";
+  const std::string mode = trouble == nullptr ? "1" : trouble;
+  const bool isDown = mode == "1" || mode == "store";
+  const bool isKilled = mode == "1" || mode == "kill";
   Record record(aArguments[1]);
   Runs runs;
   Store store("127.0.0.1");
@@ -66,7 +64,8 @@
     machines.back()->Start();
   }
   for (const auto& machine : machines) {
-    apps.push_back(std::make_unique<App>(*machine, "i-" + machine->name_, runs, record, Ms(5), 50));
+    apps.push_back(
+      std::make_unique<App>(*machine, "i-" + machine->name_, runs, record, Ms(100), 50));
   }
   if (!WaitReady(store, machines)) {
     std::fprintf(stderr, "the machines weren't ready\n");
@@ -75,63 +74,99 @@
   Sleep(2000);
   std::vector<std::unique_ptr<Clients>> clients;
   for (const auto& machine : machines) {
-    clients.push_back(std::make_unique<Clients>(
-      *machine, "0", "GET", "/read/1", std::vector<std::string>{ "k1" }, Ms(50), record));
+    for (int i = 0; i < 4; ++i) {
+      clients.push_back(std::make_unique<Clients>(*machine,
+                                                  std::to_string(i),
+                                                  i % 2 == 0 ? "GET" : "POST",
+                                                  i % 2 == 0 ? "/read/1" : "/write/1",
+                                                  std::vector<std::string>{ "k1" },
+                                                  Ms(50),
+                                                  record));
+    }
   }
-  Sleep(2000);
-  Machine& changed = *machines.front();
-  const std::string grace = isFraction ? "6.5" : "7";
-  changed.ChangeSettings({ { "bounds.grace_s", grace } });
-  changed.Program().Signal(SIGHUP);
-  record.Line("platform grace_s of %s is now %s; SIGHUP", changed.name_.c_str(), grace.c_str());
   Sleep(3000);
-  record.Line("platform SIGTERM to %s", changed.name_.c_str());
-  changed.Program().Signal(SIGTERM);
-  if (!changed.Program().Wait(Ms(7000))) {
-    changed.Program().Kill();
+  Machine& machine = *machines[1];
+  std::unique_ptr<App>& leaving = apps[1];
+  const std::string id = leaving->Id();
+  if (isDown) {
+    record.Line("store    goes down");
+    store.GoAway();
   }
-  // A process that exits is started again after a short delay.
-  const auto end = Clock::now() + std::chrono::seconds(15);
-  int starts = 0;
-  int ends = 0;
-  bool isReady = false;
-  bool isRunning = false;
-  while (Clock::now() < end && !isReady) {
-    if (!isRunning) {
-      Sleep(500);
-      changed.Start();
-      isRunning = true;
-      ++starts;
-      record.Line("platform %s is started, time %d", changed.name_.c_str(), starts);
-    }
-    Sleep(200);
-    if (changed.Program().HasEnded()) {
-      isRunning = false;
-      ++ends;
-      record.Line("platform the process of %s has ended by itself", changed.name_.c_str());
-      continue;
-    }
-    isReady = changed.ReadyStatus() == 200;
+  Sleep(400);
+  const Json lateReport = leaving->MakeReport();
+  record.Line("endpoint %s sends a report, which is late", id.c_str());
+  Sleep(100);
+  const int status = leaving->Leave();
+  const auto acknowledged = Clock::now();
+  record.Line("endpoint %s leaves; %s answers %d", id.c_str(), machine.name_.c_str(), status);
+  Sleep(500);
+  if (isKilled) {
+    record.Line("platform %s is killed", machine.name_.c_str());
+    machine.Program().Kill();
+  }
+  Sleep(500);
+  if (isKilled) {
+    machine.Start();
+    record.Line("platform %s is started again", machine.name_.c_str());
   }
-  record.Line("platform %s is ready: %s", changed.name_.c_str(), isReady ? "yes" : "no");
+  Sleep(500);
+  if (isDown) {
+    store.ComeBack(false);
+    record.Line("store    is back");
+  }
+  const auto inTouchFrom = Clock::now() + Ms(3000);
   Sleep(2000);
+  const int lateStatus = leaving->Deliver(lateReport);
+  record.Line("endpoint the late report of %s arrives; %s answers %d",
+              id.c_str(),
+              machine.name_.c_str(),
+              lateStatus);
+  Sleep(4000);
+  const auto ended = Clock::now();
+  leaving.reset();
+  record.Line("endpoint %s ends", id.c_str());
+  Sleep(1000);
+  std::map<std::string, Sent> sent;
   std::size_t served = 0;
-  std::size_t servedAtChanged = 0;
   for (const auto& client : clients) {
     client->Stop();
     for (const auto& request : client->All()) {
-      const bool isLate = Clock::now() - request.at_ < Ms(2000);
-      served += isLate && request.status_ == 200 ? 1 : 0;
-      servedAtChanged +=
-        isLate && request.status_ == 200 && request.machine_ == changed.name_ ? 1 : 0;
+      sent[request.id_] = request;
+      served += request.status_ == 200 ? 1 : 0;
     }
   }
-  record.Line("result   %d starts, %d ends; served in the last 2 s: %zu, %zu of them at %s",
-              starts,
-              ends,
+  std::size_t broken = 0;
+  std::size_t lost = 0;
+  for (const auto& run : runs.All()) {
+    const auto request = sent.find(run.id_);
+    if (request == sent.end() || run.instance_ != id) {
+      continue;
+    }
+    // Both machines are in touch from here on: that of the client, and that of the endpoint.
+    const double after = std::chrono::duration<double>(run.at_ - acknowledged).count();
+    if (after > 2.5 && request->second.at_ > inTouchFrom) {
+      ++broken;
+      lost += request->second.status_ != 200 ? 1 : 0;
+      record.Line("BROKEN   %s, sent at %s, reached %s %.3f s after the ack; answer %d",
+                  run.id_.c_str(),
+                  request->second.machine_.c_str(),
+                  id.c_str(),
+                  after,
+                  request->second.status_);
+    }
+  }
+  record.Line("result   %zu requests, %zu served, %zu reached %s too late, %zu of them not served; "
+              "it ended %.3f s after the ack",
+              sent.size(),
               served,
-              servedAtChanged,
-              changed.name_.c_str());
-  std::printf("%d starts, %d ends by itself, ready: %s\n", starts, ends, isReady ? "yes" : "no");
-  return isReady ? 0 : 1;
+              broken,
+              id.c_str(),
+              lost,
+              std::chrono::duration<double>(ended - acknowledged).count());
+  std::printf(
+    "%zu requests, %zu served, %zu broken, %zu of them lost\n", sent.size(), served, broken, lost);
+  if (status != 200 || served < sent.size() / 4) {
+    return 2;
+  }
+  return broken > 0 ? 1 : 0;
 }
