Acknowledge a departure only once the store or other hosts hold it

Callers saw requests run by a target that had left: with the store down, its host acknowledged the leave message, the host's process was killed, and a late heartbeat brought the target back after the store's return.

Cause: the report was answered when it had been parsed. The departure was known to the memory of one process and waited to be written to the store. Ruled out: the order of start times and sequence numbers (the late heartbeat is older, but the new process has nothing to compare it with), and the row of the previous process, which is read in time but still says ready.

Change: a report that the target leaves is answered when the host's row shows the departure or two other hosts have confirmed a copy, and with 503 after 0.8 s without either. Holders repeat a departure to the target's host until the store shows it. A new process takes no ready target into use for one second, three repetitions, and asks possible holders once it has read the store.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -265,6 +265,16 @@
   aVisit(aItem.table_, aItem.afterVersion_, aItem.version_, aItem.rows_, Trailing{ aItem.era_ });
 }
 template<typename Visitor>
+void VisitFields(Visitor& aVisit, DepartedStart& aItem)
+{
+  aVisit(aItem.start_, aItem.ageMs_);
+}
+template<typename Visitor>
+void VisitFields(Visitor& aVisit, TargetDepartures& aItem)
+{
+  aVisit(aItem.host_, aItem.sender_, aItem.starts_);
+}
+template<typename Visitor>
 void VisitFields(Visitor& aVisit, DataCentreSummary& aItem)
 {
   aVisit(aItem.dataCentre_, aItem.version_, aItem.ageMs_, aItem.platformReachable_, aItem.members_);
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -421,6 +421,24 @@
   bool operator==(const FeedRows&) const = default;
 };
 
+/// One start of a target that has departed.
+struct DepartedStart
+{
+  std::string start_;       ///< Name of the start; unique among those of its host.
+  std::uint64_t ageMs_ = 0; ///< Time since its host recorded the departure, when sent.
+  bool operator==(const DepartedStart&) const = default;
+};
+
+/// Departures of a host's target (datagram). From that host: a request to hold them. From another
+/// host: those that it holds, as a confirmation or a repetition.
+struct TargetDepartures
+{
+  HostId host_;   ///< Host of the target.
+  HostId sender_; ///< Host that sent the message.
+  std::vector<DepartedStart> starts_;
+  bool operator==(const TargetDepartures&) const = default;
+};
+
 /// State of a data centre. Each data centre's delegate sends it to the delegates of the others once
 /// a second.
 struct DataCentreSummary
@@ -482,6 +500,7 @@
                                  RateLevels,
                                  FeedQuery,
                                  FeedAnswer,
-                                 FeedRows>;
+                                 FeedRows,
+                                 TargetDepartures>;
 
 } // namespace peridotquay
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -56,6 +56,7 @@
   X(3013, HostLost, kWarning) \
   X(3014, DataCentreEvacuated, kWarning) \
   X(3015, DataCentreReturned, kInfo) \
+  X(3016, DepartureNotAcknowledged, kWarning) \
   X(4001, VersionInForce, kInfo) \
   X(4002, VersionRejected, kError) \
   X(4003, FreshnessLost, kWarning) \
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -97,7 +97,8 @@
            FeedAnswer{ 4, 700, 300, { { 1, 8 }, { 0, 9 }, 2, 12 } },
            FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } }, 3 },
            RequestHandover{
-             { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true } };
+             { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true },
+           TargetDepartures{ { "h1" }, { "h2" }, { { "i-h1@7", 250 } } } };
 }
 
 } // namespace
--- a/tests/failure/UserFleet.h
+++ b/tests/failure/UserFleet.h
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -246,10 +247,16 @@
   Process& ProcessOf(std::size_t aHost) { return *hosts_[aHost]->process_; }
   std::string Log(std::size_t aHost) { return ReadFile(hosts_[aHost]->logFile_); }
 
-  /// Starts a new process for a host. The previous process is killed if it is still running.
-  void Restart(std::size_t aHost)
+  /// Starts a new process for a host. The previous process is killed if it is still running. With
+  /// aKeepsPeersPort, other hosts reach the new process at the previous one's port.
+  void Restart(std::size_t aHost, bool aKeepsPeersPort = false)
   {
     Host& host = *hosts_[aHost];
+    if (aKeepsPeersPort) {
+      const std::string settings = ReadFile(host.settingsFile_);
+      std::ofstream(host.settingsFile_) << "peers = \"127.0.0.1:" << PeersPort(aHost) << "\"\n"
+                                        << settings;
+    }
     host.process_.reset();
     ::unlink(host.portFile_.c_str());
     StartProcess(host);
--- a/tests/fleet/TargetDepartureTest.cpp
+++ b/tests/fleet/TargetDepartureTest.cpp
@@ -1,4 +1,4 @@
-// Tests of targets that leave while the process of their host restarts.
+// Tests of targets that leave while the process of their host restarts or the store is down.
 #include "tests/failure/UserFleet.h"
 
 #include <catch2/catch.hpp>
@@ -14,6 +14,7 @@
 constexpr std::uint64_t kLaterSequence = 100000;
 
 const std::string kHeartbeatPath = "/-/Instances.Heartbeat/i-h1";
+const std::string kLeavePath = "/-/Instances.Leave/i-h1";
 
 /// Sends writes, which go to the targets of hosts 1 and 3, and returns how many the target of host
 /// 1 started.
@@ -26,11 +27,11 @@
   return aFleet.TargetOf(1).StartedRequests().size() - before;
 }
 
-/// Reports target 1 as ready until it receives a write, for at most 4 s. Sequence numbers are below
-/// kLaterSequence.
-bool GetsWritesWhenReady(UserFleet& aFleet, std::uint64_t aStartedMs)
+/// Reports target 1 as ready until it receives a write, aReports times every 0.2 s. Sequence
+/// numbers are below kLaterSequence.
+bool GetsWritesWhenReady(UserFleet& aFleet, std::uint64_t aStartedMs, std::uint64_t aReports = 20)
 {
-  for (std::uint64_t i = 1; i <= 20; ++i) {
+  for (std::uint64_t i = 1; i <= aReports; ++i) {
     const std::string body =
       aFleet.TargetOf(1).ReportBody(false, kLaterSequence - 100 + i, aStartedMs);
     REQUIRE(aFleet.SendTargetReport(1, kHeartbeatPath, body) == 200);
@@ -42,6 +43,14 @@
   return false;
 }
 
+/// Sends the report that a start of target 1 leaves and returns the status of the response.
+unsigned SendDeparture(UserFleet& aFleet, bool aByHeartbeat, std::uint64_t aStartedMs)
+{
+  const std::string body =
+    aFleet.TargetOf(1).ReportBody(aByHeartbeat, kLaterSequence + 1, aStartedMs);
+  return aFleet.SendTargetReport(1, aByHeartbeat ? kHeartbeatPath : kLeavePath, body);
+}
+
 /// Kills the process of host 1 and starts it again.
 void RestartHost1(UserFleet& aFleet)
 {
@@ -65,8 +74,8 @@
   std::this_thread::sleep_for(milliseconds(300));
   SECTION("by a leave message")
   {
-    REQUIRE(fleet.SendTargetReport(
-              1, "/-/Instances.Leave/i-h1", target.ReportBody(false, kLaterSequence, 1)) == 200);
+    REQUIRE(fleet.SendTargetReport(1, kLeavePath, target.ReportBody(false, kLaterSequence, 1)) ==
+            200);
   }
   SECTION("by a heartbeat")
   {
@@ -76,8 +85,8 @@
   SECTION("by a leave message to a process that doesn't know the target yet")
   {
     RestartHost1(fleet);
-    REQUIRE(fleet.SendTargetReport(
-              1, "/-/Instances.Leave/i-h1", target.ReportBody(false, kLaterSequence, 1)) == 200);
+    REQUIRE(fleet.SendTargetReport(1, kLeavePath, target.ReportBody(false, kLaterSequence, 1)) ==
+            200);
   }
   RestartHost1(fleet);
   CHECK_FALSE(GetsWritesWhenReady(fleet, 1));
@@ -110,9 +119,57 @@
     startedMs = 5;
     REQUIRE(fleet.SendTargetReport(1, kHeartbeatPath, target.ReportBody(false, 1, startedMs)) ==
             200);
-    REQUIRE(fleet.SendTargetReport(
-              1, "/-/Instances.Leave/i-h1", target.ReportBody(false, kLaterSequence, 1)) == 200);
+    REQUIRE(fleet.SendTargetReport(1, kLeavePath, target.ReportBody(false, kLaterSequence, 1)) ==
+            200);
   }
   RestartHost1(fleet);
   CHECK(GetsWritesWhenReady(fleet, startedMs));
 }
+
+// Guards against requests to a target whose departure was acknowledged while the store was down:
+// only the process that was killed then knew of it, and its successor believed a late heartbeat.
+TEST_CASE("an acknowledged departure outlives its host's process while the store is down",
+          "[users]")
+{
+  UserFleet fleet(4);
+  REQUIRE(fleet.WaitReady());
+  CHECK(WritesOfTarget1(fleet) > 0);
+  fleet.TargetOf(1).StopHeartbeats();
+  std::this_thread::sleep_for(milliseconds(300));
+  struct Script
+  {
+    bool byHeartbeat_;
+    bool keepsPeersPort_;
+    standins::UserStoreFault fault_;
+  };
+  const auto script = GENERATE(Script{ false, true, standins::UserStoreFault::kUnavailable },
+                               Script{ true, true, standins::UserStoreFault::kSilent },
+                               Script{ false, false, standins::UserStoreFault::kUnavailable });
+  INFO("by heartbeat " << script.byHeartbeat_ << ", keeps its port " << script.keepsPeersPort_);
+  fleet.Store().SetFault(script.fault_);
+  REQUIRE(SendDeparture(fleet, script.byHeartbeat_, 1) == 200);
+  fleet.Restart(1, script.keepsPeersPort_);
+  CHECK_FALSE(GetsWritesWhenReady(fleet, 1, 6));
+  fleet.Store().SetFault(standins::UserStoreFault::kNone);
+  REQUIRE(Eventually([&] { return fleet.ReadinessStatus(1) == 200; }, seconds(5)));
+  CHECK_FALSE(GetsWritesWhenReady(fleet, 1, 10));
+  // A new start with the same id is in use.
+  CHECK(GetsWritesWhenReady(fleet, 2));
+}
+
+// Guards against an acknowledgement that no other host and no store can keep.
+TEST_CASE("a departure that only one process knows isn't acknowledged", "[users]")
+{
+  UserFleet fleet(2);
+  REQUIRE(fleet.WaitReady());
+  fleet.TargetOf(1).StopHeartbeats();
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.ProcessOf(0).Signal(SIGKILL);
+  fleet.Store().SetFault(standins::UserStoreFault::kUnavailable);
+  const TimePoint sentAt = Clock::now();
+  CHECK(SendDeparture(fleet, false, 1) == 503);
+  CHECK(Clock::now() - sentAt < seconds(1));
+  CHECK(fleet.Log(1).find("DepartureNotAcknowledged") != std::string::npos);
+  fleet.Store().SetFault(standins::UserStoreFault::kNone);
+  CHECK(Eventually([&] { return SendDeparture(fleet, false, 1) == 200; }, seconds(5)));
+}
