Refuse an early answer without a length that a reset cut

Callers got a part of an answer as a complete one: a target answered a long upload at once without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the operating system reports a reset once. The failed write of the upload took the error and ignored it, and the read then saw an ordinary end of stream, which completes an answer without a length. The order of the two completions doesn't tell: the read may be handled first.

Change: at the end of the stream, TargetClient asks what ended it. A request that was written completely leaves the error to the read. A failed write tells by its error: EPIPE follows the target's own end of stream. While the write is pending, the connection's state decides whether to await it. Targets that end their stream in order, read on or not, are served as before.

--- a/peridotquay/connection/TargetClient.cpp
+++ b/peridotquay/connection/TargetClient.cpp
@@ -3,6 +3,7 @@
 
 #include "peridotquay/connection/KeepAlive.h"
 #include "peridotquay/connection/MessageBytes.h"
+#include "peridotquay/connection/SocketState.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -107,7 +108,8 @@
     completionHandler_ = std::move(aHandler);
     result_ = {};
     writeStarted_ = false;
-    fullyWritten_ = false;
+    writeResult_.reset();
+    endAwaitsWrite_ = false;
     answerBegan_ = false;
     allowsCloseDelimited_ = client->settings_.allowsCloseDelimited_;
     echoHeader_ = client->settings_.echoHeader_;
@@ -148,6 +150,8 @@
   }
 
   bool WriteStarted() const { return writeStarted_; }
+  /// Whether the operating system has accepted all bytes of the request.
+  bool IsFullyWritten() const { return writeResult_ && !*writeResult_; }
   bool HasAnswerBegun() const { return answerBegan_; }
 
   // Whether an earlier request had this echo value. An answer to it that the target writes once
@@ -215,13 +219,22 @@
     boost::asio::async_write(socket_,
                              boost::asio::buffer(writeBuffer_),
                              [self = shared_from_this()](const error_code& aError, std::size_t) {
-                               // If the write fails, the read fails too and ends the request. Until
-                               // then, an answer that the target sent early can still arrive.
-                               self->fullyWritten_ = !aError;
+                               self->OnWritten(aError);
                              });
     Read();
   }
 
+  // A failed write doesn't end the request: an answer that the target sent early can still arrive,
+  // and the read ends the request after it.
+  void OnWritten(const error_code& aError)
+  {
+    writeResult_ = aError;
+    if (endAwaitsWrite_ && !closed_ && completionHandler_) {
+      endAwaitsWrite_ = false;
+      OnStreamEnd();
+    }
+  }
+
   void Read()
   {
     if (reading_ || closed_) {
@@ -246,17 +259,12 @@
       CloseIdle();
       return;
     }
-    if (aError == boost::asio::error::eof && allowsCloseDelimited_ && parser_->is_header_done() &&
-        parser_->need_eof()) {
-      error_code error;
-      parser_->put_eof(error);
-      if (!error && parser_->is_done()) {
-        FinishLastAnswer();
-        return;
-      }
+    if (aError == boost::asio::error::eof) {
+      OnStreamEnd();
+      return;
     }
     if (aError) {
-      End(answerBegan_ ? TargetRequestStatus::kTruncated : TargetRequestStatus::kLost);
+      EndIncomplete();
       return;
     }
     answerBegan_ = true;
@@ -291,6 +299,60 @@
     FinishAnswer();
   }
 
+  // Handles an end of the stream, which completes an answer without a length if the target caused
+  // it.
+  void OnStreamEnd()
+  {
+    if (!allowsCloseDelimited_ || !parser_->is_header_done() || !parser_->need_eof()) {
+      EndIncomplete();
+      return;
+    }
+    switch (FindStreamEnd()) {
+      case StreamEnd::kAwaitsWrite:
+        endAwaitsWrite_ = true;
+        return;
+      case StreamEnd::kByReset:
+        EndIncomplete();
+        return;
+      case StreamEnd::kByTarget:
+        break;
+    }
+    error_code error;
+    parser_->put_eof(error);
+    if (error || !parser_->is_done()) {
+      EndIncomplete();
+      return;
+    }
+    FinishLastAnswer();
+  }
+
+  enum class StreamEnd : std::uint8_t
+  {
+    kByTarget,   ///< The target ended its stream after all of its bytes.
+    kByReset,    ///< The connection was reset or given up; bytes may be missing.
+    kAwaitsWrite ///< The result of the write will tell.
+  };
+
+  // Tells what ended the stream. The operating system reports a reset once: if the write gets the
+  // error, the read sees an ordinary end of stream. A write that fails after the target's own end
+  // of stream gets EPIPE instead, also if a reset followed that end.
+  StreamEnd FindStreamEnd()
+  {
+    if (!writeResult_) {
+      // The write of a closed connection fails soon, while a target that has only ended its stream
+      // may leave it pending for long.
+      return IsConnectionClosed(socket_.native_handle()) ? StreamEnd::kAwaitsWrite
+                                                         : StreamEnd::kByTarget;
+    }
+    const bool endedFirst = !*writeResult_ || *writeResult_ == boost::asio::error::broken_pipe;
+    return endedFirst ? StreamEnd::kByTarget : StreamEnd::kByReset;
+  }
+
+  void EndIncomplete()
+  {
+    End(answerBegan_ ? TargetRequestStatus::kTruncated : TargetRequestStatus::kLost);
+  }
+
   // True if the head of an answer has arrived and its status is none that an answer may have. The
   // parser accepts any three digits. Status 101 would end HTTP on this connection, which no request
   // asks for.
@@ -404,7 +466,7 @@
     const auto length = parser_->content_length();
     // The rest of a request that isn't completely written would precede the next request.
     const bool keep =
-      parser_->keep_alive() && !parser_->need_eof() && unparsed_.empty() && fullyWritten_;
+      parser_->keep_alive() && !parser_->need_eof() && unparsed_.empty() && IsFullyWritten();
     ReadKeepAliveTimeout();
     auto message = parser_->release();
     HttpResponse& response = result_.response_;
@@ -474,7 +536,8 @@
   std::uint64_t timer_ = 0;
   bool open_ = false;
   bool writeStarted_ = false;
-  bool fullyWritten_ = false; ///< The operating system has accepted all bytes of the request.
+  std::optional<error_code> writeResult_; ///< Of the request; empty while it is being written.
+  bool endAwaitsWrite_ = false;           ///< The stream ended, and writeResult_ will tell how.
   bool allowsCloseDelimited_ = false;
   std::string echoHeader_;
   /// Echo values of the last requests, the current one included, oldest first.
