Ask other hosts before a starting process trusts the store's document

Callers could use a withdrawn key again: the store came back from a copy with the older document, and processes that started then counted it as the newest.

Cause: a process that starts holds nothing but what it reads, and took the store's confirmation for proof. Documents are compared through the feed, within a data centre only; where all processes of a data centre were replaced, none held the lost one.

Change: once it has read a document and the hosts' rows, a process asks hosts of all data centres for the operator's version that they hold. Nothing is held up in era 0. A reader that learns of a rollback asks too; that has no test.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -275,6 +275,16 @@
   aVisit(aItem.host_, aItem.sender_, aItem.starts_);
 }
 template<typename Visitor>
+void VisitFields(Visitor& aVisit, RecallQuery& aItem)
+{
+  aVisit(aItem.sender_, aItem.held_, aItem.wantsDocument_);
+}
+template<typename Visitor>
+void VisitFields(Visitor& aVisit, RecallAnswer& aItem)
+{
+  aVisit(aItem.sender_, aItem.documentVersion_);
+}
+template<typename Visitor>
 void VisitFields(Visitor& aVisit, DataCentreSummary& aItem)
 {
   aVisit(aItem.dataCentre_, aItem.version_, aItem.ageMs_, aItem.platformReachable_, aItem.members_);
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -439,6 +439,26 @@
   bool operator==(const TargetDepartures&) const = default;
 };
 
+/// Asks a host for what it knows and the platform's store may have lost: a newer document, and
+/// departures of the sender's target (datagram). Departures are answered with TargetDepartures.
+struct RecallQuery
+{
+  HostId sender_;
+  RowPositions held_;
+  bool wantsDocument_ = false; ///< The receiver is to send its document if it is newer.
+  bool operator==(const RecallQuery&) const = default;
+};
+
+/// Answer to a RecallQuery (datagram).
+struct RecallAnswer
+{
+  HostId sender_;
+  /// Operator's version of the sender's document; 0 in era 0, and if the document is too large to
+  /// be sent.
+  std::uint64_t documentVersion_ = 0;
+  bool operator==(const RecallAnswer&) const = default;
+};
+
 /// State of a data centre. Each data centre's delegate sends it to the delegates of the others once
 /// a second.
 struct DataCentreSummary
@@ -501,6 +521,8 @@
                                  FeedQuery,
                                  FeedAnswer,
                                  FeedRows,
-                                 TargetDepartures>;
+                                 TargetDepartures,
+                                 RecallQuery,
+                                 RecallAnswer>;
 
 } // namespace peridotquay
--- a/peridotquay/version/TargetDeparture.cpp
+++ b/peridotquay/version/TargetDeparture.cpp
@@ -1,6 +1,8 @@
 // Decides which departures are sent to which host.
 #include "peridotquay/version/TargetDeparture.h"
 
+#include "peridotquay/version/StoreRecall.h"
+
 #include <algorithm>
 #include <iterator>
 #include <optional>
@@ -12,11 +14,6 @@
 // Departures held for one host. More of them within the retention aren't those of one target.
 constexpr std::size_t kMaxHeldStarts = 16;
 
-// Hosts that a process asks at its start: more than are asked to hold a departure, because some of
-// them may have been chosen while others were away.
-constexpr std::size_t kMaxNearAsked = 8;
-constexpr std::size_t kMaxAskedElsewhere = 2;
-
 DepartedStart WithAge(const std::string& aStart, TimePoint aDepartedAt, TimePoint aNow)
 {
   const auto age = std::chrono::ceil<milliseconds>(aNow - aDepartedAt).count();
@@ -56,19 +53,6 @@
                 [&](const auto& aEntry) { return aNow - aTimeOf(aEntry.second) > aRetention; });
 }
 
-/// The first hosts after aSelf in the circular order of ids.
-std::vector<HostId> NextHosts(const HostId& aSelf,
-                              const std::vector<HostId>& aHosts,
-                              std::size_t aMax)
-{
-  const auto next = std::upper_bound(aHosts.begin(), aHosts.end(), aSelf) - aHosts.begin();
-  std::vector<HostId> hosts;
-  for (std::size_t i = 0; i < std::min(aMax, aHosts.size()); ++i) {
-    hosts.push_back(aHosts[(static_cast<std::size_t>(next) + i) % aHosts.size()]);
-  }
-  return hosts;
-}
-
 /// Adds the transfers to holders that haven't confirmed.
 void CollectCopies(TargetDepartureState& aState,
                    const StoredDeparture& aIsStored,
@@ -157,18 +141,6 @@
   std::copy_n(aElsewhere.begin(), elsewhere, std::back_inserter(aState.holders_));
 }
 
-std::vector<HostId> PossibleHolders(const HostId& aSelf,
-                                    const std::vector<HostId>& aNear,
-                                    const std::map<DataCentreId, std::vector<HostId>>& aElsewhere)
-{
-  std::vector<HostId> hosts = NextHosts(aSelf, aNear, kMaxNearAsked);
-  for (const auto& [dataCentre, others] : aElsewhere) {
-    std::copy_n(
-      others.begin(), std::min(kMaxAskedElsewhere, others.size()), std::back_inserter(hosts));
-  }
-  return hosts;
-}
-
 std::vector<std::pair<HostId, TargetDepartures>>
 CollectDueDepartures(TargetDepartureState& aState, const StoredDeparture& aIsStored, TimePoint aNow)
 {
@@ -203,6 +175,17 @@
   return DescribeHeld(held, aMessage.host_, aState.self_, aNow);
 }
 
+std::optional<TargetDepartures> DeparturesHeldFor(const TargetDepartureState& aState,
+                                                  const HostId& aHost,
+                                                  TimePoint aNow)
+{
+  const auto held = aState.held_.find(aHost);
+  if (held == aState.held_.end()) {
+    return std::nullopt;
+  }
+  return DescribeHeld(held->second, aHost, aState.self_, aNow);
+}
+
 std::vector<std::string> ApplyHeldDepartures(TargetDepartureState& aState,
                                              const TargetDepartures& aMessage,
                                              TimePoint aNow)
--- a/peridotquay/version/TargetDeparture.h
+++ b/peridotquay/version/TargetDeparture.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -105,19 +106,16 @@
   const StoredDeparture& aIsStored,
   TimePoint aNow);
 
-/// The hosts that a process asks at its start for departures that they hold. aNear: all hosts of
-/// the data centre in the order of ids, without aSelf; aElsewhere: those of the others, in that
-/// order.
-std::vector<HostId> PossibleHolders(const HostId& aSelf,
-                                    const std::vector<HostId>& aNear,
-                                    const std::map<DataCentreId, std::vector<HostId>>& aElsewhere);
-
-/// Records departures of another host's target and returns all that are held for that host. A
-/// message without departures only asks for them.
+/// Records departures of another host's target and returns all that are held for that host.
 TargetDepartures HoldDepartures(TargetDepartureState& aState,
                                 const TargetDepartures& aMessage,
                                 TimePoint aNow);
 
+/// The departures that are held for a host; empty if there are none.
+std::optional<TargetDepartures> DeparturesHeldFor(const TargetDepartureState& aState,
+                                                  const HostId& aHost,
+                                                  TimePoint aNow);
+
 /// Applies a confirmation or repetition by a holder. Returns the starts that this host didn't know
 /// to have departed.
 std::vector<std::string> ApplyHeldDepartures(TargetDepartureState& aState,
--- a/tests/connection/PeerCodecTest.cpp
+++ b/tests/connection/PeerCodecTest.cpp
@@ -98,7 +98,9 @@
            FeedRows{ FeedTable::kHosts, 5, 8, { { "h1", std::string("\x80\0", 2), 8 } }, 3 },
            RequestHandover{
              { "h1" }, 8, std::string(32, '\x80'), { record, { 4, 2, false, "", {} } }, true },
-           TargetDepartures{ { "h1" }, { "h2" }, { { "i-h1@7", 250 } } } };
+           TargetDepartures{ { "h1" }, { "h2" }, { { "i-h1@7", 250 } } },
+           RecallQuery{ { "h1" }, { { 1, 8 }, { 0, 9 }, 2, 12 }, true },
+           RecallAnswer{ { "h2" }, 12 } };
 }
 
 } // namespace
--- a/tests/fleet/StoreRollbackTest.cpp
+++ b/tests/fleet/StoreRollbackTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <thread>
 
 using namespace peridotquay;
@@ -94,6 +95,33 @@
     seconds(3)));
 }
 
+// Guards against a withdrawn key that works again: processes that started after the store had gone
+// back took its older document for the newest, though others held the newer one.
+TEST_CASE("a process that starts after a rollback asks others for the document", "[rollback]")
+{
+  UserFleet fleet(4, false, true, 0, 1);
+  REQUIRE(fleet.WaitReady());
+  std::this_thread::sleep_for(milliseconds(500));
+  const TimePoint copied = Clock::now();
+  fleet.Store().Put("op", "config", UserDocument(2, { "k1" }).dump());
+  REQUIRE(Eventually(
+    [&] {
+      return All(fleet, [&](auto aHost) { return StatusWithKey(fleet, aHost, "k2") == 401; });
+    },
+    seconds(3)));
+  fleet.ProcessOf(1).Signal(SIGKILL);
+  fleet.ProcessOf(3).Signal(SIGKILL);
+  fleet.Store().GoBack(Clock::now() - copied);
+  fleet.Restart(1);
+  fleet.Restart(3);
+  const TimePoint restarted = Clock::now();
+  while (Clock::now() - restarted < seconds(4)) {
+    CHECK(All(fleet, [&](auto aHost) { return StatusWithKey(fleet, aHost, "k2") != 200; }));
+  }
+  CHECK(All(fleet, [&](auto aHost) { return StatusWithKey(fleet, aHost, "k1") == 200; }));
+  CHECK(All(fleet, [&](auto aHost) { return StatusWithKey(fleet, aHost, "k2") == 401; }));
+}
+
 // Guards against a host without a row in the copy that is forgotten by the others.
 TEST_CASE("a host whose row is lost writes it again", "[rollback]")
 {
--- a/tests/version/TargetDepartureTest.cpp
+++ b/tests/version/TargetDepartureTest.cpp
@@ -173,27 +173,18 @@
   CHECK(hosts.sent_ == 0);
 }
 
-// Guards against holders that a restarted host doesn't ask. They can't reach it if its address has
-// changed.
-TEST_CASE("a restarted host that asks its possible holders learns of the departure", "[departure]")
+// Guards against a restarted host that holders can't reach because its address has changed.
+TEST_CASE("holders name a departure to a host that asks", "[departure]")
 {
   Hosts hosts({ "h0", "h1", "h2", "h3" });
   RecordDeparture(hosts.Owner(), kStart, true, hosts.now_);
   hosts.TickFor(milliseconds(200));
+  const auto held = DeparturesHeldFor(hosts.states_[{ "h2" }], kOwner, hosts.now_);
+  REQUIRE(held.has_value());
   hosts.RestartOwner();
-  for (const HostId& host : PossibleHolders(kOwner, hosts.OthersThan(kOwner), {})) {
-    hosts.Deliver(host, { kOwner, kOwner, {} });
-  }
-  CHECK(hosts.restored_ == std::vector<std::string>{ kStart });
-}
-
-TEST_CASE("possible holders are in all data centres", "[departure]")
-{
-  CHECK(
-    PossibleHolders({ "h1" },
-                    { { "h0" }, { "h2" } },
-                    { { { "k" }, { { "k0" }, { "k1" }, { "k2" } } }, { { "l" }, { { "l0" } } } }) ==
-    std::vector<HostId>{ { "h2" }, { "h0" }, { "k0" }, { "k1" }, { "l0" } });
+  CHECK(ApplyHeldDepartures(hosts.Owner(), *held, hosts.now_) ==
+        std::vector<std::string>{ kStart });
+  CHECK_FALSE(DeparturesHeldFor(hosts.states_[{ "h2" }], { "h3" }, hosts.now_));
 }
 
 TEST_CASE("holders are the next hosts of the data centre and a few elsewhere", "[departure]")
