--- a/standins/lib/UserStore.cpp
+++ b/standins/lib/UserStore.cpp
@@ -16,6 +16,9 @@
 // Time that GoBack can go back.
 constexpr Duration kChangeHistory = seconds(20);
 
+// Number of changes that watches can go back.
+constexpr std::size_t kMaxHistory = 10'000;
+
 constexpr const char* kEraHeader = "Store-Era";
 
 std::string QueryValue(const std::string& aPath, const std::string& aName)
@@ -82,6 +85,11 @@
       changes_.pop_front();
     }
   }
+  history_.emplace_back(aKey, aRow);
+  if (history_.size() > kMaxHistory) {
+    compactedVersion_ = std::max(compactedVersion_, history_.front().second.version_);
+    history_.pop_front();
+  }
   rows_[aKey] = std::move(aRow);
 }
 
@@ -104,6 +112,7 @@
     version_ = change.previousVersion_;
     changes_.pop_back();
   }
+  std::erase_if(history_, [this](const auto& aEntry) { return aEntry.second.version_ > version_; });
   ++era_;
 }
 
@@ -119,7 +128,8 @@
 void UserStore::Remove(const std::string& aTable, const std::string& aKey)
 {
   const std::lock_guard lock(mutex_);
-  rows_[{ aTable, aKey }] = { "", ++version_, true };
+  const std::uint64_t previousVersion = version_++;
+  SetRow({ aTable, aKey }, { "", version_, true }, previousVersion);
 }
 
 void UserStore::Compact()
@@ -238,7 +248,7 @@
 
 void UserStore::AnswerWatches()
 {
-  {
+  if (fault_ != UserStoreFault::kHoldWatches) {
     const std::lock_guard lock(mutex_);
     std::erase_if(watches_, [this](const Watch& aWatch) {
       const bool isUnknown = era_ >= 0 && aWatch.afterVersion_ > version_;
@@ -247,7 +257,7 @@
         return true;
       }
       nlohmann::json rows = nlohmann::json::array();
-      for (const auto& [key, row] : rows_) {
+      for (const auto& [key, row] : history_) {
         if (key.first == aWatch.table_ && row.version_ > aWatch.afterVersion_) {
           nlohmann::json entry = { { "key", key.second },
                                    { "value", row.value_ },
--- a/standins/lib/UserStore.h
+++ b/standins/lib/UserStore.h
@@ -26,7 +26,8 @@
   kUnavailable,      ///< Calls get 503 and have no effect.
   kLoseWriteAnswers, ///< Transactions take effect but get no answer.
   kSilent,           ///< Calls have no effect and get no answer.
-  kDeafWatches       ///< Watches report no change, though their version includes it.
+  kDeafWatches,      ///< Watches report no change, though their version includes it.
+  kHoldWatches       ///< Watches aren't answered while it lasts.
 };
 
 /// Serves on a free port of 127.0.0.1, on its own thread, from construction to destruction.
@@ -100,8 +101,10 @@
 
   EventLoop loop_;
   std::unique_ptr<HttpServer> server_;
-  std::mutex mutex_; ///< Guards rows_, changes_, version_ and compactedVersion_.
+  std::mutex mutex_; ///< Guards rows_, history_, changes_, version_ and compactedVersion_.
   std::map<RowKey, Row> rows_;
+  /// All changes since compactedVersion_, in order. Watches report each one.
+  std::deque<std::pair<RowKey, Row>> history_;
   std::deque<Change> changes_;         ///< Of the last 20 s if an era is stated, oldest first.
   std::uint64_t version_ = 0;          ///< Of the last change.
   std::uint64_t compactedVersion_ = 0; ///< Watches from earlier versions fail.
