Accept a fraction in stop_grace_s

A process with a grace time of 6.5 s rejected its settings at SIGHUP and didn't start after its next stop.

Cause: stop_grace_s was read as an integer. It is the only setting of the node that the deployed template fills in from a bound, and bounds may be fractions.

Change: it is read as a number, to the millisecond.

--- a/peridotquay/process/Settings.cpp
+++ b/peridotquay/process/Settings.cpp
@@ -172,6 +172,32 @@
   return Success();
 }
 
+/// Reads seconds with or without a fraction, to the millisecond.
+Result<void> ReadSeconds(const Document& aDocument,
+                         std::string_view aKey,
+                         double aMin,
+                         double aMax,
+                         Duration& aOut)
+{
+  const auto* node = aDocument.table_->get(aKey);
+  if (node == nullptr) {
+    return Success();
+  }
+  const auto number = node->value<double>();
+  if (!number || !node->is_number()) {
+    return FailAt(aDocument, *node, ErrorCode::kWrongType, aKey, "a number");
+  }
+  if (!(*number >= aMin && *number <= aMax)) {
+    return FailAt(aDocument,
+                  *node,
+                  ErrorCode::kOutOfRange,
+                  aKey,
+                  std::to_string(aMin) + " to " + std::to_string(aMax));
+  }
+  aOut = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(*number));
+  return Success();
+}
+
 Result<void> ReadBool(const Document& aDocument, std::string_view aKey, bool& aOut)
 {
   const auto* node = aDocument.table_->get(aKey);
@@ -329,10 +355,10 @@
   BOOST_OUTCOME_TRYV(ReadFeatureMode(aDocument, "room_scheduling", settings.roomScheduling_));
   BOOST_OUTCOME_TRYV(ReadMilliseconds(
     aDocument, "accept_while_draining_ms", 0, 600000, settings.drainAcceptPeriod_));
-  std::uint32_t graceSeconds = 0;
-  BOOST_OUTCOME_TRYV(ReadInteger(aDocument, "stop_grace_s", 0, 3600, graceSeconds));
-  if (graceSeconds > 0) {
-    SetDrainTimes(settings, seconds(graceSeconds));
+  Duration grace{};
+  BOOST_OUTCOME_TRYV(ReadSeconds(aDocument, "stop_grace_s", 0, 3600, grace));
+  if (grace > Duration::zero()) {
+    SetDrainTimes(settings, grace);
   }
   BOOST_OUTCOME_TRYV(ReadMilliseconds(
     aDocument, "target_idle_timeout_ms", 100, 600000, settings.targetIdleTimeout_));
