Use targets as soon as the hosts that a process asks have answered

A process took no ready target into use for one second after its start.

Change: the answer to the question that a starting process asks names the departures that the asked host holds, and the target is taken into use when the question is complete. The second remains for a process that can't read the store.

--- a/peridotquay/connection/PeerCodec.cpp
+++ b/peridotquay/connection/PeerCodec.cpp
@@ -282,7 +282,7 @@
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, RecallAnswer& aItem)
 {
-  aVisit(aItem.sender_, aItem.documentVersion_);
+  aVisit(aItem.sender_, aItem.documentVersion_, aItem.departures_);
 }
 template<typename Visitor>
 void VisitFields(Visitor& aVisit, DataCentreSummary& aItem)
--- a/peridotquay/connection/PeerMessage.h
+++ b/peridotquay/connection/PeerMessage.h
@@ -440,7 +440,7 @@
 };
 
 /// Asks a host for what it knows and the platform's store may have lost: a newer document, and
-/// departures of the sender's target (datagram). Departures are answered with TargetDepartures.
+/// departures of the sender's target (datagram).
 struct RecallQuery
 {
   HostId sender_;
@@ -456,6 +456,7 @@
   /// Operator's version of the sender's document; 0 in era 0, and if the document is too large to
   /// be sent.
   std::uint64_t documentVersion_ = 0;
+  std::vector<DepartedStart> departures_; ///< Those that the sender holds for the receiver.
   bool operator==(const RecallAnswer&) const = default;
 };
 
--- a/peridotquay/version/StoreRecall.cpp
+++ b/peridotquay/version/StoreRecall.cpp
@@ -75,10 +75,14 @@
   aState.documentVersion_ = std::max(aState.documentVersion_, aDocumentVersion);
 }
 
+bool IsRecallComplete(const StoreRecallState& aState)
+{
+  return aState.startedAt_ && aState.unanswered_.empty();
+}
+
 bool IsStoreTrusted(const StoreRecallState& aState, std::uint64_t aVersionInForce)
 {
-  return aState.startedAt_ && aState.unanswered_.empty() &&
-         aVersionInForce >= aState.documentVersion_;
+  return IsRecallComplete(aState) && aVersionInForce >= aState.documentVersion_;
 }
 
 bool IsDocumentOverdue(const StoreRecallState& aState,
--- a/peridotquay/version/StoreRecall.h
+++ b/peridotquay/version/StoreRecall.h
@@ -59,8 +59,11 @@
                        const HostId& aFrom,
                        std::uint64_t aDocumentVersion);
 
-/// Whether a host that has a document may count it as the newest if the store does: the hosts that
-/// were asked have answered or are taken for dead, and none has named a higher version.
+/// Whether the hosts that were asked have answered or are taken for dead.
+bool IsRecallComplete(const StoreRecallState& aState);
+
+/// Whether a host that has a document may count it as the newest if the store does: the recall is
+/// complete, and no host has named a higher version.
 bool IsStoreTrusted(const StoreRecallState& aState, std::uint64_t aVersionInForce);
 
 /// Whether a document that was named is overdue, so that a new recall must begin.
--- a/peridotquay/version/TargetDeparture.cpp
+++ b/peridotquay/version/TargetDeparture.cpp
@@ -175,15 +175,13 @@
   return DescribeHeld(held, aMessage.host_, aState.self_, aNow);
 }
 
-std::optional<TargetDepartures> DeparturesHeldFor(const TargetDepartureState& aState,
-                                                  const HostId& aHost,
-                                                  TimePoint aNow)
+TargetDepartures DeparturesHeldFor(const TargetDepartureState& aState,
+                                   const HostId& aHost,
+                                   TimePoint aNow)
 {
   const auto held = aState.held_.find(aHost);
-  if (held == aState.held_.end()) {
-    return std::nullopt;
-  }
-  return DescribeHeld(held->second, aHost, aState.self_, aNow);
+  return DescribeHeld(
+    held == aState.held_.end() ? HeldDepartures{} : held->second, aHost, aState.self_, aNow);
 }
 
 std::vector<std::string> ApplyHeldDepartures(TargetDepartureState& aState,
--- a/peridotquay/version/TargetDeparture.h
+++ b/peridotquay/version/TargetDeparture.h
@@ -10,7 +10,6 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -43,8 +42,9 @@
   bool operator==(const TargetDepartureSettings&) const = default;
 };
 
-/// A process that has just started waits this long for departures that other hosts hold before it
-/// takes a ready target into use.
+/// A process that has just started takes no ready target into use before the hosts that it asked
+/// have told which departures they hold (StoreRecall.h). If it can't ask, because it has read
+/// nothing from the store, it waits this long for their repetitions.
 inline constexpr Duration kDepartureRecallTime = milliseconds(1000);
 
 /// A departure of the local target.
@@ -111,10 +111,10 @@
                                 const TargetDepartures& aMessage,
                                 TimePoint aNow);
 
-/// The departures that are held for a host; empty if there are none.
-std::optional<TargetDepartures> DeparturesHeldFor(const TargetDepartureState& aState,
-                                                  const HostId& aHost,
-                                                  TimePoint aNow);
+/// The departures that are held for a host.
+TargetDepartures DeparturesHeldFor(const TargetDepartureState& aState,
+                                   const HostId& aHost,
+                                   TimePoint aNow);
 
 /// Applies a confirmation or repetition by a holder. Returns the starts that this host didn't know
 /// to have departed.
--- a/tests/version/StoreRecallTest.cpp
+++ b/tests/version/StoreRecallTest.cpp
@@ -22,7 +22,9 @@
   ApplyRecallAnswer(recall, { "h2" }, 5);
   ApplyRecallAnswer(recall, { "k1" }, 0);
   CHECK_FALSE(IsStoreTrusted(recall, 5));
+  CHECK_FALSE(IsRecallComplete(recall));
   ApplyRecallAnswer(recall, { "h3" }, 4);
+  CHECK(IsRecallComplete(recall));
   CHECK(IsStoreTrusted(recall, 5));
   CHECK(CollectDueRecalls(recall, kStart + milliseconds(200)).empty());
 }
