--- a/review/12/removed_account.cpp
+++ b/review/12/removed_account.cpp
@@ -5,6 +5,7 @@
 // channels ended without an answer, and the processes that ended by themselves. Usage:
 // removed_account REPOSITORY PROGRAMS RECORD
 #include "review/lib-3/Channel.h"
+#include "review/lib-3/ProductFleet.h"
 #include "review/lib-3/SmallFleet.h"
 #include "standins/lib/Fleet.h"
 
@@ -38,23 +39,6 @@
   return profile;
 }
 
-/// A folder with the programs under the names that the stand-in of a fleet expects. `quayd` is the
-/// deploy file's command, with the settings file passed in the environment.
-std::string LinkPrograms(const std::string& aRepository, const std::string& aPrograms)
-{
-  std::string name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
-  if (::mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("no temporary folder");
-  }
-  for (const char* program : { "quayctl", "standin_platform", "standin_target" }) {
-    std::filesystem::create_symlink(aPrograms + "/" + program, name + "/" + program);
-  }
-  std::ofstream(name + "/quayd") << "#!/bin/sh\nexport PERIDOTQUAY_CONFIG=\"${1#--config=}\"\nexec "
-                                 << aRepository << "/target/quayd\n";
-  std::filesystem::permissions(name + "/quayd", std::filesystem::perms::owner_all);
-  return name;
-}
-
 /// What one client of an account that stays in force saw of a write.
 struct Write
 {
--- a/review/lib-3/Channel.h
+++ b/review/lib-3/Channel.h
@@ -22,8 +22,18 @@
   unsigned status_ = 0;      ///< 0 without a whole head.
   std::size_t declared_ = 0; ///< Bytes of the body by its head.
   std::size_t received_ = 0; ///< Bytes of the body that arrived.
-  bool signed_ = false;      ///< The head has an endpoint's signature.
+  std::string head_;
   bool IsWhole() const { return status_ != 0 && received_ == declared_; }
+  /// Value of a header of the head, whose name must be spelled as it was sent.
+  std::string Header(const std::string& aName) const
+  {
+    const std::size_t at = head_.find("\r\n" + aName + ": ");
+    if (at == std::string::npos) {
+      return "";
+    }
+    const std::size_t start = at + aName.size() + 4;
+    return head_.substr(start, head_.find("\r\n", start) - start);
+  }
 };
 
 class Channel
@@ -84,7 +94,7 @@
     const std::size_t length = head.find("Content-Length: ");
     got.declared_ =
       length == std::string::npos ? 0 : std::strtoul(head.c_str() + length + 16, nullptr, 10);
-    got.signed_ = head.find("X-Response-Signature: ") != std::string::npos;
+    got.head_ = head;
     while (buffer_.size() < got.declared_ && Fill()) {
     }
     got.received_ = std::min(buffer_.size(), got.declared_);
