--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,9 +2,9 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -u
 cd "$(dirname "$0")/../.."
-program=target/review-3/removed_account
+program=target/review-3/late_in_grace
 [ -x "$program" ] && [ -x target/quayd ] || exit 2
-timeout --kill-after=5 100 "$program" "$PWD" "$PWD/target/review-3/project" "$PWD/review/12/record.txt"
+timeout --kill-after=5 100 "$program" "$PWD" "$PWD/review/12/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
