--- a/review/12/late_in_grace.cpp
+++ b/review/12/late_in_grace.cpp
@@ -15,14 +15,14 @@
 
 constexpr std::size_t kSearches = 5;
 // The sheet's longest search takes 6.6 s, its longest deposit 1.7 s.
-constexpr const char* kSearchPath = "/search/work-5400";
-constexpr const char* kDepositPath = "/deposit/work-1500";
-constexpr int kDeposits = 26;
-constexpr auto kBetweenDeposits = milliseconds(200);
+constexpr const char* kSearchPath = "/search/work-4900";
+constexpr const char* kDepositPath = "/deposit/work-1200";
+constexpr int kDeposits = 51;
+constexpr auto kBetweenDeposits = milliseconds(100);
 constexpr auto kGrace = seconds(6);
 /// A deposit that is sent earlier after the signal is excused.
 constexpr auto kLate = seconds(3);
-constexpr auto kDepositTimeout = milliseconds(5000);
+constexpr auto kDepositTimeout = milliseconds(1500);
 
 nlohmann::json Document()
 {
@@ -37,8 +37,8 @@
   return {
     { "version", "r1" },
     { "routes",
-      { { "record-search", route("/search/", "safe", "arsiv", 8000, false) },
-        { "deposit-confirm", route("/deposit/", "unsafe", "kasa", 5000, true) } } },
+      { { "record-search", route("/search/", "safe", "arsiv", 5000, false) },
+        { "deposit-confirm", route("/deposit/", "unsafe", "kasa", 1500, true) } } },
     { "services", { { "arsiv", nlohmann::json::object() }, { "kasa", nlohmann::json::object() } } },
     { "tenants", { { "parish", { { "api_keys", { "key-parish" } }, { "rate_per_s", 0 } } } } }
   };
@@ -48,8 +48,8 @@
 {
   return (aHasKey ? "GET " : "POST ") + aPath +
          " HTTP/1.1\r\nHost: hulo84.example\r\nX-Request-Id: " + aId +
-         "\r\nX-Deadline-Ms: 10000\r\n" + (aHasKey ? "Authorization: Token key-parish\r\n" : "") +
-         "\r\n";
+         "\r\nX-Deadline-Ms: " + (aHasKey ? "10000" : "5000") + "\r\n" +
+         (aHasKey ? "Authorization: Token key-parish\r\n" : "") + "\r\n";
 }
 
 struct Deposit
@@ -83,6 +83,12 @@
     return 2;
   }
   const std::uint16_t port = fleet.At(0).outboundPort_;
+  // The node starts many searches at once only after its endpoint has answered some.
+  for (int i = 0; i < 20; ++i) {
+    Channel channel(port);
+    channel.Send(Request("/search/work-5", "warm-" + std::to_string(i), true));
+    channel.Receive(5);
+  }
   std::vector<std::thread> clients;
   std::vector<Got> searches(kSearches);
   for (std::size_t i = 0; i < kSearches; ++i) {
@@ -92,7 +98,7 @@
       searches[i] = channel.Receive(9);
     });
   }
-  std::this_thread::sleep_for(milliseconds(150));
+  std::this_thread::sleep_for(milliseconds(50));
   const TimePoint signalledAt = Clock::now();
   if (trouble) {
     record.Line("SIGTERM to " + fleet.At(0).name_);
