Let deeper calls of the target stand-in expire with their request

Cause: UserTarget stated the whole deadline of its request in each of its deeper calls, however much of it had passed. The users' protocol lets them expire at their parent's deadline.

Change: it states the time that is left.

--- a/standins/lib/UserTarget.cpp
+++ b/standins/lib/UserTarget.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <stdexcept>
 #include <utility>
@@ -17,6 +18,9 @@
 constexpr Duration kHeartbeatInterval = milliseconds(200);
 constexpr std::uint64_t kStartedMs = 1;
 
+// Time of a deeper call that serves a request without a deadline.
+constexpr Duration kDeeperCallTimeout = seconds(1);
+
 // Requests with this path end get an answer larger than the buffers of a connection whose caller
 // doesn't read.
 constexpr std::string_view kLargePathEnd = "/large";
@@ -163,7 +167,7 @@
     deeperPath_,
     { { "Host", std::string(FindHeader(headers, "Host").value_or("")) },
       { "X-Request-Id", requestId + "-" + id_ + "-" + std::to_string(aCallsLeft) },
-      { "X-Deadline-Ms", std::string(FindHeader(headers, "X-Deadline-Ms").value_or("1000")) } },
+      { "X-Deadline-Ms", std::to_string(TimeLeft(aWork) / milliseconds(1)) } },
     ""
   };
   deeperCalls_->Send(call, [this, aExchange, aWork, aCallsLeft](const TargetResult& aResult) {
@@ -178,6 +182,14 @@
   });
 }
 
+Duration UserTarget::TimeLeft(std::size_t aWork)
+{
+  const std::lock_guard lock(mutex_);
+  const TimePoint deadline = work_[aWork].deadline_;
+  return deadline == TimePoint{} ? kDeeperCallTimeout
+                                 : std::max<Duration>(deadline - loop_.Now(), milliseconds(1));
+}
+
 void UserTarget::Answer(const std::shared_ptr<HttpExchange>& aExchange, std::size_t aWork)
 {
   EndWork(aWork, false);
--- a/standins/lib/UserTarget.h
+++ b/standins/lib/UserTarget.h
@@ -90,6 +90,8 @@
                      std::size_t aWork,
                      unsigned aCallsLeft);
   void Answer(const std::shared_ptr<HttpExchange>& aExchange, std::size_t aWork);
+  /// Time until the deadline of a request, at which its deeper calls end too.
+  Duration TimeLeft(std::size_t aWork);
   Duration ServiceTime(const HttpRequest& aRequest) const;
   /// Ends work, unless it has ended already.
   void EndWork(std::size_t aIndex, bool aBrokenOff);
