Pass on late in a drain only calls that can still be answered

What callers saw: a host that had got SIGTERM took requests on open routes until the end of its drain while its target ran calls, passed them on and answered 502 after 5.3 s, although sound targets worked on them.

Cause: without contexts, a deeper call of the local target can't be told from a caller's request on the same open route, so all were passed on. Nothing compared the time that a call may take with the time until the drain ends.

Ruled out: a later end of the drain (moves the cut); refusing all open requests, or all that may last longer than the drain by their deadline (fails deeper calls, see below).

Change: Dispatcher::MayPassOn decides when an attempt is sent. During a drain a call is passed on if its deadline passes before the drain ends, if the local target makes it for a call that it runs (by its context, or by the deadline that such calls share), or if the longest recent call of its route, times 1.5, fits (request/DrainDecision, request/LongestDuration). Otherwise it is refused as not run. Event 2013 logs each decision.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -537,6 +537,11 @@
   config_ = std::move(aConfig);
   routing_.settings_.slackFractionWithinRegion_ = config_->policy_.slackFractionWithinRegion_;
   routing_.settings_.slackFractionBetweenRegions_ = config_->policy_.slackFractionBetweenRegions_;
+  std::erase_if(durations_, [this](const auto& aEntry) {
+    return std::none_of(config_->routes_.begin(), config_->routes_.end(), [&](const Route& aRoute) {
+      return aRoute.id_ == aEntry.first.first;
+    });
+  });
   std::erase_if(retryRatios_, [this](const auto& aEntry) {
     return std::none_of(config_->routes_.begin(), config_->routes_.end(), [&](const Route& aRoute) {
       return aRoute.service_ == aEntry.first || std::any_of(aRoute.split_.begin(),
@@ -582,9 +587,10 @@
   }
 }
 
-void Dispatcher::SetDraining()
+void Dispatcher::SetDraining(TimePoint aEndsAt)
 {
   draining_ = true;
+  drainEndsAt_ = aEndsAt;
 }
 
 void Dispatcher::Abort()
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -14,6 +14,7 @@
 #include "peridotquay/process/RequestLog.h"
 #include "peridotquay/process/Settings.h"
 #include "peridotquay/request/Admission.h"
+#include "peridotquay/request/LongestDuration.h"
 #include "peridotquay/request/NaivePolicy.h"
 #include "peridotquay/request/RateShare.h"
 #include "peridotquay/request/RetryBudget.h"
@@ -88,8 +89,10 @@
   /// Returns tokens of accounts without recent use. Called every 100 ms.
   void ReturnTokens();
 
-  /// Starts the drain: new requests are refused with kDraining.
-  void SetDraining();
+  /// Starts the drain, which ends at aEndsAt: new requests are refused with kDraining. Calls that
+  /// the local target may need for those that it runs are passed on as long as DecideDuringDrain
+  /// allows.
+  void SetDraining(TimePoint aEndsAt);
   /// Ends all calls: with outcome unknown if they may have been sent, otherwise with "not run".
   void Abort();
   /// Closes the ledgers and returns their records for the successor.
@@ -169,6 +172,12 @@
   const Route* FindRequestRoute(const HttpRequest& aRequest) const;
   bool FindCallRoute(const HttpRequest& aRequest, ActiveCall& aCall) const;
   bool MayServeRunningCall(const HttpRequest& aRequest) const;
+  /// Whether the local target is known to make the call for one that it runs.
+  bool ServesRunningCall(const ActiveCall& aCall) const;
+  /// Whether a call may be sent to a guard now. False during a drain that may end before the call.
+  bool MayPassOn(const ActiveCall& aCall);
+  /// Longest duration of recent calls of the same route and service, and of those under way.
+  std::optional<Duration> LongestDurationFor(const ActiveCall& aCall) const;
   void RegisterCall(const CallPointer& aCall, const std::shared_ptr<HttpExchange>& aExchange);
   /// Sets the time for which the caller of a request has waited, over earlier attempts.
   void SetWaitedTime(ActiveCall& aCall);
@@ -255,6 +264,8 @@
   /// Only hosts in targets_. A guard that starts anew doesn't know it, so this host must.
   std::map<HostId, std::string> leavingTargets_;
   std::map<ServiceId, RetryRatio> retryRatios_; ///< Only services in config_.
+  /// Calls that ran, by route and service. Removed when a configuration without the route is set.
+  std::map<std::pair<RouteId, ServiceId>, LongestDuration> durations_;
   RequestLedger ledger_;
   std::map<std::pair<HostId, Incarnation>, RequestLedger> importedLedgers_;
   /// Duplicates that wait for the answer of a running request, by ledger and sequence.
@@ -269,7 +280,9 @@
   LogThrottle unknownOutcomeThrottle_;
   RequestLogState requestLog_;
   LogThrottle droppedAnswerThrottle_;
+  LogThrottle drainThrottle_;
   bool draining_ = false;
+  TimePoint drainEndsAt_{}; ///< Set if draining_. Calls without an answer are then ended.
 };
 
 } // namespace peridotquay
--- a/peridotquay/process/DispatcherAttempts.cpp
+++ b/peridotquay/process/DispatcherAttempts.cpp
@@ -3,6 +3,7 @@
 #include "peridotquay/process/Dispatcher.h"
 #include "peridotquay/process/DispatcherInternal.h"
 #include "peridotquay/process/Events.h"
+#include "peridotquay/request/DrainDecision.h"
 
 #include <algorithm>
 #include <optional>
@@ -120,8 +121,61 @@
   return entry != leavingTargets_.end() && entry->second == aTarget.instance_;
 }
 
+bool Dispatcher::ServesRunningCall(const ActiveCall& aCall) const
+{
+  if (dialect_.hasContexts_) {
+    return !aCall.contextToken_.empty();
+  }
+  return IsDeeperCall(aCall) && aCall.statedDeadline_ > Duration::zero() &&
+         guard_.RunsCallWithDeadline(aCall.arrivedAt_ + aCall.statedDeadline_);
+}
+
+std::optional<Duration> Dispatcher::LongestDurationFor(const ActiveCall& aCall) const
+{
+  const TimePoint now = loop_.Now();
+  const auto recent = durations_.find({ aCall.call_.route_, aCall.call_.service_ });
+  if (recent == durations_.end()) {
+    return std::nullopt;
+  }
+  auto longest = LongestRecentDuration(recent->second, now);
+  for (const auto& [key, other] : calls_) {
+    if (longest && other->call_.route_ == aCall.call_.route_ &&
+        other->call_.service_ == aCall.call_.service_) {
+      longest = std::max(*longest, now - other->arrivedAt_);
+    }
+  }
+  return longest;
+}
+
+bool Dispatcher::MayPassOn(const ActiveCall& aCall)
+{
+  if (!draining_) {
+    return true;
+  }
+  const TimePoint now = loop_.Now();
+  const DrainingCall call{ aCall.deadline_, ServesRunningCall(aCall), LongestDurationFor(aCall) };
+  const DrainDecision decision = DecideDuringDrain(call, drainEndsAt_, now);
+  std::uint64_t skipped = 0;
+  if (drainThrottle_.Allow(now, skipped)) {
+    LogEvent(Event::kCallWhileDraining,
+             { { "id", std::string(LoggedId(aCall.call_.headers_)) },
+               { "route", aCall.call_.route_.value_ },
+               { "decision", std::string(DrainDecisionName(decision)) },
+               { "left_ms", WholeMs(drainEndsAt_ - now) },
+               { "deadline_ms", WholeMs(aCall.deadline_ - now) },
+               { "longest_ms", call.longestDuration_ ? WholeMs(*call.longestDuration_) : "-" },
+               { "skipped", std::to_string(skipped) } });
+  }
+  return decision != DrainDecision::kRefuse;
+}
+
 void Dispatcher::StartAttempt(const CallPointer& aCall)
 {
+  if (!MayPassOn(*aCall)) {
+    metrics_.Add(Counter::kRefusedDraining);
+    Refuse(aCall, ErrorCode::kDraining, kShedRetryAfterMs);
+    return;
+  }
   bool shedUpstream = false;
   const auto target = SelectTarget(aCall, shedUpstream);
   if (target) {
@@ -339,6 +393,11 @@
     End(aCall, std::move(aAnswer));
     return;
   }
+  // A call that may have run ends as unknown in any case, so that another attempt can only help.
+  if (!aCall->mayHaveRun_ && !MayPassOn(*aCall)) {
+    End(aCall, std::move(aAnswer));
+    return;
+  }
   if (aExcludeHost) {
     aCall->excludedHosts_.push_back(aCall->target_.host_);
   }
--- a/peridotquay/process/DispatcherEnd.cpp
+++ b/peridotquay/process/DispatcherEnd.cpp
@@ -59,12 +59,6 @@
   }
 }
 
-// Whole milliseconds as text.
-std::string WholeMs(Duration aDuration)
-{
-  return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
-}
-
 // HTTP status of the target's answer, or the name of the failure.
 std::string ReasonOf(const Answer& aAnswer)
 {
@@ -194,8 +188,14 @@
       LogUnknown(call, static_cast<ErrorCode>(aAnswer.error_));
       break;
   }
+  const Duration time = loop_.Now() - call.arrivedAt_;
+  // A call that was cut at its deadline would have taken longer still.
+  if (aAnswer.outcome_ == Outcome::kRan ||
+      (aAnswer.outcome_ == Outcome::kUnknown &&
+       static_cast<ErrorCode>(aAnswer.error_) == ErrorCode::kDeadlineExceeded)) {
+    RecordDuration(durations_[{ call.call_.route_, call.call_.service_ }], time, loop_.Now());
+  }
   if (call.contextToken_.empty()) {
-    const Duration time = loop_.Now() - call.arrivedAt_;
     metrics_.RecordTime(Stage::kCaller, time);
     metrics_.RecordRouteTime(call.call_.route_.value_, time);
   }
--- a/peridotquay/process/DispatcherInternal.h
+++ b/peridotquay/process/DispatcherInternal.h
@@ -6,6 +6,7 @@
 #include "peridotquay/process/Time.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace peridotquay {
@@ -35,6 +36,12 @@
   return answer;
 }
 
+/// Whole milliseconds as text, for logs.
+inline std::string WholeMs(Duration aDuration)
+{
+  return std::to_string(std::chrono::duration_cast<milliseconds>(aDuration).count());
+}
+
 /// Returns the path without its query.
 inline std::string_view WithoutQuery(std::string_view aPath)
 {
--- a/peridotquay/process/Events.h
+++ b/peridotquay/process/Events.h
@@ -40,6 +40,7 @@
   X(2010, CapacityScheduling, kInfo) \
   X(2011, ReturnScheduled, kInfo) \
   X(2012, TargetCold, kInfo) \
+  X(2013, CallWhileDraining, kInfo) \
   X(2020, DistributionChanged, kInfo) \
   X(3001, MemberJoined, kInfo) \
   X(3002, MemberSuspected, kWarning) \
--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -2,6 +2,7 @@
 #include "peridotquay/process/Guard.h"
 
 #include "peridotquay/process/Events.h"
+#include "peridotquay/request/DrainDecision.h"
 #include "peridotquay/request/RouteChoice.h"
 
 #include <nlohmann/json.hpp>
@@ -996,6 +997,14 @@
   return calls_.size();
 }
 
+bool Guard::RunsCallWithDeadline(TimePoint aDeadline) const
+{
+  return std::any_of(calls_.begin(), calls_.end(), [&](const auto& aEntry) {
+    return aEntry.second.targetRequest_ != 0 &&
+           IsDeeperDeadline(aDeadline, aEntry.second.deadline_);
+  });
+}
+
 const AdmissionState& Guard::Admission() const
 {
   return admission_;
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -101,6 +101,8 @@
   void RecordDeeperCall(double aOverload);
   /// Number of calls that wait or run.
   std::size_t ActiveCalls() const;
+  /// Whether the target runs a call that a deeper call with this deadline serves.
+  bool RunsCallWithDeadline(TimePoint aDeadline) const;
   const AdmissionState& Admission() const;
   const TargetHealth& Health() const;
   /// Whether the local target receives no calls because its data centre is evacuated.
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -720,7 +720,7 @@
   void StopAcceptingRequests()
   {
     acceptingRequests_ = false;
-    dispatcher_->SetDraining();
+    dispatcher_->SetDraining(drainStartedAt_ + settings_.drainTimeout_);
     guard_->SetDraining();
   }
 
--- a/tests/failure/DrainTest.cpp
+++ b/tests/failure/DrainTest.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <future>
+#include <map>
 #include <vector>
 
 using namespace peridotquay;
@@ -24,6 +26,64 @@
          "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\n\r\n";
 }
 
+/// A process ends what is under way this long after SIGTERM.
+constexpr Duration kDrainTimeout = seconds(5);
+
+/// Routes: the keyed /search/ of s0, and of s1 the open routes /deposit/, which isn't repeatable,
+/// and /ledger/. Requests of /search/ and /ledger/ may last longer than a drain.
+nlohmann::json LongWorkDocument()
+{
+  const auto route = [](const char* aKind, const char* aService, int aTimeoutMs, bool aOpen) {
+    return nlohmann::json{ { "host", "h.example" }, { "kind", aKind },
+                           { "service", aService }, { "timeout_ms", aTimeoutMs },
+                           { "priority", 0 },       { "latency_target_ms", 1500 },
+                           { "max_attempts", 2 },   { "public", aOpen } };
+  };
+  nlohmann::json document = UserDocument(1, { "k1" });
+  document["routes"] = { { "search", route("safe", "s0", 6000, false) },
+                         { "deposit", route("unsafe", "s1", 1200, true) },
+                         { "ledger", route("safe", "s1", 6000, true) } };
+  for (auto& [name, entry] : document["routes"].items()) {
+    entry["prefix"] = "/" + name + "/";
+  }
+  return document;
+}
+
+/// A fleet of two hosts with LongWorkDocument.
+class LongWorkFleet
+{
+public:
+  LongWorkFleet()
+    : fleet_(2, false, false)
+  {
+    fleet_.Store().Put("op", "config", LongWorkDocument().dump());
+  }
+
+  UserFleet* operator->() { return &fleet_; }
+
+  /// Sends a request to host 0. Only requests of /search/ have a key.
+  standins::FetchResponse Send(const std::string& aPath,
+                               const std::string& aId,
+                               Duration aDeadline = seconds(6))
+  {
+    standins::FetchRequest request;
+    request.method_ = aPath.starts_with("/deposit/") ? "POST" : "GET";
+    request.target_ = aPath;
+    request.headers_ = { { "Host", "h.example" },
+                         { "X-Request-Id", aId },
+                         { "X-Deadline-Ms", std::to_string(aDeadline / milliseconds(1)) } };
+    if (aPath.starts_with("/search/")) {
+      request.headers_.emplace_back("Authorization", "Token k1");
+    }
+    request.timeout_ = aDeadline + seconds(1);
+    auto reply = standins::FetchHttp(fleet_.CallersAddress(0), request);
+    return reply.has_value() ? reply.assume_value() : standins::FetchResponse{};
+  }
+
+private:
+  UserFleet fleet_;
+};
+
 /// A connection to a host as another host has it.
 class RawPeer
 {
@@ -157,3 +217,56 @@
   CHECK(log.find("name=ContentAtEnd connections=0 partly_read=0 handled=0 answering=0 "
                  "unread_bytes=0 ") != std::string::npos);
 }
+
+// Guards against requests on open routes that a host takes late in a planned stop because they may
+// be calls of its own target, passes on, and then cuts when its time ends.
+TEST_CASE("a request that can't end before a planned stop is refused and not cut", "[drain]")
+{
+  constexpr int kDeposits = 38;
+  LongWorkFleet fleet;
+  REQUIRE(fleet->WaitReady());
+  auto search =
+    std::async(std::launch::async, [&] { return fleet.Send("/search/work-4700", "search"); });
+  std::this_thread::sleep_for(milliseconds(100));
+  const TimePoint signalledAt = Clock::now();
+  fleet->ProcessOf(0).Signal(SIGTERM);
+  std::vector<std::future<standins::FetchResponse>> deposits;
+  for (int i = 0; i < kDeposits; ++i) {
+    std::this_thread::sleep_until(signalledAt + kAcceptPeriod + i * milliseconds(100));
+    deposits.push_back(std::async(std::launch::async, [&fleet, i] {
+      return fleet.Send("/deposit/work-800", "deposit-" + std::to_string(i), seconds(5));
+    }));
+  }
+  std::map<unsigned, int> statuses;
+  for (auto& deposit : deposits) {
+    ++statuses[deposit.get().status_];
+  }
+  auto runs = fleet->ExecutionCounts();
+  int started = 0;
+  for (int i = 0; i < kDeposits; ++i) {
+    started += runs["deposit-" + std::to_string(i)];
+  }
+  INFO(statuses[200] << " answered, " << statuses[503] << " refused, " << statuses[502] << " cut, "
+                     << started << " started");
+  // Those that end at their deadline, if not before, are still passed on.
+  const int servable = (kDrainTimeout - kAcceptPeriod - milliseconds(1200)) / milliseconds(100);
+  CHECK(statuses[200] >= servable - 1);
+  CHECK(statuses[200] == started);
+  CHECK(statuses[200] + statuses[503] == kDeposits);
+  CHECK(search.get().status_ == 200);
+  CHECK(fleet->ProcessOf(0).Wait(6) == 0);
+}
+
+// Guards against a running request that fails because a call of its target, which may last longer
+// than the planned stop, is refused like a caller's request.
+TEST_CASE("a call of the own target is passed on until a planned stop ends", "[drain]")
+{
+  LongWorkFleet fleet;
+  fleet->TargetOf(0).CallDeeper(fleet->CallersAddress(0), "/ledger/work-1100", 4);
+  REQUIRE(fleet->WaitReady());
+  fleet->ProcessOf(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(300));
+  // Its last call begins 3.6 s after the signal, with a deadline after the end of the stop.
+  CHECK(fleet.Send("/search/1", "search").status_ == 200);
+  CHECK(fleet->ProcessOf(0).Wait(6) == 0);
+}
--- a/tests/failure/PathTest.cpp
+++ b/tests/failure/PathTest.cpp
@@ -325,6 +325,69 @@
   CHECK(runs == 2);
 }
 
+// Guards against calls that a draining node repeats at another target, which works on them when the
+// drain ends.
+TEST_CASE("a refused call isn't repeated if a drain may end before it", "[path][drain]")
+{
+  ScriptedTarget refusing([](const ReceivedRequest&) {
+    std::this_thread::sleep_for(milliseconds(400));
+    return MakeHttpResponse(503, "", "Quay-Outcome: not-run\r\n");
+  });
+  ScriptedTarget slow([](const ReceivedRequest&) {
+    std::this_thread::sleep_for(milliseconds(1000));
+    return MakeHttpResponse(200, "");
+  });
+  NodeSettings settings = TestSettings("first", "front", 1);
+  settings.drainTimeout_ = milliseconds(800);
+  RunningNode first(settings);
+  RunningNode second(TestSettings("second", "bell", refusing.Port()));
+  RunningNode third(TestSettings("third", "bell", slow.Port()));
+  Publish({ &first, &second, &third }, { &second });
+  Caller caller(first.node_->Ports().callers_);
+  ReceivedResponse answer;
+  std::thread request([&] { answer = caller.SendRequest("POST", "/deposits"); });
+  REQUIRE(WaitFor([&] { return !refusing.ReceivedRequests().empty(); }));
+  Publish({ &first, &second, &third }, { &second, &third });
+  first.node_->Drain();
+  request.join();
+  CHECK(answer.status_ == 503);
+  CHECK(answer.Outcome() == "not-run");
+  CHECK(slow.ReceivedRequests().empty());
+}
+
+// Guards against calls without a context that a draining node takes at the listener of its target
+// and cuts when the drain ends, and against refusing those that have one.
+TEST_CASE("a draining node passes on only calls that end in time or have a context",
+          "[path][drain]")
+{
+  std::atomic<std::uint16_t> outbound{ 0 };
+  std::atomic<int> openStatus{ 0 };
+  ScriptedTarget calling([&](const ReceivedRequest& aRequest) {
+    std::this_thread::sleep_for(milliseconds(300));
+    Caller target(outbound);
+    openStatus = target.SendRequest("GET", "/open", "").status_;
+    const std::string context = "Quay-Call: " + HeaderValue(aRequest.head_, "Quay-Call") + "\r\n";
+    return MakeHttpResponse(target.SendRequest("GET", "/deep", context).status_, "");
+  });
+  ScriptedTarget archive(EchoRequest);
+  NodeSettings settings = TestSettings("first", "bell", calling.Port());
+  settings.drainTimeout_ = milliseconds(800);
+  RunningNode first(settings);
+  RunningNode second(TestSettings("second", "archive", archive.Port()));
+  outbound = first.node_->Ports().outbound_;
+  const auto config = TestConfig();
+  config->routes_.back().service_ = { "archive" }; // That of /open.
+  Publish({ &first, &second }, { &first, &second }, config);
+  Caller caller(first.node_->Ports().callers_);
+  ReceivedResponse answer;
+  std::thread request([&] { answer = caller.SendRequest("GET", "/bells"); });
+  REQUIRE(WaitFor([&] { return !calling.ReceivedRequests().empty(); }));
+  first.node_->Drain();
+  request.join();
+  CHECK(openStatus == 503);
+  CHECK(answer.status_ == 200);
+}
+
 // Guards against a request that keeps running after its caller disconnected.
 TEST_CASE("closing the caller's connection cancels the request at the target", "[path]")
 {
