Send requests on an open route late in the drains of the soak

Cause: the soak's late clients had keys and are refused from 2.4 s after SIGTERM on, so that it couldn't show requests that a host takes late, passes on and cuts.

Change: at each planned stop 12 clients without a key send a request that isn't repeatable at drawn moments from 2.4 to 5.2 s after the signal, with drawn work of 20 ms to 0.97 of the timeout.

--- a/tests/soak/LostRequestTest.cpp
+++ b/tests/soak/LostRequestTest.cpp
@@ -78,8 +78,10 @@
                        { "X-Request-Id", aId },
                        { "X-Deadline-Ms",
                          std::to_string(
-                           std::chrono::duration_cast<milliseconds>(aKind.deadline_).count()) },
-                       { "Authorization", "Token k1" } };
+                           std::chrono::duration_cast<milliseconds>(aKind.deadline_).count()) } };
+  if (aKind.hasKey_) {
+    request.headers_.emplace_back("Authorization", "Token k1");
+  }
   request.body_ = std::string(aKind.bodyBytes_, 'b');
   request.timeout_ = aKind.deadline_ + kAnswerSlack;
   return request;
@@ -322,6 +324,7 @@
 public:
   Troubles(SiteFleet& aFleet, std::uint64_t aSeed, bool aPlannedOnly)
     : fleet_(aFleet)
+    , seed_(aSeed)
     , random_(aSeed)
     , plannedOnly_(aPlannedOnly)
   {
@@ -346,7 +349,7 @@
 
   const std::vector<Disruption>& Disruptions() const { return disruptions_; }
   const std::vector<Termination>& Terminations() const { return terminations_; }
-  /// Requests on kept connections that were sent late in a drain.
+  /// Requests on kept connections and on an open route that were sent late in a drain.
   const std::vector<Observed>& LateRequests() const { return lateRequests_; }
   int CleanStops() const { return cleanStops_; }
   int KilledStops() const { return killedStops_; }
@@ -426,16 +429,46 @@
     return clients;
   }
 
+  /// Sends requests on an open route at drawn moments of a drain, after which clients with a key
+  /// are refused. Their work takes up to almost the timeout of the route.
+  std::vector<std::thread> StartOpenClients(std::size_t aHost,
+                                            const std::shared_future<TimePoint>& aSignalledAt)
+  {
+    constexpr int kClients = 12;
+    std::mt19937_64 random(seed_ + ++openSeries_);
+    std::uniform_int_distribution<int> delayMs(2400, 5200);
+    std::uniform_int_distribution<int> workMs(20, kOpenRequestTimeout / milliseconds(1) * 97 / 100);
+    std::vector<std::thread> clients;
+    for (int i = 0; i < kClients; ++i) {
+      const auto delay = milliseconds(delayMs(random));
+      const std::string work = "work-" + std::to_string(workMs(random));
+      clients.emplace_back([this, aHost, aSignalledAt, delay, work] {
+        const std::string id = "open" + std::to_string(++lateIds_);
+        std::this_thread::sleep_until(aSignalledAt.get() + delay);
+        standins::HttpSession session(fleet_.CallersOf(aHost));
+        Observed observed{ id, &kOpenRequest, aHost, false, {}, {}, 0, {} };
+        Observe(session, MakeRequest(kOpenRequest, id, work), false, observed);
+        const std::lock_guard lock(mutex_);
+        lateRequests_.push_back(observed);
+      });
+    }
+    return clients;
+  }
+
   /// Stops a host's process as planned, with some more signals during the drain.
   void Terminate(std::size_t aHost, std::uint64_t aRepeats)
   {
-    std::promise<TimePoint> signalledAt;
-    auto lateClients = StartLateClients(aHost, signalledAt.get_future().share());
+    std::promise<TimePoint> promise;
+    const auto signalledAt = promise.get_future().share();
+    auto clients = StartLateClients(aHost, signalledAt);
+    for (auto& client : StartOpenClients(aHost, signalledAt)) {
+      clients.push_back(std::move(client));
+    }
     std::this_thread::sleep_for(milliseconds(500));
     {
       const std::lock_guard lock(mutex_);
       terminations_.push_back({ aHost, Clock::now() });
-      signalledAt.set_value(terminations_.back().at_);
+      promise.set_value(terminations_.back().at_);
     }
     fleet_.Signal(aHost, SIGTERM);
     for (std::uint64_t i = 0; i < aRepeats; ++i) {
@@ -449,7 +482,7 @@
       std::cerr << "stop of host " << aHost << " with code " << code << ", its log ends:\n"
                 << log.substr(log.size() - std::min<std::size_t>(log.size(), 4000)) << "\n";
     }
-    for (auto& client : lateClients) {
+    for (auto& client : clients) {
       client.join();
     }
     const std::lock_guard lock(mutex_);
@@ -493,6 +526,7 @@
   }
 
   SiteFleet& fleet_;
+  std::uint64_t seed_;
   std::mt19937_64 random_;
   bool plannedOnly_;
   std::mutex mutex_; ///< Guards the members below but threads_.
@@ -501,6 +535,7 @@
   std::vector<Termination> terminations_;
   std::vector<Observed> lateRequests_;
   std::atomic<int> lateIds_{ 0 };
+  std::atomic<std::uint64_t> openSeries_{ 0 }; ///< Drains with requests on an open route.
   int cleanStops_ = 0;
   int killedStops_ = 0;
   std::vector<std::thread> threads_;
--- a/tests/soak/SiteFleet.h
+++ b/tests/soak/SiteFleet.h
@@ -35,8 +35,13 @@
   Duration deadline_{};
   bool keepsConnections_ = true; ///< False: a new connection for each request.
   std::size_t bodyBytes_ = 0;
+  bool hasKey_ = true; ///< False: the route is open, as those of the targets' own calls are.
 };
 
+/// Requests on an open route, which a host can't tell from calls of its own target.
+inline const RequestKind kOpenRequest{ "/open/", false, 2, 0, seconds(5), false, 0, false };
+inline constexpr Duration kOpenRequestTimeout = milliseconds(1500);
+
 /// Load of a site.
 struct SitePlan
 {
@@ -159,11 +164,15 @@
       { "version", "r" + std::to_string(version_) },
       { "tenants", { { "t1", { { "api_keys", { "k1" } }, { "rate_per_s", 0 } } } } }
     };
-    const auto add = [&](const std::string& aPath, bool aSafe, std::size_t aService, bool aOpen) {
+    const auto add = [&](const std::string& aPath,
+                         bool aSafe,
+                         std::size_t aService,
+                         bool aOpen,
+                         Duration aTimeout = seconds(10)) {
       document["routes"][aPath] = { { "host", "h.example" },
                                     { "prefix", aPath },
                                     { "kind", aSafe ? "safe" : "unsafe" },
-                                    { "timeout_ms", 10000 },
+                                    { "timeout_ms", aTimeout / milliseconds(1) },
                                     { "latency_target_ms", 1500 },
                                     { "priority", aSafe ? 2 : 0 },
                                     { "service", "s" + std::to_string(aService) },
@@ -174,6 +183,11 @@
       add(kind.path_, kind.repeatable_, kind.service_, false);
     }
     add("/index/", true, 3, true);
+    add(kOpenRequest.path_,
+        kOpenRequest.repeatable_,
+        kOpenRequest.service_,
+        true,
+        kOpenRequestTimeout);
     add("/added-" + std::to_string(version_) + "/", true, 0, false);
     for (std::size_t service = 0; service < 4; ++service) {
       document["services"]["s" + std::to_string(service)] = nlohmann::json::object();
