Refuse a forwarded request whose account isn't configured here

Cause: the host that issued an id looks up the account of a forwarded request in its own configuration with at(). The request was authenticated under the configuration of another host, which may be older or newer.

Change: without the account the request is refused as not run, configuration-not-fresh, after which the id may still run. The other calls of at() were looked through: none takes a key of another process that isn't checked before.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -428,13 +428,25 @@
 void Dispatcher::ApplyRateLimit(const CallPointer& aCall)
 {
   const ClientAccountId& account = aCall->call_.clientAccount_;
-  if (account.value_.empty() || aCall->config_->clientAccounts_.at(account).ratePerSecond_ <= 0) {
+  if (account.value_.empty()) {
+    StartCall(aCall);
+    return;
+  }
+  const auto& accounts = aCall->config_->clientAccounts_;
+  const auto configured = accounts.find(account);
+  if (configured == accounts.end()) {
+    // Another host forwarded the call, and its configuration is older or newer.
+    metrics_.Add(Counter::kRefusedStaleConfig);
+    Refuse(aCall, ErrorCode::kConfigurationNotFresh, kUnprovenRetryAfterMs);
+    return;
+  }
+  if (configured->second.ratePerSecond_ <= 0) {
     StartCall(aCall);
     return;
   }
   const TimePoint now = loop_.Now();
   if (settings_.naive_) {
-    if (TryConsumeNaiveRateToken(naive_, aCall->config_->clientAccounts_.at(account), now)) {
+    if (TryConsumeNaiveRateToken(naive_, configured->second, now)) {
       StartCall(aCall);
     } else {
       metrics_.Add(Counter::kRefusedRate);
--- a/tests/failure/PathTest.cpp
+++ b/tests/failure/PathTest.cpp
@@ -30,6 +30,14 @@
   return false;
 }
 
+/// A new request id.
+std::string IssueId(Caller& aCaller, const std::string& aKeyHeader)
+{
+  const auto issued = aCaller.SendRequest("POST", "/quay/request-ids", aKeyHeader);
+  const auto start = issued.body_.find('"', issued.body_.find('[')) + 1;
+  return issued.body_.substr(start, issued.body_.find('"', start) - start);
+}
+
 } // namespace
 
 // Guards against responses that are truncated, mixed up between calls or altered on their way
@@ -280,6 +288,37 @@
   CHECK(runs == 1);
 }
 
+// Guards against a process that ends because another host forwarded a request of a client account
+// that its own configuration doesn't have, since versions reach hosts at different times.
+TEST_CASE("a forwarded request of an unknown account is refused as not run", "[path]")
+{
+  ScriptedTarget target(EchoRequest);
+  RunningNode first(TestSettings("first", "front", 1));
+  RunningNode owner(TestSettings("owner", "bell", target.Port()));
+  Publish({ &first, &owner }, { &owner });
+  const std::string key = "Quay-Key: " + kTestKey + "\r\n";
+  Caller ownerCaller(owner.node_->Ports().callers_);
+  const std::string headers = key + "Quay-Request-Id: " + IssueId(ownerCaller, key) + "\r\n";
+  auto withoutAccount = TestConfig();
+  withoutAccount->version_ = 2;
+  withoutAccount->clientAccounts_.clear();
+  withoutAccount->keys_.clear();
+  owner.control_->callbacks_.publishConfig_(withoutAccount);
+  Caller caller(first.node_->Ports().callers_);
+  const auto refused = caller.SendRequest("POST", "/deposits", headers, "!");
+  CHECK(refused.status_ == 503);
+  CHECK(refused.Outcome() == "not-run");
+  CHECK(target.ReceivedRequests().empty());
+  // Once the owner knows the account, the same id may run.
+  auto withAccount = TestConfig();
+  withAccount->version_ = 3;
+  owner.control_->callbacks_.publishConfig_(withAccount);
+  const auto answer = caller.SendRequest("POST", "/deposits", headers, "!");
+  CHECK(answer.status_ == 200);
+  CHECK(answer.Outcome() == "ran");
+  CHECK(target.ReceivedRequests().size() == 1);
+}
+
 // Guards against a drain that aborts requests in flight, accepts new ones, or loses the records of
 // request ids.
 TEST_CASE("a draining node finishes its calls and hands its records to a successor", "[path]")
@@ -294,10 +333,7 @@
   Publish({ &first, &second }, { &second });
   const std::string key = "Quay-Key: " + kTestKey + "\r\n";
   Caller caller(first.node_->Ports().callers_);
-  const auto issued = caller.SendRequest("POST", "/quay/request-ids", key);
-  const auto start = issued.body_.find('"', issued.body_.find('[')) + 1;
-  const std::string id = issued.body_.substr(start, issued.body_.find('"', start) - start);
-  const std::string headers = key + "Quay-Request-Id: " + id + "\r\n";
+  const std::string headers = key + "Quay-Request-Id: " + IssueId(caller, key) + "\r\n";
   REQUIRE(caller.SendRequest("POST", "/deposits", headers).body_ == "run 1");
 
   ReceivedResponse inFlight;
