Keep answers of paused callers while there is memory

Cause: large messages together had an eighth of host_memory_mb, and when answers didn't fit, any message whose other side had been idle for 1 s was ended, also the answer of a request that ran. At a full budget the process took 36 MB of the 160 MiB that it may take.

Change: the budget is a quarter of host_memory_mb, and a caller may pause for 5 s while it reads before its answer is ended to make room. Other messages keep 1 s.

ByteBudgetTest "answers aren't cut while their callers pause and there is memory": 34 of 56 whole before, 56 now. Peaks of the three cases for unfinished messages: 53,028, 75,280 and 72,808 KiB; their bound of 163,840 KiB stays. test_failure "[budget]" and test_connection "[budget]" pass.

--- a/peridotquay/connection/ByteBudget.cpp
+++ b/peridotquay/connection/ByteBudget.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// A message whose other side hasn't sent or read a byte for this long may be ended to make room,
-// and so may one that has waited for this long behind another.
-constexpr Duration kIdleTime = seconds(1);
-
 // Interval of the checks while holders wait or the budget is exceeded.
 constexpr Duration kCheckInterval = milliseconds(10);
 
@@ -38,14 +34,15 @@
 
 } // namespace
 
-// Returns the largest message whose other side has been idle for aIdleTime, the one that has been
-// idle for longest among equals; null if there is none.
-HeldBytes* FindIdle(const ByteBudget& aBudget, Duration aIdleTime)
+// Returns the largest message that needs its other side, the one that has been idle for longest
+// among equals; null if there is none. With aForLong, only those that have been idle for their idle
+// time.
+HeldBytes* FindIdle(const ByteBudget& aBudget, bool aForLong)
 {
   const TimePoint now = aBudget.loop_.Now();
   HeldBytes* found = nullptr;
   for (const auto& [number, held] : aBudget.held_) {
-    if (held->needsOtherSide_ && now - held->touchedAt_ >= aIdleTime &&
+    if (held->needsOtherSide_ && (!aForLong || now - held->touchedAt_ >= held->idleTime_) &&
         (found == nullptr || held->bytes_ > found->bytes_ ||
          (held->bytes_ == found->bytes_ && held->touchedAt_ < found->touchedAt_))) {
       found = held;
@@ -87,7 +84,7 @@
 bool MakeRoom(ByteBudget& aBudget, std::size_t aBytes, std::size_t aLimit, bool aEndsWaiting)
 {
   while (aBudget.used_ + aBytes > aLimit) {
-    HeldBytes* found = FindIdle(aBudget, kIdleTime);
+    HeldBytes* found = FindIdle(aBudget, true);
     if (found == nullptr && aEndsWaiting) {
       found = FindWaitingBehind(aBudget);
     }
@@ -105,7 +102,7 @@
 {
   MakeRoom(aBudget, 0, aBudget.limit_, true);
   while (aBudget.used_ > aBudget.limit_ * kMaxExcessFactor) {
-    HeldBytes* largest = FindIdle(aBudget, Duration::zero());
+    HeldBytes* largest = FindIdle(aBudget, false);
     if (largest == nullptr) {
       break;
     }
@@ -225,9 +222,10 @@
   }
 }
 
-void HeldBytes::SetNeedsOtherSide(bool aNeedsOtherSide)
+void HeldBytes::SetNeedsOtherSide(bool aNeedsOtherSide, Duration aIdleTime)
 {
   needsOtherSide_ = aNeedsOtherSide;
+  idleTime_ = aIdleTime;
   Touch();
 }
 
--- a/peridotquay/connection/ByteBudget.h
+++ b/peridotquay/connection/ByteBudget.h
@@ -23,9 +23,12 @@
 /// use up the budget. The limits of connections bound them.
 inline constexpr std::size_t kUncountedMessageBytes = std::size_t{ 16 } * 1024;
 
-/// Part of a host's memory that counted messages may take. A message may be held up to three times
-/// while it passes from one connection to the next.
-inline constexpr double kMessageMemoryFraction = 0.125;
+/// Part of a host's memory that counted messages may take. While a message passes from one
+/// connection to the next, it may take up to three times its size for a short time.
+inline constexpr double kMessageMemoryFraction = 0.25;
+
+/// A message whose other side hasn't sent or read a byte for this long may be ended to make room.
+inline constexpr Duration kIdleTime = seconds(1);
 
 /// Part of the budget beyond which requests are refused. They hold their bytes until they are
 /// answered, so that answers must find room beside them.
@@ -80,8 +83,9 @@
   /// Gives all bytes back.
   void Release();
   /// States whether the message goes on only if the other side of the connection sends or reads.
-  /// Only then it may be ended to make room. Restarts the idle time.
-  void SetNeedsOtherSide(bool aNeedsOtherSide);
+  /// Only then it may be ended to make room, once that side has been idle for aIdleTime. Restarts
+  /// the idle time.
+  void SetNeedsOtherSide(bool aNeedsOtherSide, Duration aIdleTime = kIdleTime);
   /// States whether answers among the bytes wait for one that isn't there yet and precedes them on
   /// the connection. That one may itself wait for room, which the other side can't make. The
   /// message may therefore be ended after a time while answers wait for room or the budget is
@@ -93,7 +97,7 @@
 
 private:
   friend void CheckBudget(ByteBudget& aBudget);
-  friend HeldBytes* FindIdle(const ByteBudget& aBudget, Duration aIdleTime);
+  friend HeldBytes* FindIdle(const ByteBudget& aBudget, bool aForLong);
   friend HeldBytes* FindWaitingBehind(const ByteBudget& aBudget);
   friend void End(ByteBudget& aBudget, HeldBytes& aHeld);
   void Set(std::size_t aBytes);
@@ -105,6 +109,7 @@
   std::size_t bytes_ = 0;
   std::uint64_t number_ = 0; ///< Key in ByteBudget::held_ while bytes_ isn't 0.
   TimePoint touchedAt_{};
+  Duration idleTime_ = kIdleTime;
   TimePoint waitsBehindSince_{}; ///< Valid while waitsBehind_.
   bool needsOtherSide_ = false;
   bool waitsBehind_ = false;
--- a/peridotquay/connection/HttpServer.cpp
+++ b/peridotquay/connection/HttpServer.cpp
@@ -42,6 +42,10 @@
 // Time after which a caller may repeat a request that was refused for lack of memory.
 constexpr std::uint32_t kFullRetryAfterMs = 1000;
 
+// A caller may pause for this long while it reads before its connection is ended to make room. Its
+// request ran, and if it isn't repeatable, the answer can't be had again.
+constexpr Duration kUnreadAnswerIdleTime = seconds(5);
+
 // Time that a caller has to close its side of a connection that the server has closed.
 constexpr Duration kCloseTimeout = milliseconds(500);
 
@@ -313,7 +317,7 @@
     parser_.reset();
     unparsed_ = std::string();
     incomingBytes_ = 0;
-    held_.SetNeedsOtherSide(pipeline_.sending_);
+    held_.SetNeedsOtherSide(pipeline_.sending_, kUnreadAnswerIdleTime);
     if (pipeline_.closing_) {
       // timer_ may be the one that ends a closing connection.
       UpdateHeld();
@@ -450,7 +454,7 @@
       writeBuffer_.insert(slot.headBytes_ - 2, "Connection: close\r\n");
     }
     UpdateHeld();
-    held_.SetNeedsOtherSide(true);
+    held_.SetNeedsOtherSide(true, kUnreadAnswerIdleTime);
     StartTimer(writeTimer_, server_.settings_.writeTimeout_, false);
     writtenBytes_ = 0;
     boost::asio::async_write(
@@ -498,7 +502,7 @@
       return false;
     }
     incomingBytes_ = bytes;
-    held_.SetNeedsOtherSide(true);
+    held_.SetNeedsOtherSide(true, pipeline_.sending_ ? kUnreadAnswerIdleTime : kIdleTime);
     return true;
   }
 
@@ -820,7 +824,7 @@
         // the request isn't ended to make room.
         if (MustWait(nextMayOverlap_)) {
           StopTimer(timer_);
-          held_.SetNeedsOtherSide(pipeline_.sending_);
+          held_.SetNeedsOtherSide(pipeline_.sending_, kUnreadAnswerIdleTime);
           return false;
         }
         Dispatch();
@@ -844,7 +848,7 @@
     parser_.reset();
     requestBegan_ = false;
     waitCounted_ = false;
-    held_.SetNeedsOtherSide(pipeline_.sending_);
+    held_.SetNeedsOtherSide(pipeline_.sending_, kUnreadAnswerIdleTime);
     const std::size_t reservedBytes = std::exchange(incomingBytes_, 0);
     const std::size_t requestBytes = std::min(reservedBytes, message.body().size());
     requestBytes_ += requestBytes;
--- a/tests/connection/ByteBudgetTest.cpp
+++ b/tests/connection/ByteBudgetTest.cpp
@@ -66,6 +66,31 @@
   CHECK(budget->endedMessages_ == 2);
 }
 
+// Guards against ending a message whose other side may pause for longer than others.
+TEST_CASE("a message with a longer idle time is ended later", "[budget]")
+{
+  EventLoop loop;
+  const auto budget = std::make_shared<ByteBudget>(loop, 1000);
+  int ended = 0;
+  HeldBytes patient(budget, [&] {
+    ++ended;
+    patient.Release();
+  });
+  patient.ReserveAlways(1000);
+  patient.SetNeedsOtherSide(true, milliseconds(1500));
+  HeldBytes answer(budget, nullptr);
+  bool served = false;
+  CHECK_FALSE(answer.ReserveOrWait(500, [&] { served = true; }));
+  loop.After(milliseconds(1200), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(ended == 0);
+  CHECK_FALSE(served);
+  loop.After(milliseconds(500), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(ended == 1);
+  CHECK(served);
+}
+
 // Guards against answers that wait for ever or out of order, and against later ones that overtake.
 TEST_CASE("messages that wait for room get it in order", "[budget]")
 {
--- a/tests/connection/RawSocket.h
+++ b/tests/connection/RawSocket.h
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 
@@ -38,11 +39,15 @@
 class RawSocket
 {
 public:
-  /// aReceiveBufferBytes: see SetReceiveBuffer.
-  explicit RawSocket(std::uint16_t aPort, int aReceiveBufferBytes = 0)
+  /// aReceiveBufferBytes: see SetReceiveBuffer. aSegmentBytes is the maximum segment size, 0 for
+  /// that of the loopback device, whose large segments let the other side's send buffer grow.
+  explicit RawSocket(std::uint16_t aPort, int aReceiveBufferBytes = 0, int aSegmentBytes = 0)
     : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
   {
     SetReceiveBuffer(descriptor_, aReceiveBufferBytes);
+    if (aSegmentBytes > 0) {
+      ::setsockopt(descriptor_, IPPROTO_TCP, TCP_MAXSEG, &aSegmentBytes, sizeof(aSegmentBytes));
+    }
     const sockaddr_in address = Loopback(aPort);
     if (::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
       throw std::runtime_error("connect failed");
--- a/tests/failure/ByteBudgetTest.cpp
+++ b/tests/failure/ByteBudgetTest.cpp
@@ -191,6 +191,39 @@
   CHECK(statuses.contains(200));
 }
 
+// Guards against answers of requests that ran which are cut because their callers pause while they
+// read, although the process has much memory left.
+TEST_CASE("answers aren't cut while their callers pause and there is memory", "[users][budget]")
+{
+  constexpr int kCallers = 56;
+  constexpr int kReceiveBufferBytes = 4096;
+  constexpr int kSegmentBytes = 536;
+  UserFleet fleet(2);
+  REQUIRE(fleet.WaitReady());
+  std::atomic<int> whole{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      std::this_thread::sleep_for(milliseconds(20 * i));
+      RawSocket socket(fleet.CallersAddress(0).port_, kReceiveBufferBytes, kSegmentBytes);
+      socket.Write("POST /write/large HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: paused-" +
+                   std::to_string(i) +
+                   "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token k1\r\n\r\n");
+      std::this_thread::sleep_for(milliseconds(2500));
+      const bool answered = socket.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 200");
+      const std::size_t size = socket.ReadBytes(standins::kLargeAnswerBytes).size();
+      whole += answered && size == standins::kLargeAnswerBytes ? 1 : 0;
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  const std::size_t peakKb = StatusKb(fleet.ProcessOf(0), "VmHWM");
+  WARN("peak " << peakKb << " KiB");
+  CHECK(whole == kCallers);
+  CHECK(peakKb < kHostMemoryKb);
+}
+
 // Guards against connections that each send a part of a frame and together take the process over
 // the memory of its host.
 TEST_CASE("unfinished frames of many peers don't exhaust the memory", "[users][budget]")
