Call a refused repeat not run only if its id is unused

Cause: refusals before the look-up of a request id (configuration not fresh, key, route) were all given as not run. What holds now says nothing about whether the request ran before.

Change: a request that is refused only because the configuration isn't fresh is looked up under its id, so that a repeat gets the kept answer. Otherwise OutcomeOfRefusal says not run only if this host keeps the record of the id and it is unused, at the first host and at the one that issued the id.

--- a/peridotquay/process/Dispatcher.cpp
+++ b/peridotquay/process/Dispatcher.cpp
@@ -108,10 +108,10 @@
   if (account == nullptr) {
     return Refusal{ ErrorCode::kUnknownKey };
   }
+  aCall.call_.clientAccount_ = account->id_;
   if (!settings_.naive_ && FreshnessAge() >= config_->policy_.keyFreshnessBound_) {
     return Refusal{ ErrorCode::kConfigurationNotFresh, kShedRetryAfterMs };
   }
-  aCall.call_.clientAccount_ = account->id_;
   if (aCall.route_ != nullptr) {
     const auto& allowed = aCall.route_->clientAccounts_;
     if (!allowed.empty() &&
@@ -204,10 +204,10 @@
 {
   metrics_.Add(Counter::kCallerRequests);
   const HttpRequest& request = aExchange->request_;
+  const auto id = dialect_.issuesRequestIds_ ? FindHeader(request.headers_, "Quay-Request-Id")
+                                             : std::optional<std::string_view>();
   // A request with an id is looked up even while draining, because an earlier use may have run.
-  const bool hasRequestId =
-    dialect_.issuesRequestIds_ && FindHeader(request.headers_, "Quay-Request-Id");
-  if (draining_ && !hasRequestId && !MayServeRunningCall(request)) {
+  if (draining_ && !id && !MayServeRunningCall(request)) {
     metrics_.Add(Counter::kRefusedDraining);
     RefuseExchange(aExchange, { ErrorCode::kDraining, kShedRetryAfterMs });
     return;
@@ -233,8 +233,16 @@
     refusal = Refusal{ ErrorCode::kNoRoute };
   }
   aExchange->mayOverlap_ = call->route_ != nullptr && call->route_->repeatable_;
+  if (id && call->route_ != nullptr && !call->route_->repeatable_) {
+    call->requestId_ = *id;
+  }
   if (!refusal) {
     refusal = Authenticate(request, *call);
+    // Whether the key still holds matters only for a request that would run now.
+    if (refusal && refusal->code_ == ErrorCode::kConfigurationNotFresh &&
+        !call->requestId_.empty()) {
+      call->refusalIfUnused_ = std::exchange(refusal, std::nullopt);
+    }
   }
   if (refusal && refusal->code_ != ErrorCode::kConfigurationNotFresh && !MayRefuseForGood()) {
     refusal = Refusal{ ErrorCode::kConfigurationNotFresh, kUnprovenRetryAfterMs };
@@ -257,10 +265,6 @@
     // work of the request that it serves.
     call->call_.importance_ = Importance::kCritical;
   }
-  const auto id = FindHeader(request.headers_, "Quay-Request-Id");
-  if (dialect_.issuesRequestIds_ && id && !call->route_->repeatable_) {
-    call->requestId_ = *id;
-  }
   RegisterCall(call, aExchange);
   if (call->requestId_.empty()) {
     ApplyRateLimit(call);
--- a/peridotquay/process/Dispatcher.h
+++ b/peridotquay/process/Dispatcher.h
@@ -112,6 +112,13 @@
   std::function<void(ShareRequest)> requestTokens_;
 
 private:
+  /// Reason for a refusal and the hint to the caller.
+  struct Refusal
+  {
+    ErrorCode code_ = ErrorCode::kShed;
+    std::uint32_t retryAfterMs_ = 0;
+  };
+
   /// A caller's request or a deeper call that this host handles.
   struct ActiveCall
   {
@@ -135,6 +142,8 @@
     std::uint64_t sequence_ = 0; ///< Sequence of requestId_ while this host runs it; else 0.
     std::pair<HostId, Incarnation> ledgerKey_; ///< Host and incarnation that issued requestId_.
     std::string requestDigest_;
+    /// Refuses the request unless its id has been used: a repeat gets the answer of its first use.
+    std::optional<Refusal> refusalIfUnused_;
 
     std::string contextToken_; ///< Context of the call that this one serves; deeper calls only.
     std::uint32_t retriesFromContext_ = 0; ///< Retries lent by that context.
@@ -153,13 +162,6 @@
   };
   using CallPointer = std::shared_ptr<ActiveCall>;
 
-  /// Reason for a refusal and the hint to the caller.
-  struct Refusal
-  {
-    ErrorCode code_ = ErrorCode::kShed;
-    std::uint32_t retryAfterMs_ = 0;
-  };
-
   // Checks and admission of requests.
   std::optional<Refusal> Authenticate(const HttpRequest& aRequest, ActiveCall& aCall) const;
   Duration FreshnessAge() const;
@@ -189,6 +191,10 @@
 
   // Request ids.
   RequestLedger* FindLedger(const HostId& aHost, Incarnation aIncarnation);
+  /// Whether this host keeps the record of the id and no request has run under it.
+  bool IsUnused(std::string_view aRequestId);
+  /// What is known about a request that is refused with aCode before its id is looked up.
+  Outcome OutcomeOfRefusal(std::string_view aRequestId, ErrorCode aCode);
   void BeginWithId(const CallPointer& aCall);
   void BeginRecord(const CallPointer& aCall, RequestLedger& aLedger, std::uint64_t aSequence);
   void SendToOwner(const CallPointer& aCall, const Address& aOwner);
--- a/peridotquay/process/DispatcherEnd.cpp
+++ b/peridotquay/process/DispatcherEnd.cpp
@@ -277,10 +277,16 @@
 void Dispatcher::RefuseExchange(const std::shared_ptr<HttpExchange>& aExchange,
                                 const Refusal& aRefusal)
 {
-  metrics_.Add(Counter::kAnswersNotRun);
-  LogRefusal(aExchange->request_, aRefusal.code_);
+  const HttpRequest& request = aExchange->request_;
+  const auto id = FindHeader(request.headers_, "Quay-Request-Id");
+  const Route* route = config_ ? FindRequestRoute(request) : nullptr;
+  const bool runsOnce =
+    dialect_.issuesRequestIds_ && id && (route == nullptr || !route->repeatable_);
+  const Outcome outcome = runsOnce ? OutcomeOfRefusal(*id, aRefusal.code_) : Outcome::kNotRun;
+  metrics_.Add(outcome == Outcome::kNotRun ? Counter::kAnswersNotRun : Counter::kAnswersUnknown);
+  LogRefusal(request, aRefusal.code_);
   aExchange->Respond(dialect_.failure_(
-    aRefusal.code_, Outcome::kNotRun, ErrorDetail(aRefusal.code_), aRefusal.retryAfterMs_));
+    aRefusal.code_, outcome, ErrorDetail(aRefusal.code_), aRefusal.retryAfterMs_));
 }
 
 void Dispatcher::Respond(const std::shared_ptr<HttpExchange>& aExchange,
--- a/peridotquay/process/DispatcherRequestIds.cpp
+++ b/peridotquay/process/DispatcherRequestIds.cpp
@@ -25,6 +25,33 @@
   return imported == importedLedgers_.end() ? nullptr : &imported->second;
 }
 
+bool Dispatcher::IsUnused(std::string_view aRequestId)
+{
+  const auto parsed = ParseRequestId(aRequestId);
+  if (parsed.has_error()) {
+    return false;
+  }
+  const RequestIdParts& parts = parsed.assume_value();
+  const RequestLedger* ledger = FindLedger(parts.host_, parts.incarnation_);
+  const RequestRecord* record =
+    ledger == nullptr || ledger->closed_ ? nullptr : FindRecord(*ledger, parts.sequence_);
+  return record != nullptr && record->state_ == RecordState::kIssued;
+}
+
+Outcome Dispatcher::OutcomeOfRefusal(std::string_view aRequestId, ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::kConfigurationNotFresh:
+    case ErrorCode::kUnknownKey:
+    case ErrorCode::kRouteNotAllowed:
+    case ErrorCode::kNoRoute:
+      // An earlier use may have run under another version of the configuration.
+      return IsUnused(aRequestId) ? Outcome::kNotRun : Outcome::kUnknown;
+    default:
+      return Outcome::kNotRun;
+  }
+}
+
 void Dispatcher::BeginWithId(const CallPointer& aCall)
 {
   const auto parsed = ParseRequestId(aCall->requestId_);
@@ -50,6 +77,11 @@
     EndUnknown(aCall, ErrorCode::kOutcomeUnknown);
     return;
   }
+  if (aCall->refusalIfUnused_) {
+    // The owner of the id would run it if it is unused.
+    EndUnknown(aCall, aCall->refusalIfUnused_->code_);
+    return;
+  }
   SendToOwner(aCall, owner->second);
 }
 
@@ -71,6 +103,10 @@
     case BeginResult::kRun:
       aCall->sequence_ = aSequence;
       aCall->isOwnerCall_ = false;
+      if (aCall->refusalIfUnused_) {
+        Refuse(aCall, aCall->refusalIfUnused_->code_, aCall->refusalIfUnused_->retryAfterMs_);
+        return;
+      }
       if (draining_) {
         Refuse(aCall, ErrorCode::kDraining, kShedRetryAfterMs);
         return;
@@ -115,7 +151,7 @@
   metrics_.Add(Counter::kOwnerCalls);
   auto call = std::make_shared<ActiveCall>();
   const auto refuse = [&](ErrorCode aCode) {
-    Answer answer = MakeAnswer(Outcome::kNotRun, aCode);
+    Answer answer = MakeAnswer(OutcomeOfRefusal(aCall.requestId_, aCode), aCode);
     answer.retriesUnused_ = aCall.call_.retries_;
     aHandler(answer);
   };
--- a/tests/failure/PathTest.cpp
+++ b/tests/failure/PathTest.cpp
@@ -288,6 +288,63 @@
   CHECK(runs == 1);
 }
 
+// Guards against "not run" for the repeat of a request that ran, when its host can't tell any more
+// whether the key or the route still holds.
+TEST_CASE("a repeat of a request that ran is never refused as not run", "[path]")
+{
+  ScriptedTarget target(EchoRequest);
+  RunningNode owner(TestSettings("owner", "bell", target.Port()));
+  RunningNode other(TestSettings("other", "front", 1));
+  Publish({ &owner, &other }, { &owner });
+  const std::string key = "Quay-Key: " + kTestKey + "\r\n";
+  Caller caller(owner.node_->Ports().callers_);
+  Caller otherCaller(other.node_->Ports().callers_);
+  const std::string used = key + "Quay-Request-Id: " + IssueId(caller, key) + "\r\n";
+  const std::string unused = key + "Quay-Request-Id: " + IssueId(caller, key) + "\r\n";
+  const auto first = caller.SendRequest("POST", "/deposits", used, "!");
+  REQUIRE(first.Outcome() == "ran");
+  const auto publish = [&](const std::function<void(Config&)>& aChange) {
+    auto config = TestConfig();
+    config->version_ = 2;
+    aChange(*config);
+    owner.control_->callbacks_.publishConfig_(config);
+    other.control_->callbacks_.publishConfig_(config);
+  };
+  SECTION("the configuration isn't fresh")
+  {
+    publish([](Config& aConfig) { aConfig.policy_.keyFreshnessBound_ = Duration::min(); });
+    const auto repeat = caller.SendRequest("POST", "/deposits", used, "!");
+    CHECK(repeat.Outcome() == "ran");
+    CHECK(repeat.body_ == first.body_);
+    const auto refused = caller.SendRequest("POST", "/deposits", unused, "!");
+    CHECK(refused.status_ == 503);
+    CHECK(refused.Outcome() == "not-run");
+    CHECK(otherCaller.SendRequest("POST", "/deposits", used, "!").Outcome() == "unknown");
+  }
+  SECTION("the key was withdrawn")
+  {
+    publish([](Config& aConfig) { aConfig.keys_.clear(); });
+    CHECK(caller.SendRequest("POST", "/deposits", used, "!").Outcome() == "unknown");
+    CHECK(caller.SendRequest("POST", "/deposits", unused, "!").status_ == 401);
+    CHECK(otherCaller.SendRequest("POST", "/deposits", used, "!").Outcome() == "unknown");
+  }
+  SECTION("the route was removed")
+  {
+    publish([](Config& aConfig) { aConfig.routes_.clear(); });
+    CHECK(caller.SendRequest("POST", "/deposits", used, "!").Outcome() == "unknown");
+    CHECK(caller.SendRequest("POST", "/deposits", unused, "!").status_ == 404);
+  }
+  SECTION("the route was removed at the owner of the id only")
+  {
+    auto config = TestConfig();
+    config->version_ = 2;
+    config->routes_.clear();
+    owner.control_->callbacks_.publishConfig_(config);
+    CHECK(otherCaller.SendRequest("POST", "/deposits", used, "!").Outcome() == "unknown");
+  }
+  CHECK(target.ReceivedRequests().size() == 1);
+}
+
 // Guards against a process that ends because another host forwarded a request of a client account
 // that its own configuration doesn't have, since versions reach hosts at different times.
 TEST_CASE("a forwarded request of an unknown account is refused as not run", "[path]")
