Refuse calls of other hosts that may outlast a planned stop

Cause: until other hosts know of a stop, 1.2 s after SIGTERM, they send it calls, and its guard runs whatever comes within 2.4 s. A call of more than 2.9 s is cut when the drain ends, and its host answers 502.

Change: from SIGTERM on, a call of another host is refused as not run, so that it runs elsewhere, if its deadline is after the end of the drain and the longest recent call of its route, times 1.5, too (Guard::MayOutlast, the same DecideDuringDrain). Where too few calls are known it is run as before.

Measured: DrainTest "a call of another host that may outlast a planned stop runs elsewhere": 12 of 24 requests answered with, 24 now. test_drain (7 cases) and test_platform (43) pass.

--- a/peridotquay/process/Guard.cpp
+++ b/peridotquay/process/Guard.cpp
@@ -541,6 +541,11 @@
     RecordTargetOutcome(aExecutionResult, aAnswer);
     EndLimitedRun(guardedCall, RunResultOf(aExecutionResult, aAnswer));
   }
+  // A call that was cut at its deadline would have taken longer still.
+  if (aExecutionResult == ExecutionResult::kAnswered ||
+      aExecutionResult == ExecutionResult::kTimedOut) {
+    RecordDuration(durations_[guardedCall.call_.route_], now - guardedCall.arrivedAt_, now);
+  }
   FillLoad(aAnswer);
   LogEnd(guardedCall, aAnswer);
   if (guardedCall.completionHandler_) {
@@ -764,6 +769,8 @@
 void Guard::SetConfig(std::shared_ptr<const Config> aConfig)
 {
   config_ = std::move(aConfig);
+  std::erase_if(durations_,
+                [this](const auto& aEntry) { return ConfiguredRoute(aEntry.first) == nullptr; });
   admission_.settings_.queueCapacity_ = config_->policy_.queueCapacity_;
   admission_.settings_.queueDeadlineFraction_ = config_->policy_.queueDeadlineFraction_;
   const auto coldStart = config_->coldStarts_.find(settings_.service_);
@@ -997,6 +1004,18 @@
   return calls_.size();
 }
 
+bool Guard::MayOutlast(const Call& aCall, TimePoint aEndsAt) const
+{
+  const auto recent = durations_.find(aCall.route_);
+  if (recent == durations_.end()) {
+    return false;
+  }
+  const TimePoint now = loop_.Now();
+  const auto longest = LongestRecentDuration(recent->second, now);
+  const DrainingCall call{ now + milliseconds(aCall.deadlineMs_), false, longest };
+  return longest && DecideDuringDrain(call, aEndsAt, now) == DrainDecision::kRefuse;
+}
+
 bool Guard::RunsCallWithDeadline(TimePoint aDeadline) const
 {
   return std::any_of(calls_.begin(), calls_.end(), [&](const auto& aEntry) {
--- a/peridotquay/process/Guard.h
+++ b/peridotquay/process/Guard.h
@@ -13,6 +13,7 @@
 #include "peridotquay/request/Admission.h"
 #include "peridotquay/request/CallContext.h"
 #include "peridotquay/request/FailureMeter.h"
+#include "peridotquay/request/LongestDuration.h"
 #include "peridotquay/request/ReturnSchedule.h"
 #include "peridotquay/request/RunLimit.h"
 #include "peridotquay/version/Config.h"
@@ -101,6 +102,9 @@
   void RecordDeeperCall(double aOverload);
   /// Number of calls that wait or run.
   std::size_t ActiveCalls() const;
+  /// Whether a call may still be running at aEndsAt, by its deadline and by how long recent calls
+  /// of its route took. False if too few are known.
+  bool MayOutlast(const Call& aCall, TimePoint aEndsAt) const;
   /// Whether the target runs a call that a deeper call with this deadline serves.
   bool RunsCallWithDeadline(TimePoint aDeadline) const;
   const AdmissionState& Admission() const;
@@ -208,7 +212,9 @@
   ReturnSchedule returns_;
   LogThrottle returnThrottle_;
   ContextTable contexts_;
-  FailureMeter failures_;         ///< Failures of the current target.
+  FailureMeter failures_; ///< Failures of the current target.
+  /// Calls that ran. Removed when a configuration without the route is set.
+  std::map<RouteId, LongestDuration> durations_;
   std::uint32_t workPercent_ = 0; ///< As the current target stated it last; 0 if it stated none.
   TimePoint workStatedAt_{};      ///< Time of workPercent_.
   std::map<std::uint64_t, GuardedCall> calls_;
--- a/peridotquay/process/Node.cpp
+++ b/peridotquay/process/Node.cpp
@@ -425,26 +425,36 @@
           break;
         case ArrivalDecision::kDrop:
           return;
-        case ArrivalDecision::kRefuse: {
-          Answer refused;
-          refused.callId_ = aCall.callId_;
-          refused.outcome_ = Outcome::kNotRun;
-          refused.error_ = static_cast<std::uint16_t>(ErrorCode::kLimitReached);
-          refused.retriesUnused_ = aCall.retries_;
-          hub_->Reply(aSource.link_, refused);
+        case ArrivalDecision::kRefuse:
+          hub_->Reply(aSource.link_, RefusedAnswer(aCall, ErrorCode::kLimitReached));
           return;
-        }
       }
     }
     const std::uint64_t number = nextPeerCall_++;
     peerCalls_[number] = entry;
     peerCallNumbers_[{ aSource.link_, aCall.callId_ }] = number;
+    // Another host has the time to run it, and its caller isn't told of this host's end.
+    if (draining_ && guard_->MayOutlast(aCall, DrainEndsAt())) {
+      metrics_.Add(Counter::kRefusedDraining);
+      OnGuardAnswer(number, RefusedAnswer(aCall, ErrorCode::kDraining));
+      return;
+    }
     guard_->Run(
       aCall,
       [this, number](std::uint64_t aGuardCall) { peerCalls_[number].guardCall_ = aGuardCall; },
       [this, number](const Answer& aAnswer) { OnGuardAnswer(number, aAnswer); });
   }
 
+  static Answer RefusedAnswer(const Call& aCall, ErrorCode aCode)
+  {
+    Answer answer;
+    answer.callId_ = aCall.callId_;
+    answer.outcome_ = Outcome::kNotRun;
+    answer.error_ = static_cast<std::uint16_t>(aCode);
+    answer.retriesUnused_ = aCall.retries_;
+    return answer;
+  }
+
   void OnGuardAnswer(std::uint64_t aNumber, const Answer& aAnswer)
   {
     const auto entry = peerCalls_.find(aNumber);
@@ -717,10 +727,13 @@
     CheckDrained();
   }
 
+  // When calls in flight are ended. Valid once draining_.
+  TimePoint DrainEndsAt() const { return drainStartedAt_ + settings_.drainTimeout_; }
+
   void StopAcceptingRequests()
   {
     acceptingRequests_ = false;
-    dispatcher_->SetDraining(drainStartedAt_ + settings_.drainTimeout_);
+    dispatcher_->SetDraining(DrainEndsAt());
     guard_->SetDraining();
   }
 
@@ -743,7 +756,7 @@
   // Leaves once the drain is complete or timed out; otherwise checks again after an interval.
   void CheckDrained()
   {
-    const bool timedOut = loop_.Now() - drainStartedAt_ >= settings_.drainTimeout_;
+    const bool timedOut = loop_.Now() >= DrainEndsAt();
     if (!IsDrained() && !timedOut) {
       loop_.After(kDrainCheckInterval, [this] { CheckDrained(); });
       return;
--- a/tests/fleet/DrainTest.cpp
+++ b/tests/drain/DrainTest.cpp
@@ -49,22 +49,23 @@
   return document;
 }
 
-/// A fleet of two hosts with LongWorkDocument.
+/// A fleet with LongWorkDocument.
 class LongWorkFleet
 {
 public:
-  LongWorkFleet()
-    : fleet_(2, false, false)
+  explicit LongWorkFleet(std::size_t aHosts = 2)
+    : fleet_(aHosts, false, false)
   {
     fleet_.Store().Put("op", "config", LongWorkDocument().dump());
   }
 
   UserFleet* operator->() { return &fleet_; }
 
-  /// Sends a request to host 0. Only requests of /search/ have a key.
+  /// Sends a request to a host. Only requests of /search/ have a key.
   standins::FetchResponse Send(const std::string& aPath,
                                const std::string& aId,
-                               Duration aDeadline = seconds(6))
+                               Duration aDeadline = seconds(6),
+                               std::size_t aHost = 0)
   {
     standins::FetchRequest request;
     request.method_ = aPath.starts_with("/deposit/") ? "POST" : "GET";
@@ -76,7 +77,7 @@
       request.headers_.emplace_back("Authorization", "Token k1");
     }
     request.timeout_ = aDeadline + seconds(1);
-    auto reply = standins::FetchHttp(fleet_.CallersAddress(0), request);
+    auto reply = standins::FetchHttp(fleet_.CallersAddress(aHost), request);
     return reply.has_value() ? reply.assume_value() : standins::FetchResponse{};
   }
 
@@ -272,3 +273,31 @@
   CHECK(fleet.Send("/search/1", "search").status_ == 200);
   CHECK(fleet->ProcessOf(0).Wait(6) == 0);
 }
+
+// Guards against calls of other hosts that a host takes shortly after SIGTERM, although its target
+// needs longer for them than the planned stop lasts.
+TEST_CASE("a call of another host that may outlast a planned stop runs elsewhere", "[drain]")
+{
+  constexpr int kSearches = 24;
+  LongWorkFleet fleet(4);
+  REQUIRE(fleet->WaitReady());
+  const auto search = [&](const std::string& aPath) {
+    std::vector<std::future<standins::FetchResponse>> searches;
+    for (int i = 0; i < kSearches; ++i) {
+      searches.push_back(std::async(std::launch::async, [&fleet, aPath, i] {
+        return fleet.Send("/search/" + aPath, aPath + "-" + std::to_string(i), seconds(6), 1);
+      }));
+    }
+    int answered = 0;
+    for (auto& response : searches) {
+      answered += response.get().status_ == 200 ? 1 : 0;
+    }
+    return answered;
+  };
+  // Shows both targets of the service how long such work takes.
+  REQUIRE(search("work-3500") == kSearches);
+  fleet->ProcessOf(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(200));
+  CHECK(search("work-4900") == kSearches);
+  CHECK(fleet->ProcessOf(0).Wait(6) == 0);
+}
